--- /dev/null
+++ b/cmd/sumac/calls.go
@@ -0,0 +1,311 @@
+// The operator's commands: each talks to any node over the API, and ends with a
+// numbered code and a non-zero exit when it did not do what it was asked.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	koanfjson "github.com/knadh/koanf/parsers/json"
+	"github.com/knadh/koanf/parsers/yaml"
+	"github.com/knadh/koanf/providers/file"
+	"github.com/knadh/koanf/v2"
+	"github.com/urfave/cli/v3"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func client(cmd *cli.Command) (*api.Client, error) {
+	c, err := api.NewClient("http://" + cmd.String("api"))
+	if err != nil {
+		return nil, fault.New(fault.BadCall, "--api: %v", err)
+	}
+	return c, nil
+}
+
+// clear turns a refused call back into its problem.
+func clear(err error) error {
+	var p *api.ProblemStatusCodeWithHeaders
+	if errors.As(err, &p) {
+		code, ok := fault.Codes[p.Response.Code]
+		if !ok {
+			code = fault.Internal
+		}
+		return &fault.Problem{Code: code, Note: p.Response.Note.Or(""), Paths: p.Response.Paths}
+	}
+	if err != nil {
+		return fault.New(fault.Unreached, "%v", err)
+	}
+	return nil
+}
+
+// readChange takes a change set from YAML or JSON, by koanf, strictly.
+func readChange(path string) (*api.Change, error) {
+	k := koanf.New("\x00")
+	var parser koanf.Parser = yaml.Parser()
+	if filepath.Ext(path) == ".json" {
+		parser = koanfjson.Parser()
+	}
+	if err := k.Load(file.Provider(path), parser); err != nil {
+		return nil, fault.New(fault.BadChange, "%s: %v", path, err)
+	}
+	tree := k.Raw()
+	if _, ok := tree["id"]; !ok {
+		tree["id"] = ""
+	}
+	if _, ok := tree["base"]; !ok {
+		tree["base"] = 0
+	}
+	raw, err := json.Marshal(tree)
+	if err != nil {
+		return nil, fault.New(fault.BadChange, "%s: %v", path, err)
+	}
+	change := &api.Change{}
+	if err := change.UnmarshalJSON(raw); err != nil {
+		return nil, fault.New(fault.BadChange, "%s: %v", path, err)
+	}
+	return change, nil
+}
+
+func runCheck(ctx context.Context, cmd *cli.Command) error {
+	if path := cmd.String("change"); path != "" {
+		return checkChange(ctx, cmd, path)
+	}
+	p, err := readProps(cmd)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: the settings are in order\n", p.Name)
+	return nil
+}
+
+// checkChange lays a change set over the fleet's configuration, or over none.
+func checkChange(ctx context.Context, cmd *cli.Command, path string) error {
+	change, err := readChange(path)
+	if err != nil {
+		return err
+	}
+	if change.ID == "" {
+		change.ID = "check"
+	}
+	var set wire.Change
+	if err := recast(change, &set); err != nil {
+		return err
+	}
+	var config wire.Config
+	if cmd.String("api") != "" {
+		c, err := client(cmd)
+		if err != nil {
+			return err
+		}
+		view, err := c.Epoch(ctx)
+		if err != nil {
+			return clear(err)
+		}
+		if err := recast(view.Config, &config); err != nil {
+			return err
+		}
+	}
+	next, paths := plan.Lay(config, &set)
+	if len(paths) > 0 {
+		return fault.At(fault.BadChange, paths)
+	}
+	fmt.Printf("%s: the change set is in order; with it there are %d mappings and %d services\n", path, len(next.Mappings), len(next.Services))
+	return nil
+}
+
+func recast(from, into any) error {
+	raw, err := json.Marshal(from)
+	if err == nil {
+		err = json.Unmarshal(raw, into)
+	}
+	if err != nil {
+		return fault.New(fault.BadCall, "%v", err)
+	}
+	return nil
+}
+
+func runSubmit(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return fault.New(fault.BadCall, "name one file")
+	}
+	change, err := readChange(cmd.Args().First())
+	if err != nil {
+		return err
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	if id := cmd.String("id"); id != "" {
+		change.ID = id
+	}
+	if change.ID == "" {
+		change.ID = mark.NewID()
+	}
+	if cmd.IsSet("base") {
+		change.Base = cmd.Uint64("base")
+	}
+	if cmd.Bool("amend") {
+		view, err := c.Epoch(ctx)
+		if err != nil {
+			return clear(err)
+		}
+		change.Base = view.Epoch
+	}
+	limited, end := context.WithTimeout(ctx, 10*time.Second)
+	defer end()
+	receipt, err := c.Submit(limited, change)
+	if err != nil {
+		problem := clear(err)
+		if p := fault.Of(problem); p.Code.No == fault.ChangeUnknown.No || p.Code.No == fault.Unreached.No {
+			fmt.Fprintf(os.Stderr, "sumac: ask with: sumac ask %s\n", change.ID)
+		}
+		return problem
+	}
+	fmt.Printf("%s %s in epoch %d\n", receipt.ID, receipt.State, receipt.Epoch)
+	return nil
+}
+
+func runAsk(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return fault.New(fault.BadCall, "name one id")
+	}
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	receipt, err := c.AskChange(ctx, api.AskChangeParams{ID: cmd.Args().First()})
+	if err != nil {
+		return clear(err)
+	}
+	fmt.Printf("%s %s in epoch %d\n", receipt.ID, receipt.State, receipt.Epoch)
+	return nil
+}
+
+func runEpoch(ctx context.Context, cmd *cli.Command) error {
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	view, err := c.Epoch(ctx)
+	if err != nil {
+		return clear(err)
+	}
+	raw, err := json.MarshalIndent(view, "", "  ")
+	if err != nil {
+		return fault.New(fault.Internal, "%v", err)
+	}
+	fmt.Println(string(raw))
+	return nil
+}
+
+// runShell answers one query, or reads queries from standard input.
+func runShell(ctx context.Context, cmd *cli.Command) error {
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	if cmd.Args().Len() > 0 {
+		return query(ctx, c, cmd.Args().Slice(), os.Stdout)
+	}
+	lines := bufio.NewScanner(os.Stdin)
+	var last error
+	for fmt.Print("sumac> "); lines.Scan(); fmt.Print("sumac> ") {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 {
+			continue
+		}
+		if words[0] == "quit" || words[0] == "exit" {
+			break
+		}
+		if last = query(ctx, c, words, os.Stdout); last != nil {
+			fmt.Fprintln(os.Stderr, describe(last))
+		}
+	}
+	return last
+}
+
+const shellHelp = `members   who is there, as this node sees it
+parts     the replicated parts: owner, term, commit, age of the confirmation
+targets   the servers this node hears, and whether each is in
+ages      how fresh this proxy's plan is (a node with a gate)
+epoch     the epoch in force: number, services and their targets
+counts    counters      traffic   messages and bytes to other processes, by kind
+events    newest log events       node      this node
+A query may be followed by words; only rows holding all of them are shown.
+`
+
+func query(ctx context.Context, c *api.Client, words []string, out io.Writer) error {
+	limited, end := context.WithTimeout(ctx, 5*time.Second)
+	defer end()
+	table := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	defer table.Flush()
+	switch words[0] {
+	case "help":
+		fmt.Fprint(out, shellHelp)
+		return nil
+	case "epoch":
+		view, err := c.Epoch(limited)
+		if err != nil {
+			return clear(err)
+		}
+		fmt.Fprintf(table, "epoch\t%d\tchanged in\t%d\tmappings\t%d\n", view.Epoch, view.Changed, len(view.Config.Mappings))
+		for service, targets := range view.Targets {
+			for _, t := range targets {
+				fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\n", service, t.Instance, t.Address, t.Zone, t.Weight)
+			}
+		}
+		return nil
+	}
+	what := api.ShowWhat(words[0])
+	if what.Validate() != nil {
+		return fault.New(fault.BadCall, "no query %q; try help", words[0])
+	}
+	rows, err := c.Show(limited, api.ShowParams{What: what})
+	if err != nil {
+		return clear(err)
+	}
+	fmt.Fprintln(table, strings.Join(rows.Columns, "\t"))
+	for _, row := range rows.Rows {
+		line := strings.Join(row, "\t")
+		isShown := true
+		for _, word := range words[1:] {
+			isShown = isShown && strings.Contains(line, word)
+		}
+		if isShown {
+			fmt.Fprintln(table, line)
+		}
+	}
+	return nil
+}
+
+func runJudge(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return fault.New(fault.BadCall, "name one file")
+	}
+	records, err := judge.Read(cmd.Args().First())
+	if err != nil {
+		return err
+	}
+	verdict := judge.Judge(records)
+	fmt.Print(verdict)
+	if !verdict.IsClean() {
+		return fault.New(fault.BadCall, "the history breaks a rule")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,63 @@
+// Package fault is the one kind of problem this project answers with: a
+// numbered code from the schema, a note, and the paths of what is wrong.
+// Problems travel between processes by number and are wrapped by trace.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Code is one line of the table in docs/codes.md.
+type Code struct {
+	No      int
+	Name    string
+	Status  int
+	Outcome string
+	Text    string
+}
+
+// Problem is a code with what is to be said about this one case.
+type Problem struct {
+	Code  Code
+	Note  string
+	Paths []string
+}
+
+func (p *Problem) Error() string {
+	text := fmt.Sprintf("%d %s", p.Code.No, p.Code.Text)
+	if p.Note != "" {
+		text += ": " + p.Note
+	}
+	if len(p.Paths) > 0 {
+		text += ": " + strings.Join(p.Paths, "; ")
+	}
+	return text
+}
+
+// New makes a problem, wrapped so that it knows where it came from.
+func New(code Code, format string, args ...any) error {
+	return trace.Wrap(&Problem{Code: code, Note: fmt.Sprintf(format, args...)})
+}
+
+// At makes a problem that names paths.
+func At(code Code, paths []string) error {
+	return trace.Wrap(&Problem{Code: code, Paths: paths})
+}
+
+// Of finds the problem in an error; anything else is Internal.
+func Of(err error) *Problem {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return &Problem{Code: Internal, Note: err.Error()}
+}
+
+// Is tells whether the error carries the code.
+func Is(err error, code Code) bool {
+	return err != nil && Of(err).Code.No == code.No
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,277 @@
+// Package fleet runs real processes of `sumac node` on loopback addresses, one
+// address for each machine, and does to them what the brief says happens: kill,
+// stop, freeze, wipe, bring back. It is the harness's; a node never starts a
+// process.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+// Machine is one node's place.
+type Machine struct {
+	Name     string
+	Zone     string
+	IP       string
+	IsCore   bool
+	IsProxy  bool
+	Strength int
+	fleet    *Fleet
+	cmd      *exec.Cmd
+	done     chan struct{}
+}
+
+// Fleet is all machines of one run.
+type Fleet struct {
+	Binary   string
+	Folder   string
+	Port     int
+	Cores    int
+	Machines []*Machine
+	Settings map[string]string
+}
+
+// New lays a fleet out: cores and proxies spread over zones.
+func New(binary, folder string, port, cores, proxies, zones int) *Fleet {
+	f := &Fleet{Binary: binary, Folder: folder, Port: port, Cores: cores, Settings: map[string]string{}}
+	for i := range cores {
+		f.add(fmt.Sprintf("core%d", i+1), i%zones, i+1, true, false)
+	}
+	for i := range proxies {
+		f.add(fmt.Sprintf("proxy%d", i+1), i%zones, 100+i, false, true)
+	}
+	return f
+}
+
+func (f *Fleet) add(name string, zone, host int, isCore, isProxy bool) {
+	f.Machines = append(f.Machines, &Machine{Name: name, Zone: fmt.Sprintf("zone%d", zone+1), IP: fmt.Sprintf("127.1.%d.%d", zone+1, host), IsCore: isCore, IsProxy: isProxy, Strength: 100, fleet: f})
+}
+
+func (m *Machine) Wire() string { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port) }
+func (m *Machine) Api() string  { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+1) }
+func (m *Machine) Gate() string { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+2) }
+
+// Data is the machine's data folder.
+func (m *Machine) Data() string { return filepath.Join(m.fleet.Folder, m.Name, "data") }
+
+// Log is the machine's log file.
+func (m *Machine) Log() string { return filepath.Join(m.fleet.Folder, m.Name, "log") }
+
+func (f *Fleet) seeds() string {
+	var seeds []string
+	for _, m := range f.Machines {
+		if m.IsCore && len(seeds) < 3 {
+			seeds = append(seeds, m.Wire())
+		}
+	}
+	return strings.Join(seeds, ",")
+}
+
+// Start runs the machine's process.
+func (m *Machine) Start() error {
+	if err := os.MkdirAll(filepath.Dir(m.Log()), 0o755); err != nil {
+		return err
+	}
+	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
+	if m.IsCore {
+		set["data.folder"] = m.Data()
+	}
+	if m.IsProxy {
+		set["gate.address"] = m.Gate()
+	}
+	for key, value := range m.fleet.Settings {
+		set[key] = value
+	}
+	args := []string{"node"}
+	for key, value := range set {
+		args = append(args, "--set", key+"="+value)
+	}
+	cmd := exec.Command(m.fleet.Binary, args...)
+	trouble, err := os.OpenFile(filepath.Join(filepath.Dir(m.Log()), "stderr"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer trouble.Close()
+	cmd.Stderr = trouble
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	m.cmd, m.done = cmd, done
+	go func() { cmd.Wait(); close(done) }()
+	return nil
+}
+
+func (m *Machine) IsUp() bool {
+	if m.cmd == nil {
+		return false
+	}
+	select {
+	case <-m.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (m *Machine) signal(s syscall.Signal) {
+	if m.IsUp() {
+		m.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once.
+func (m *Machine) Kill() {
+	m.signal(syscall.SIGKILL)
+	if m.cmd != nil {
+		<-m.done
+	}
+}
+
+// Stop asks politely and kills about six seconds later; true if it went itself.
+func (m *Machine) Stop() bool {
+	m.signal(syscall.SIGTERM)
+	select {
+	case <-m.done:
+		return true
+	case <-time.After(6 * time.Second):
+		m.Kill()
+		return false
+	}
+}
+
+// Freeze and Thaw hold the process still.
+func (m *Machine) Freeze() { m.signal(syscall.SIGSTOP) }
+func (m *Machine) Thaw()   { m.signal(syscall.SIGCONT) }
+
+// Wipe empties the disk of a machine that is down.
+func (m *Machine) Wipe() error { return os.RemoveAll(m.Data()) }
+
+// Pid is the process's id.
+func (m *Machine) Pid() int { return m.cmd.Process.Pid }
+
+// Of finds a machine.
+func (f *Fleet) Of(name string) *Machine {
+	for _, m := range f.Machines {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// CoreMachines and ProxyMachines are the two kinds.
+func (f *Fleet) CoreMachines() (some []*Machine) {
+	for _, m := range f.Machines {
+		if m.IsCore {
+			some = append(some, m)
+		}
+	}
+	return some
+}
+
+func (f *Fleet) ProxyMachines() (some []*Machine) {
+	for _, m := range f.Machines {
+		if m.IsProxy {
+			some = append(some, m)
+		}
+	}
+	return some
+}
+
+// Apis is the API addresses of the core nodes.
+func (f *Fleet) Apis() (list []string) {
+	for _, m := range f.CoreMachines() {
+		list = append(list, m.Api())
+	}
+	return list
+}
+
+// StartAll starts every machine.
+func (f *Fleet) StartAll() error {
+	for _, m := range f.Machines {
+		if err := m.Start(); err != nil {
+			return fault.New(fault.Internal, "%s: %v", m.Name, err)
+		}
+	}
+	return nil
+}
+
+// KillAll ends every process of the fleet.
+func (f *Fleet) KillAll() {
+	for _, m := range f.Machines {
+		if m.cmd != nil {
+			m.signal(syscall.SIGCONT)
+			m.Kill()
+		}
+	}
+}
+
+// AwaitReady waits until every machine that is up says it does its work.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	for _, m := range f.Machines {
+		if !m.IsUp() {
+			continue
+		}
+		client, err := api.NewClient("http://" + m.Api())
+		if err != nil {
+			return err
+		}
+		for {
+			limited, end := context.WithTimeout(ctx, time.Second)
+			_, err := client.Ready(limited)
+			end()
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return fault.New(fault.Unreached, "%s is not ready: %v", m.Name, err)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// FreePort finds a port with the two above it free on the loopback addresses.
+func FreePort() (int, error) {
+	for range 50 {
+		first, err := net.Listen("tcp", "127.1.1.1:0")
+		if err != nil {
+			return 0, err
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		first.Close()
+		if port > 60000 {
+			continue
+		}
+		isFree := true
+		for i := range 3 {
+			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port+i))
+			if err != nil {
+				isFree = false
+				break
+			}
+			l.Close()
+		}
+		if isFree {
+			return port, nil
+		}
+	}
+	return 0, fault.New(fault.Internal, "no free ports")
+}
--- /dev/null
+++ b/internal/flow/cache.go
@@ -0,0 +1,218 @@
+// The proxy's cache: per group the copy with its digest and version, replaced
+// only by newer, and staged until all groups of one epoch's manifest are there;
+// then the whole epoch is swapped in by one pointer and subscribers are told.
+// Epochs only go up.
+package flow
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Chart is one epoch, converted for use; it is never written to.
+type Chart struct {
+	Epoch    mark.Epoch
+	Manifest map[string]wire.Held
+	Mappings []wire.Mapping
+	Services map[string]wire.Service
+	Limits   map[string]wire.Limit
+	Targets  map[string][]wire.Target
+	Shares   map[mark.Name]int
+	groups   map[string]wire.Group
+}
+
+// Cache holds the chart in use and the groups staged for the next.
+type Cache struct {
+	s     *sign.Sign
+	chart atomic.Pointer[Chart]
+	told  []func(*Chart)
+
+	mu     sync.Mutex
+	staged map[string]wire.Group
+}
+
+func NewCache(s *sign.Sign) *Cache { return &Cache{s: s, staged: map[string]wire.Group{}} }
+
+// Subscribe names a verb that is told of every chart swapped in.
+func (c *Cache) Subscribe(verb func(*Chart)) { c.told = append(c.told, verb) }
+
+// Chart is the epoch in use; nil before the first.
+func (c *Cache) Chart() *Chart { return c.chart.Load() }
+
+// Have is what a listener request carries: each group's digest and version.
+func (c *Cache) Have() (mark.Epoch, map[string]wire.Held) {
+	chart := c.Chart()
+	if chart == nil {
+		return 0, nil
+	}
+	return chart.Epoch, chart.Manifest
+}
+
+// Stage keeps fetched groups, each only if it is newer than the one kept.
+func (c *Cache) Stage(groups map[string]wire.Group) (isNewer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, group := range groups {
+		if old, ok := c.held(name); ok && group.Stamp <= old.Stamp {
+			continue
+		}
+		if plan.Digest(group.Data) != group.Digest {
+			continue
+		}
+		c.staged[name] = group
+		isNewer = true
+	}
+	return isNewer
+}
+
+func (c *Cache) held(name string) (wire.Group, bool) {
+	if group, ok := c.staged[name]; ok {
+		return group, true
+	}
+	if chart := c.Chart(); chart != nil {
+		group, ok := chart.groups[name]
+		return group, ok
+	}
+	return wire.Group{}, false
+}
+
+// Missing is which groups of a manifest are neither in use nor staged.
+func (c *Cache) Missing(manifest map[string]wire.Held) (names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, held := range manifest {
+		if !c.has(name, held) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *Cache) has(name string, held wire.Held) bool {
+	if group, ok := c.staged[name]; ok && group.Digest == held.Digest {
+		return true
+	}
+	if chart := c.Chart(); chart != nil {
+		group, ok := chart.groups[name]
+		return ok && group.Digest == held.Digest
+	}
+	return false
+}
+
+// Swap takes a whole epoch into use if it is newer and all of it is there.
+func (c *Cache) Swap(epoch mark.Epoch, manifest map[string]wire.Held) (bool, error) {
+	c.mu.Lock()
+	old := c.Chart()
+	if old != nil && epoch <= old.Epoch {
+		c.mu.Unlock()
+		return false, nil
+	}
+	groups := make(map[string]wire.Group, len(manifest))
+	for name, held := range manifest {
+		if !c.has(name, held) {
+			c.mu.Unlock()
+			return false, nil
+		}
+		group := c.staged[name]
+		if group.Digest != held.Digest {
+			group = old.groups[name]
+		}
+		groups[name] = group
+	}
+	chart, err := convert(epoch, manifest, groups, old)
+	if err != nil {
+		c.mu.Unlock()
+		return false, err
+	}
+	for name, group := range c.staged {
+		if now, ok := groups[name]; ok && group.Stamp <= now.Stamp {
+			delete(c.staged, name)
+		}
+	}
+	c.chart.Store(chart)
+	for _, verb := range c.told {
+		verb(chart)
+	}
+	c.mu.Unlock()
+	c.s.Say(sign.EpochServed, "epoch", uint64(epoch), "groups", len(groups))
+	return true, nil
+}
+
+// convert unpacks the groups; those that did not change are taken over.
+func convert(epoch mark.Epoch, manifest map[string]wire.Held, groups map[string]wire.Group, old *Chart) (*Chart, error) {
+	chart := &Chart{Epoch: epoch, Manifest: maps.Clone(manifest), groups: groups,
+		Services: map[string]wire.Service{}, Limits: map[string]wire.Limit{}, Targets: map[string][]wire.Target{}, Shares: map[mark.Name]int{}}
+	read := func(name string, into any) error {
+		group, ok := groups[name]
+		if !ok {
+			return nil
+		}
+		if err := json.Unmarshal(group.Data, into); err != nil {
+			return fault.New(fault.BadMessage, "group %s: %v", name, err)
+		}
+		return nil
+	}
+	isSame := func(name string) bool { return old != nil && old.groups[name].Digest == groups[name].Digest }
+	if isSame(plan.Routes) {
+		chart.Mappings = old.Mappings
+	} else if err := read(plan.Routes, &chart.Mappings); err != nil {
+		return nil, err
+	}
+	var services []wire.Service
+	var limits []wire.Limit
+	if err := read(plan.Services, &services); err != nil {
+		return nil, err
+	}
+	if err := read(plan.Limits, &limits); err != nil {
+		return nil, err
+	}
+	if err := read(plan.Shares, &chart.Shares); err != nil {
+		return nil, err
+	}
+	for _, s := range services {
+		chart.Services[s.Name] = s
+	}
+	for _, l := range limits {
+		chart.Limits[l.Service] = l
+	}
+	for name := range groups {
+		service, ok := strings.CutPrefix(name, plan.Targets)
+		if !ok {
+			continue
+		}
+		var list []wire.Target
+		if isSame(name) {
+			list = old.Targets[service]
+		} else if err := read(name, &list); err != nil {
+			return nil, err
+		}
+		chart.Targets[service] = list
+	}
+	return chart, nil
+}
+
+// Delta makes a whole manifest of the one in use and what a listener reported.
+func (c *Cache) Delta(base map[string]wire.Held, receipt *wire.ListenReceipt) map[string]wire.Held {
+	manifest := maps.Clone(base)
+	if manifest == nil {
+		manifest = map[string]wire.Held{}
+	}
+	for _, name := range receipt.Removed {
+		delete(manifest, name)
+	}
+	for name, held := range receipt.Changed {
+		manifest[name] = held
+	}
+	return manifest
+}
--- /dev/null
+++ b/internal/flow/client.go
@@ -0,0 +1,266 @@
+// The proxy's tasks: one full fetch at start, trying the control nodes in list
+// order; then one listening task for each control node; and beside them one
+// pulse, which renews how freshly the epoch in use is confirmed. The pauses of
+// the source are shortened and spread, for here two seconds are the bound.
+package flow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Ages is as of when an epoch, and each part in it, was known to be in force.
+type Ages struct {
+	Epoch  mark.Epoch
+	Config time.Time
+	Parts  [mark.Parts]time.Time
+}
+
+// Vouched is the newest ages, and the last that vouch for the epoch before.
+type Vouched struct{ Newest, Before Ages }
+
+// Client is one proxy's.
+type Client struct {
+	r     *realm.Realm
+	w     *wire.Wire
+	k     *kin.Kin
+	Cache *Cache
+	ages  atomic.Pointer[Vouched]
+	began atomic.Bool
+
+	mu        sync.Mutex
+	listening map[mark.Name]string
+	fetching  sync.Mutex
+	isFresh   bool
+}
+
+func NewClient(r *realm.Realm, w *wire.Wire, k *kin.Kin) *Client {
+	c := &Client{r: r, w: w, k: k, Cache: NewCache(r.Sign), listening: map[mark.Name]string{}}
+	c.ages.Store(&Vouched{})
+	return c
+}
+
+// Open starts once, however often it is called.
+func (c *Client) Open() {
+	if !c.began.CompareAndSwap(false, true) {
+		return
+	}
+	c.r.Go(func() {
+		for !c.fetchAll() {
+			if !c.r.Pause(realm.Jitter(c.r.Props.FlowRetry)) {
+				return
+			}
+		}
+		c.keepListening()
+	})
+	c.r.Go(c.pulse)
+}
+
+// fetchAll tries the control nodes in order until one gives every group.
+func (c *Client) fetchAll() bool {
+	for _, m := range c.k.Cores() {
+		ctx, end := context.WithTimeout(c.r, 5*time.Second)
+		var receipt wire.FetchReceipt
+		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
+		end()
+		if err != nil {
+			c.r.Sign.Say(sign.FetchFailed, "node", string(m.Name), "cause", err.Error())
+			continue
+		}
+		if receipt.Epoch == 0 {
+			continue
+		}
+		c.Cache.Stage(receipt.Groups)
+		if ok, err := c.Cache.Swap(receipt.Epoch, receipt.Manifest); ok && err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// keepListening has one task for each control node there is.
+func (c *Client) keepListening() {
+	for {
+		for _, m := range c.k.Cores() {
+			c.mu.Lock()
+			isNew := c.listening[m.Name] != m.Wire
+			if isNew {
+				c.listening[m.Name] = m.Wire
+			}
+			c.mu.Unlock()
+			if isNew {
+				c.r.Go(func() { c.listen(m.Name, m.Wire) })
+			}
+		}
+		if !c.r.Pause(500 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// listen is the task for one control node; it ends when the node is gone.
+func (c *Client) listen(name mark.Name, address string) {
+	defer func() {
+		c.mu.Lock()
+		if c.listening[name] == address {
+			delete(c.listening, name)
+		}
+		c.mu.Unlock()
+	}()
+	tries := 0
+	for !c.r.IsOver() {
+		if m, ok := c.k.Of(name); !ok || m.Wire != address {
+			return
+		}
+		isNewer, err := c.poll(address)
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			tries++
+			c.r.Sign.Say(sign.ListenFailed, "node", string(name), "tries", tries, "cause", err.Error())
+			pause = c.r.Props.FlowRetry
+			if tries >= c.r.Props.FlowTries {
+				tries, pause = 0, c.r.Props.FlowCool
+			}
+		case !isNewer:
+			tries, pause = 0, c.r.Props.FlowPause
+		default:
+			tries = 0
+		}
+		if pause > 0 && !c.r.Pause(realm.Jitter(pause)) {
+			return
+		}
+	}
+}
+
+// poll is one held listener request and, if it names groups, their fetch.
+func (c *Client) poll(address string) (isNewer bool, err error) {
+	epoch, have := c.Cache.Have()
+	ctx, end := context.WithTimeout(c.r, c.r.Props.FlowHold+2*time.Second)
+	defer end()
+	var receipt wire.ListenReceipt
+	if err := c.w.Ask(ctx, address, "flow.listen", &wire.ListenAsk{Epoch: epoch, Have: have}, &receipt); err != nil {
+		return false, err
+	}
+	if receipt.Epoch <= epoch {
+		return true, nil
+	}
+	manifest := c.Cache.Delta(have, &receipt)
+	c.fetching.Lock()
+	defer c.fetching.Unlock()
+	if now, _ := c.Cache.Have(); receipt.Epoch <= now {
+		return true, nil
+	}
+	if missing := c.Cache.Missing(manifest); len(missing) > 0 {
+		limited, stop := context.WithTimeout(c.r, 3*time.Second)
+		defer stop()
+		var fetched wire.FetchReceipt
+		if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: missing}, &fetched); err != nil {
+			return false, err
+		}
+		isNewer = c.Cache.Stage(fetched.Groups)
+	}
+	ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+	return ok || isNewer, err
+}
+
+// pulse renews freshness through one control node, the nearest that answers.
+func (c *Client) pulse() {
+	pick := 0
+	for c.r.Pause(realm.Jitter(c.r.Props.FlowPulse)) {
+		cores := c.k.Cores()
+		if len(cores) == 0 {
+			continue
+		}
+		for try := 0; try < 2; try++ {
+			m := cores[pick%len(cores)]
+			sent := time.Now()
+			ctx, end := context.WithTimeout(c.r, c.r.Props.FlowPulse+100*time.Millisecond)
+			var receipt wire.PulseReceipt
+			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
+			end()
+			if err == nil {
+				c.renew(sent, &receipt)
+				break
+			}
+			pick++
+		}
+		c.tell()
+	}
+}
+
+// renew takes over what a pulse brought. Ages that name an epoch newer than the
+// one in use can't vouch for it, but those held before still do until they are
+// too old; so both are kept.
+func (c *Client) renew(sent time.Time, receipt *wire.PulseReceipt) {
+	held := c.ages.Load()
+	if receipt.Epoch < held.Newest.Epoch || len(receipt.Parts) != mark.Parts {
+		return
+	}
+	next := Ages{Epoch: receipt.Epoch, Config: sent.Add(-time.Duration(receipt.Age) * time.Microsecond)}
+	for i, age := range receipt.Parts {
+		if age >= 0 {
+			next.Parts[i] = sent.Add(-time.Duration(age) * time.Microsecond)
+		}
+	}
+	both := &Vouched{Newest: next, Before: held.Before}
+	if receipt.Epoch == held.Newest.Epoch {
+		both.Newest.raise(&held.Newest)
+	} else if chart := c.Cache.Chart(); chart != nil && chart.Epoch >= held.Newest.Epoch {
+		both.Before = held.Newest
+	}
+	c.ages.Store(both)
+}
+
+// raise keeps the later of two words about one epoch.
+func (a *Ages) raise(o *Ages) {
+	if a.Config.Before(o.Config) {
+		a.Config = o.Config
+	}
+	for i := range a.Parts {
+		if a.Parts[i].Before(o.Parts[i]) {
+			a.Parts[i] = o.Parts[i]
+		}
+	}
+}
+
+// IsFresh tells whether a chart may be acted on for a service now. Ages that
+// name an older epoch vouch for a newer chart too: what was known then is in it.
+func (c *Client) IsFresh(chart *Chart, service string) bool {
+	if chart == nil {
+		return false
+	}
+	held := c.ages.Load()
+	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
+	for _, a := range []*Ages{&held.Newest, &held.Before} {
+		if a.Epoch <= chart.Epoch && time.Since(a.Config) < bound && (service == "" || time.Since(a.Parts[no]) < bound) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ages is what the shell shows.
+func (c *Client) Ages() Ages { return c.ages.Load().Newest }
+
+// tell writes an event when freshness of the configuration is lost or back.
+func (c *Client) tell() {
+	chart, ages := c.Cache.Chart(), c.Ages()
+	isFresh := chart != nil && chart.Epoch >= ages.Epoch && time.Since(ages.Config) < c.r.Props.FlowFresh
+	if isFresh != c.isFresh {
+		c.isFresh = isFresh
+		if isFresh {
+			c.r.Sign.Say(sign.FreshAgain, "epoch", uint64(ages.Epoch))
+		} else {
+			c.r.Sign.Say(sign.FreshLost, "epoch", uint64(ages.Epoch))
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/serve.go
@@ -0,0 +1,190 @@
+// Package flow is the paper's distribution: a full fetch at start, a held
+// listener request that carries each group's digest and version, a fetch of
+// only the groups reported changed, replacement only by newer, and then word to
+// the subscribers. This file is the control node's half; it serves what its
+// member of the configuration part has folded.
+package flow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/pact"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Server is one control node's.
+type Server struct {
+	r       *realm.Realm
+	w       *wire.Wire
+	k       *kin.Kin
+	p       *pact.Pact
+	ledger  *plan.Ledger
+	planner *plan.Planner
+
+	mu      sync.Mutex
+	running *relay
+	waiting *relay
+}
+
+// relay is one pulse to the owner, shared by all proxies that wait for it.
+type relay struct {
+	done    chan struct{}
+	sent    time.Time
+	receipt *wire.PulseReceipt
+	err     error
+}
+
+func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *plan.Ledger, planner *plan.Planner) *Server {
+	s := &Server{r: r, w: w, k: k, p: p, ledger: ledger, planner: planner}
+	w.Handle("flow.listen", func(c *wire.Call) (any, error) {
+		var ask wire.ListenAsk
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		return s.listen(c, &ask)
+	})
+	w.Handle("flow.fetch", func(c *wire.Call) (any, error) {
+		var ask wire.FetchAsk
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		return s.fetch(&ask), nil
+	})
+	w.Handle("flow.pulse", func(c *wire.Call) (any, error) { return s.pulse(c) })
+	return s
+}
+
+// listen holds the request until a group differs from what the asker has, in
+// an epoch newer than the asker's, or the hold time is over.
+func (s *Server) listen(ctx context.Context, ask *wire.ListenAsk) (*wire.ListenReceipt, error) {
+	hold := time.NewTimer(s.r.Props.FlowHold)
+	defer hold.Stop()
+	for {
+		change := s.p.Part(mark.Config).Watch()
+		sheet := s.ledger.Sheet()
+		if sheet.Epoch > ask.Epoch {
+			return differ(sheet, ask), nil
+		}
+		select {
+		case <-change:
+		case <-hold.C:
+			return &wire.ListenReceipt{Epoch: sheet.Epoch}, nil
+		case <-ctx.Done():
+			return &wire.ListenReceipt{Epoch: sheet.Epoch}, nil
+		case <-s.r.Done():
+			return nil, fault.New(fault.Stopping, "")
+		}
+	}
+}
+
+func differ(sheet *plan.Sheet, ask *wire.ListenAsk) *wire.ListenReceipt {
+	receipt := &wire.ListenReceipt{Epoch: sheet.Epoch, Changed: map[string]wire.Held{}}
+	for name, group := range sheet.Groups {
+		if have, ok := ask.Have[name]; !ok || have.Digest != group.Digest {
+			receipt.Changed[name] = wire.Held{Digest: group.Digest, Stamp: group.Stamp}
+		}
+	}
+	for name := range ask.Have {
+		if _, ok := sheet.Groups[name]; !ok {
+			receipt.Removed = append(receipt.Removed, name)
+		}
+	}
+	return receipt
+}
+
+func (s *Server) fetch(ask *wire.FetchAsk) *wire.FetchReceipt {
+	sheet := s.ledger.Sheet()
+	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
+	if len(ask.Groups) == 0 {
+		receipt.Manifest, receipt.Groups = sheet.Manifest(), sheet.Groups
+		return receipt
+	}
+	for _, name := range ask.Groups {
+		if group, ok := sheet.Groups[name]; ok {
+			receipt.Groups[name] = group
+		}
+	}
+	return receipt
+}
+
+// pulse tells ages as the owner of the configuration part knows them, older by
+// the time that passed since this node asked.
+func (s *Server) pulse(ctx context.Context) (*wire.PulseReceipt, error) {
+	if s.p.Part(mark.Config).IsServing() {
+		return s.planner.Pulse(ctx)
+	}
+	s.mu.Lock()
+	mine := s.waiting
+	if mine == nil {
+		mine = &relay{done: make(chan struct{})}
+		s.waiting = mine
+		if s.running == nil {
+			s.start()
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case <-mine.done:
+	case <-ctx.Done():
+		return nil, fault.New(fault.NoOwner, "%v", ctx.Err())
+	}
+	if mine.err != nil {
+		return nil, mine.err
+	}
+	grown := time.Since(mine.sent).Microseconds() + 1
+	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
+	for i, age := range mine.receipt.Parts {
+		receipt.Parts[i] = age
+		if age >= 0 {
+			receipt.Parts[i] = age + grown
+		}
+	}
+	return receipt, nil
+}
+
+// start sends the waiting relay; the next one starts when it is back.
+func (s *Server) start() {
+	now := s.waiting
+	s.running, s.waiting = now, nil
+	s.r.Go(func() {
+		now.sent = time.Now()
+		now.receipt, now.err = s.ask()
+		close(now.done)
+		s.mu.Lock()
+		s.running = nil
+		if s.waiting != nil {
+			s.start()
+		}
+		s.mu.Unlock()
+	})
+}
+
+func (s *Server) ask() (*wire.PulseReceipt, error) {
+	name, ok := s.p.Owner(mark.Config)
+	if !ok || name == s.r.Name {
+		return nil, fault.New(fault.NoOwner, "configuration part")
+	}
+	m, ok := s.k.Of(name)
+	if !ok {
+		return nil, fault.New(fault.NoOwner, "configuration part: %s is down", name)
+	}
+	ctx, end := context.WithTimeout(s.r, 500*time.Millisecond)
+	defer end()
+	var receipt wire.PulseReceipt
+	if err := s.w.AskHop(ctx, m.Wire, "flow.owner", 1, &wire.PulseAsk{}, &receipt); err != nil {
+		return nil, err
+	}
+	return &receipt, nil
+}
+
+// HandleOwner answers other control nodes, at the owner only.
+func (s *Server) HandleOwner() {
+	s.w.Handle("flow.owner", func(c *wire.Call) (any, error) { return s.planner.Pulse(c) })
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,385 @@
+// The Gate takes callers' requests, plans each and carries the plan out. What
+// can't be done is answered at once, with a numbered code, the outcome as far
+// as it is known, and a spread Retry-After; nothing is ever held back.
+package gate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const smallBody = 64 << 10
+
+// Gate is one proxy's.
+type Gate struct {
+	r        *realm.Realm
+	flow     *flow.Client
+	table    atomic.Pointer[table]
+	pool     *pool
+	budget   *Budget
+	counters sync.Map
+	inflight atomic.Int64
+	isGoing  atomic.Bool
+	Outcomes sync.Map
+}
+
+func New(r *realm.Realm, f *flow.Client) *Gate {
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget()}
+	f.Cache.Subscribe(func(chart *flow.Chart) {
+		t := newTable(chart, g.table.Load())
+		g.table.Store(t)
+		g.pool.prune(func(at string) bool { return t.places[at] })
+		g.counters.Range(func(key, n any) bool {
+			if at := key.(string); n.(*atomic.Int64).Load() == 0 && !t.places[at] {
+				g.counters.Delete(key)
+			}
+			return true
+		})
+	})
+	return g
+}
+
+// Stop refuses what comes from now on.
+func (g *Gate) Stop() { g.isGoing.Store(true) }
+
+// Close ends the idle pipes.
+func (g *Gate) Close() { g.pool.prune(func(string) bool { return false }) }
+
+// Inflight is how many requests are under way.
+func (g *Gate) Inflight() int64 { return g.inflight.Load() }
+
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := g.inflight.Add(1)
+	defer g.inflight.Add(-1)
+	if g.isGoing.Load() {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, fault.New(fault.Stopping, ""))
+		return
+	}
+	if n > int64(g.r.Props.GateInflight) {
+		g.refuse(w, fault.New(fault.Overload, "%d requests are under way", n-1))
+		return
+	}
+	if r.ContentLength > int64(g.r.Props.GateRequest) {
+		g.refuse(w, fault.New(fault.RequestTooLarge, "%d bytes", r.ContentLength))
+		return
+	}
+	c, err := g.course(r)
+	if err != nil {
+		g.refuse(w, err)
+		return
+	}
+	done, err := g.admit(c)
+	if err != nil {
+		g.refuse(w, err)
+		return
+	}
+	defer done()
+	got, err := g.carry(c, r)
+	if err != nil {
+		g.refuse(w, err)
+		return
+	}
+	g.pass(w, c, got)
+}
+
+// admit holds the proxy's share of the service and the budget of repeats.
+func (g *Gate) admit(c *course) (func(), error) {
+	under := g.counter("service\n" + c.service.Name)
+	n := under.Add(1)
+	done := func() { under.Add(-1) }
+	if limit := c.chart.Limits[c.service.Name].Inflight; limit > 0 {
+		if share := g.share(c.chart, limit); n > share {
+			done()
+			return nil, fault.New(fault.Overload, "%s: the share of this proxy is %d", c.service.Name, share)
+		}
+	}
+	if g.budget.IsRepeat(c.service.Name, c.key) {
+		if !g.extra(c) {
+			done()
+			return nil, fault.New(fault.BudgetSpent, "%s: a repeat of a request", c.service.Name)
+		}
+	} else {
+		g.budget.Traffic(c.service.Name)
+	}
+	return done, nil
+}
+
+// share is this proxy's part of a fleet-wide bound, by strength.
+func (g *Gate) share(chart *flow.Chart, whole int) int64 {
+	total := 0
+	for _, strength := range chart.Shares {
+		total += strength
+	}
+	mine := chart.Shares[g.r.Name]
+	if total == 0 || mine == 0 {
+		mine, total = 1, len(chart.Shares)+1
+	}
+	return max(1, int64(whole)*int64(mine)/int64(total))
+}
+
+func (g *Gate) extra(c *course) bool {
+	percent, base := 20, 60
+	limit := c.chart.Limits[c.service.Name]
+	if limit.ExtraPercent != nil {
+		percent = *limit.ExtraPercent
+	}
+	if limit.ExtraBase != nil {
+		base = *limit.ExtraBase
+	}
+	return g.budget.Extra(c.service.Name, percent, float64(base)/float64(max(1, len(c.chart.Shares))))
+}
+
+// carry tries the targets in order. A try that wrote nothing may be followed by
+// another; one that wrote may only if the request may be repeated.
+func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
+	ctx, end := context.WithDeadline(g.r, c.deadline)
+	defer end()
+	body, isWhole, err := g.body(r)
+	if err != nil {
+		return nil, err
+	}
+	problem := fault.New(fault.NotWritten, "%s", c.service.Name)
+	isWritten := false
+	for i, target := range c.targets {
+		if i > 0 && (!g.extra(c) || time.Now().After(c.deadline)) {
+			break
+		}
+		got, wrote, err := g.try(ctx, c, r, target, body, i)
+		if err == nil {
+			return got, nil
+		}
+		isWritten = isWritten || wrote
+		g.r.Sign.Say(sign.TryFailed, "request", c.id, "service", c.service.Name, "instance", target.Instance, "wrote", wrote, "cause", err.Error())
+		if !isWritten || wrote {
+			problem = err
+		}
+		if wrote && (!c.isRepeatable || !isWhole) || fault.Is(err, fault.NotFresh) || fault.Is(err, fault.BodyCut) {
+			break
+		}
+	}
+	return nil, problem
+}
+
+// body reads small bodies, so that they can be sent again; others stream.
+func (g *Gate) body(r *http.Request) (func() io.Reader, bool, error) {
+	if r.ContentLength == 0 {
+		return func() io.Reader { return nil }, true, nil
+	}
+	if r.ContentLength > 0 && r.ContentLength <= smallBody {
+		whole := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, whole); err != nil {
+			return nil, false, fault.New(fault.BadRequest, "the body ended early; nothing was handed over")
+		}
+		return func() io.Reader { return bytes.NewReader(whole) }, true, nil
+	}
+	stream := &streamed{from: r.Body, left: int64(g.r.Props.GateRequest)}
+	return func() io.Reader { return stream }, false, nil
+}
+
+// streamed is a caller's body on its way; it remembers how it ended.
+type streamed struct {
+	from io.Reader
+	left int64
+	err  error
+}
+
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.from.Read(p)
+	if s.left -= int64(n); s.left < 0 {
+		err = errors.New("the body is too large")
+	}
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
+// try is one write of the request to one target, at most.
+func (g *Gate) try(ctx context.Context, c *course, r *http.Request, target wire.Target, body func() io.Reader, no int) (*answer, bool, error) {
+	at := place(c.service.Name, target.Instance, target.Address)
+	under := g.counter(at)
+	under.Add(1)
+	defer under.Add(-1)
+	p, err := g.pool.get(ctx, at, target.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	request := g.request(c, r, target, body(), no)
+	out, ok := p.take(request, g.r.Props.GateBody)
+	if !ok {
+		return nil, false, fault.New(fault.NotWritten, "%s: the pipe died", target.Address)
+	}
+	if t := g.table.Load(); !t.places[at] || !g.flow.IsFresh(t.chart, c.service.Name) {
+		p.kill()
+		return nil, false, fault.New(fault.NotFresh, "epoch %d", t.chart.Epoch)
+	}
+	if t := g.table.Load(); t.chart != c.chart {
+		if m := t.find(r); m == nil || !reflect.DeepEqual(m, c.mapping) {
+			p.kill()
+			return nil, false, fault.New(fault.NotFresh, "the mapping changed in epoch %d", t.chart.Epoch)
+		}
+	}
+	p.conn.SetDeadline(c.deadline)
+	counted := &counted{to: p.conn}
+	if err := request.Write(counted); err != nil {
+		p.kill()
+		return nil, counted.n > 0 || request.ContentLength != 0, broken(request, counted.n, err)
+	}
+	select {
+	case got := <-out:
+		if got.err != nil {
+			p.kill()
+			return nil, true, lost(&got)
+		}
+		if err := g.verify(c, target, &got); err != nil {
+			p.kill()
+			return nil, true, err
+		}
+		p.conn.SetDeadline(time.Time{})
+		g.pool.put(at, p)
+		return &got, true, nil
+	case <-ctx.Done():
+		p.kill()
+		return nil, true, fault.New(fault.DeadlinePassed, "%s", target.Instance)
+	}
+}
+
+// counted knows whether a first byte was written.
+type counted struct {
+	to io.Writer
+	n  int
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.to.Write(p)
+	c.n += n
+	return n, err
+}
+
+// broken sorts out a write that failed.
+func broken(request *http.Request, n int, err error) error {
+	if s, ok := request.Body.(wrapped); ok {
+		if stream, ok := s.Reader.(*streamed); ok && stream.err != nil {
+			return fault.New(fault.BodyCut, "%v", stream.err)
+		}
+	}
+	if n == 0 && request.ContentLength == 0 {
+		return fault.New(fault.NotWritten, "%v", err)
+	}
+	return fault.New(fault.AnswerLost, "%v", err)
+}
+
+// wrapped is a body that a failed write may close without harm.
+type wrapped struct{ io.Reader }
+
+func (wrapped) Close() error { return nil }
+
+func lost(got *answer) error {
+	if errors.Is(got.err, errTooLarge) {
+		return fault.New(fault.AnswerTooLarge, "")
+	}
+	if timeout, ok := got.err.(interface{ Timeout() bool }); ok && timeout.Timeout() {
+		return fault.New(fault.DeadlinePassed, "")
+	}
+	return fault.New(fault.AnswerLost, "%v", got.err)
+}
+
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Proxy-Authorization", "Proxy-Authenticate"}
+
+func (g *Gate) request(c *course, r *http.Request, target wire.Target, body io.Reader, no int) *http.Request {
+	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header.Clone(), ContentLength: r.ContentLength}
+	for _, word := range strings.Split(r.Header.Get("Connection"), ",") {
+		out.Header.Del(strings.TrimSpace(word))
+	}
+	for _, name := range hopByHop {
+		out.Header.Del(name)
+	}
+	for name := range out.Header {
+		if strings.HasPrefix(name, "Sumac-") {
+			out.Header.Del(name)
+		}
+	}
+	out.Header.Set(HeaderRequest, c.id)
+	out.Header.Set(HeaderTry, strconv.Itoa(no+1))
+	out.Header.Set(HeaderService, c.service.Name)
+	out.Header.Set(HeaderInstance, target.Instance)
+	out.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+	out.Header.Set(HeaderProxy, string(g.r.Name))
+	if body != nil {
+		out.Body = wrapped{body}
+	}
+	return out
+}
+
+// verify holds an answer against the server's seal.
+func (g *Gate) verify(c *course, target wire.Target, got *answer) error {
+	h := got.response.Header
+	if !IsSealed(h.Get(HeaderSeal), c.service.Key, c.id, c.service.Name, target.Instance, got.response.StatusCode, got.body) {
+		g.r.Sign.Say(sign.SealRefused, "request", c.id, "service", c.service.Name, "instance", target.Instance, "address", target.Address, "status", got.response.StatusCode)
+		return fault.New(fault.SealBroken, "%s", target.Instance)
+	}
+	return nil
+}
+
+func (g *Gate) pass(w http.ResponseWriter, c *course, got *answer) {
+	h := w.Header()
+	for name, values := range got.response.Header {
+		h[name] = values
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	h.Set(HeaderOutcome, "ran")
+	h.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+	if got.response.StatusCode != http.StatusNoContent && got.response.StatusCode != http.StatusNotModified && got.response.Request.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(got.body)))
+	}
+	g.note("ran")
+	w.WriteHeader(got.response.StatusCode)
+	w.Write(got.body)
+}
+
+func (g *Gate) note(what string) {
+	found, ok := g.Outcomes.Load(what)
+	if !ok {
+		found, _ = g.Outcomes.LoadOrStore(what, new(atomic.Int64))
+	}
+	found.(*atomic.Int64).Add(1)
+}
+
+// refuse answers at once, and spreads the time to come back.
+func (g *Gate) refuse(w http.ResponseWriter, err error) {
+	p := fault.Of(err)
+	g.note(p.Code.Name)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderCode, strconv.Itoa(p.Code.No))
+	h.Set(HeaderOutcome, p.Code.Outcome)
+	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests {
+		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(3)))
+	}
+	status := p.Code.Status
+	if status == 499 {
+		status = http.StatusBadGateway
+	}
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
+}
--- /dev/null
+++ b/internal/gate/pipe.go
@@ -0,0 +1,198 @@
+// A pipe is one connection to one target. Its task waits for a byte: one that
+// comes while nothing was asked, or the end of the connection, shows the pipe
+// dead, so only a pipe that is known idle is used again. One try is one write
+// of one request; nothing here ever writes a request a second time.
+package gate
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+)
+
+const (
+	idleMost = 64
+	idleTime = 20 * time.Second
+)
+
+var errTooLarge = errors.New("answer too large")
+
+type answer struct {
+	response *http.Response
+	body     []byte
+	err      error
+}
+
+type pipe struct {
+	conn  net.Conn
+	since time.Time
+
+	mu     sync.Mutex
+	asked  *http.Request
+	limit  int
+	answer chan answer
+	isDead bool
+}
+
+func (p *pipe) run() {
+	defer p.kill()
+	reader := bufio.NewReaderSize(p.conn, 8<<10)
+	for {
+		_, err := reader.Peek(1)
+		p.mu.Lock()
+		request, limit, out := p.asked, p.limit, p.answer
+		if request == nil {
+			p.isDead = true
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		if err != nil {
+			out <- answer{err: err}
+			return
+		}
+		got := read(reader, request, limit)
+		isOver := got.err != nil || got.response.Close || reader.Buffered() > 0
+		p.mu.Lock()
+		p.asked = nil
+		p.isDead = isOver
+		p.mu.Unlock()
+		out <- got
+		if isOver {
+			return
+		}
+	}
+}
+
+func read(reader *bufio.Reader, request *http.Request, limit int) answer {
+	for {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return answer{err: err}
+		}
+		if response.StatusCode < 200 {
+			if response.StatusCode == http.StatusSwitchingProtocols {
+				return answer{err: errors.New("the server switched protocols")}
+			}
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+		if err != nil {
+			return answer{err: err}
+		}
+		if len(body) > limit {
+			return answer{err: errTooLarge}
+		}
+		response.Body.Close()
+		return answer{response: response, body: body}
+	}
+}
+
+func (p *pipe) kill() {
+	p.mu.Lock()
+	p.isDead = true
+	p.mu.Unlock()
+	p.conn.Close()
+}
+
+// take claims an idle pipe for a request; false if it died meanwhile.
+func (p *pipe) take(request *http.Request, limit int) (chan answer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isDead {
+		return nil, false
+	}
+	p.asked, p.limit, p.answer = request, limit, make(chan answer, 1)
+	return p.answer, true
+}
+
+func (p *pipe) isIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.isDead && p.asked == nil
+}
+
+// pool keeps the idle pipes by target.
+type pool struct {
+	r    *realm.Realm
+	mu   sync.Mutex
+	idle map[string][]*pipe
+}
+
+func newPool(r *realm.Realm) *pool { return &pool{r: r, idle: map[string][]*pipe{}} }
+
+func place(service, instance, address string) string {
+	return service + "\n" + instance + "\n" + address
+}
+
+// get finds an idle pipe or dials; the problem means nothing was written.
+func (o *pool) get(ctx context.Context, at, address string) (*pipe, error) {
+	for {
+		o.mu.Lock()
+		list := o.idle[at]
+		if len(list) == 0 {
+			o.mu.Unlock()
+			break
+		}
+		p := list[len(list)-1]
+		o.idle[at] = list[:len(list)-1]
+		o.mu.Unlock()
+		if p.isIdle() && time.Since(p.since) < idleTime {
+			return p, nil
+		}
+		p.kill()
+	}
+	limited, end := context.WithTimeout(ctx, o.r.Props.GateConnect)
+	defer end()
+	conn, err := o.r.Net.Dial(limited, address)
+	if err != nil {
+		return nil, fault.New(fault.NotWritten, "%s: %v", address, err)
+	}
+	p := &pipe{conn: conn}
+	o.r.Go(p.run)
+	return p, nil
+}
+
+func (o *pool) put(at string, p *pipe) {
+	if !p.isIdle() {
+		p.kill()
+		return
+	}
+	p.since = time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.idle[at]) >= idleMost || o.r.IsOver() {
+		p.kill()
+		return
+	}
+	o.idle[at] = append(o.idle[at], p)
+}
+
+// prune closes the pipes of targets that are no longer in the epoch.
+func (o *pool) prune(isIn func(at string) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for at, list := range o.idle {
+		kept := list[:0]
+		for _, p := range list {
+			if isIn(at) && p.isIdle() && time.Since(p.since) < idleTime {
+				kept = append(kept, p)
+			} else {
+				p.kill()
+			}
+		}
+		if len(kept) == 0 {
+			delete(o.idle, at)
+		} else {
+			o.idle[at] = kept
+		}
+	}
+}
--- /dev/null
+++ b/internal/judge/judge.go
@@ -0,0 +1,263 @@
+// One checker for each thing that must never happen. Each looks at the whole
+// history and names what breaks its rule, with the records around it.
+package judge
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Breach is one place where a rule is broken.
+type Breach struct {
+	Rule string
+	Text string
+	At   time.Duration
+}
+
+// Verdict is what all checkers said.
+type Verdict struct {
+	Breaches []Breach
+	Counts   map[string]int
+	records  []Record
+}
+
+func (v *Verdict) IsClean() bool { return len(v.Breaches) == 0 }
+
+func (v *Verdict) String() string {
+	var b strings.Builder
+	kinds := make([]string, 0, len(v.Counts))
+	for kind := range v.Counts {
+		kinds = append(kinds, kind)
+	}
+	sort.Strings(kinds)
+	for _, kind := range kinds {
+		fmt.Fprintf(&b, "%-24s %d\n", kind, v.Counts[kind])
+	}
+	for i, breach := range v.Breaches {
+		if i == 20 {
+			fmt.Fprintf(&b, "and %d more\n", len(v.Breaches)-i)
+			break
+		}
+		fmt.Fprintf(&b, "BROKEN %s at %s: %s\n", breach.Rule, breach.At, breach.Text)
+	}
+	if len(v.Breaches) > 0 {
+		b.WriteString("around the first:\n")
+		at := v.Breaches[0].At
+		shown := 0
+		for _, r := range v.records {
+			if r.At > at-time.Second && r.At < at+time.Second && (r.Kind != Called && r.Kind != Ran || strings.Contains(v.Breaches[0].Text, r.Call)) && shown < 40 {
+				fmt.Fprintf(&b, "  %+v\n", r)
+				shown++
+			}
+		}
+	}
+	return b.String()
+}
+
+// The bounds of the brief; the slack is for what "about" means there.
+const (
+	learnBound  = 2 * time.Second
+	rescueBound = 15 * time.Second
+	slack       = 50 * time.Millisecond
+)
+
+type check func(all []Record, fail func(at time.Duration, format string, args ...any))
+
+// Checks are the rules by name.
+var Checks = map[string]check{
+	"runs-twice":     runsTwice,
+	"not-run":        notRun,
+	"wrong-answer":   wrongAnswer,
+	"late-hand-over": lateHandOver,
+	"wrong-service":  wrongService,
+	"old-plan":       oldPlan,
+	"slid-back":      slidBack,
+	"racing-changes": racingChanges,
+	"lost-change":    lostChange,
+	"extra-tries":    extraTries,
+	"dropped":        dropped,
+	"locks":          locks,
+	"counters":       counters,
+	"stale-read":     staleRead,
+	"watch-gap":      watchGap,
+	"too-long":       tooLong,
+	"answered":       answered,
+}
+
+// Judge runs every checker.
+func Judge(records []Record) *Verdict {
+	v := &Verdict{Counts: map[string]int{}, records: records}
+	hasEnd := false
+	for _, r := range records {
+		v.Counts[r.Kind]++
+		if r.Kind == Called {
+			v.Counts["called: "+r.Outcome]++
+			if r.Code != 0 {
+				v.Counts[fmt.Sprintf("called: code %d", r.Code)]++
+			}
+		}
+		hasEnd = hasEnd || r.Kind == Ended
+	}
+	if !hasEnd {
+		v.Breaches = append(v.Breaches, Breach{Rule: "incomplete", Text: "the history has no end; nothing can be said of it"})
+	}
+	names := make([]string, 0, len(Checks))
+	for name := range Checks {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		Checks[name](records, func(at time.Duration, format string, args ...any) {
+			v.Breaches = append(v.Breaches, Breach{Rule: name, At: at, Text: fmt.Sprintf(format, args...)})
+		})
+	}
+	return v
+}
+
+func of(all []Record, kind string) (some []Record) {
+	for _, r := range all {
+		if r.Kind == kind {
+			some = append(some, r)
+		}
+	}
+	return some
+}
+
+// runsTwice: a booking, signing order or upload runs twice.
+func runsTwice(all []Record, fail func(time.Duration, string, ...any)) {
+	repeats := map[string]bool{}
+	for _, r := range of(all, Called) {
+		repeats[r.Call] = repeats[r.Call] || r.Repeat
+	}
+	runs, requests := map[string]Record{}, map[string]Record{}
+	for _, r := range of(all, Ran) {
+		if r.Repeatable {
+			continue
+		}
+		if first, ok := requests[r.Request]; ok {
+			fail(r.At, "request %s of call %s ran at %s and at %s", r.Request, r.Call, first.Instance, r.Instance)
+		}
+		requests[r.Request] = r
+		if first, ok := runs[r.Call]; ok && (!repeats[r.Call] || r.Note == "once") {
+			fail(r.At, "call %s ran at %s and at %s", r.Call, first.Instance, r.Instance)
+		}
+		runs[r.Call] = r
+	}
+}
+
+// notRun: "not run" for a request that did run, or will run later.
+func notRun(all []Record, fail func(time.Duration, string, ...any)) {
+	runs := map[string]int{}
+	for _, r := range of(all, Ran) {
+		runs[r.Call]++
+	}
+	answers := map[string][]Record{}
+	for _, r := range of(all, Called) {
+		answers[r.Call] = append(answers[r.Call], r)
+	}
+	for call, list := range answers {
+		maybe, last := 0, Record{}
+		for _, r := range list {
+			if r.Outcome != "not run" {
+				maybe++
+			} else {
+				last = r
+			}
+		}
+		if last.Call != "" && maybe == 0 && runs[call] > 0 {
+			fail(last.At, "call %s was answered not run (%d) and ran %d times", call, last.Code, runs[call])
+		}
+	}
+}
+
+// wrongAnswer: a success without seal or part of its body, or of another
+// request, or one that never ran.
+func wrongAnswer(all []Record, fail func(time.Duration, string, ...any)) {
+	runs := map[string]bool{}
+	for _, r := range of(all, Ran) {
+		runs[r.Call+r.Digest] = true
+	}
+	for _, r := range of(all, Called) {
+		if r.Status == 200 && (r.Note != "" || !runs[r.Call+r.Digest]) {
+			fail(r.At, "call %s got a success that is not its own: %s", r.Call, r.Note)
+		}
+	}
+}
+
+// lateHandOver: a request reaches a server that we knew to be draining or gone.
+func lateHandOver(all []Record, fail func(time.Duration, string, ...any)) {
+	known := map[string]time.Duration{}
+	for _, r := range all {
+		id := r.Service + "/" + r.Instance
+		switch r.Kind {
+		case Known:
+			if _, ok := known[id]; !ok {
+				known[id] = r.At
+			}
+		case Silent:
+			if _, ok := known[id]; !ok {
+				known[id] = r.At + 900*time.Millisecond
+			}
+		}
+	}
+	for _, r := range of(all, Ran) {
+		came := r.At
+		if r.Start > 0 {
+			came = r.Start
+		}
+		if at, ok := known[r.Owner+"/"+r.Instance]; ok && came > at+learnBound+slack {
+			fail(r.At, "call %s reached %s %s, %s after it was known to go", r.Call, r.Owner, r.Instance, came-at)
+		}
+	}
+}
+
+// wrongService: a request reaches an address that belongs to another service.
+func wrongService(all []Record, fail func(time.Duration, string, ...any)) {
+	for _, r := range of(all, Ran) {
+		if r.Service != r.Owner {
+			fail(r.At, "call %s for %s reached %s of %s", r.Call, r.Service, r.Address, r.Owner)
+		}
+	}
+}
+
+// oldPlan: a request is handled under a plan older than one acknowledged
+// about two seconds ago.
+func oldPlan(all []Record, fail func(time.Duration, string, ...any)) {
+	changes := of(all, Changed)
+	for _, r := range of(all, Ran) {
+		came := r.At
+		if r.Start > 0 {
+			came = r.Start
+		}
+		for _, c := range changes {
+			if c.Outcome == "accepted" && r.Epoch < c.Epoch && came > c.At+learnBound+slack {
+				fail(r.At, "call %s was handled under epoch %d, %s after epoch %d was acknowledged", r.Call, r.Epoch, came-c.At, c.Epoch)
+				break
+			}
+		}
+	}
+}
+
+// slidBack: a proxy hands over under an epoch after it did under a later one.
+func slidBack(all []Record, fail func(time.Duration, string, ...any)) {
+	type seen struct {
+		epoch uint64
+		at    time.Duration
+	}
+	highest := map[string]seen{}
+	for _, r := range of(all, Ran) {
+		top := highest[r.Proxy]
+		came := r.At
+		if r.Start > 0 {
+			came = r.Start
+		}
+		if r.Epoch < top.epoch && came > top.at+learnBound {
+			fail(r.At, "proxy %s used epoch %d after epoch %d", r.Proxy, r.Epoch, top.epoch)
+		}
+		if r.Epoch > top.epoch {
+			highest[r.Proxy] = seen{r.Epoch, r.At}
+		}
+	}
+}
--- /dev/null
+++ b/internal/kin/kin.go
@@ -0,0 +1,320 @@
+// Package kin knows who is there: each node probes a few others in turn, asks
+// third parties for a second opinion, suspects before it removes, and refutes
+// suspicion of itself by a higher incarnation. What it holds are opinions on
+// liveness; nothing that must be true hangs on them.
+package kin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	Alive   = "alive"
+	Suspect = "suspect"
+	Down    = "down"
+	Left    = "left"
+)
+
+// known is a member with what this node alone knows of it.
+type known struct {
+	member wire.Member
+	since  time.Time
+	sent   int
+}
+
+// Kin is one node's view of the fleet. View is copy-on-write.
+type Kin struct {
+	r    *realm.Realm
+	w    *wire.Wire
+	conn net.PacketConn
+
+	mu      sync.Mutex
+	me      wire.Member
+	members map[mark.Name]*known
+	seq     uint64
+	acks    map[uint64]chan struct{}
+	order   []mark.Name
+	view    atomic.Pointer[map[mark.Name]Standing]
+}
+
+// Standing is a member and since when it stands as it does.
+type Standing struct {
+	wire.Member
+	Since time.Time
+}
+
+func New(r *realm.Realm, w *wire.Wire, me wire.Member) *Kin {
+	me.Incarnation, me.State = 1, Alive
+	k := &Kin{r: r, w: w, me: me, members: map[mark.Name]*known{}, acks: map[uint64]chan struct{}{}}
+	k.publish()
+	w.Handle("kin.sync", func(c *wire.Call) (any, error) {
+		var ask wire.KinSync
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		k.learn(ask.Members)
+		return &wire.KinSync{Members: k.list()}, nil
+	})
+	return k
+}
+
+// Open starts probing.
+func (k *Kin) Open() error {
+	conn, err := k.r.Net.Packet(k.r.Props.WireAddress)
+	if err != nil {
+		return err
+	}
+	k.conn = conn
+	k.r.Go(k.receive)
+	k.r.Go(k.probe)
+	k.r.Go(k.sync)
+	k.r.Go(func() { <-k.r.Done(); conn.Close() })
+	return nil
+}
+
+// Me is how this node shows itself.
+func (k *Kin) Me() wire.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.me
+}
+
+// Amend changes what this node shows of itself.
+func (k *Kin) Amend(change func(*wire.Member)) {
+	k.mu.Lock()
+	change(&k.me)
+	k.me.Incarnation++
+	k.publish()
+	k.mu.Unlock()
+}
+
+// View is all members by name, this one included; not to be written to.
+func (k *Kin) View() map[mark.Name]Standing { return *k.view.Load() }
+
+// Of finds a member that is not down.
+func (k *Kin) Of(name mark.Name) (wire.Member, bool) {
+	s, ok := k.View()[name]
+	return s.Member, ok && (s.State == Alive || s.State == Suspect)
+}
+
+// IsLive tells whether exactly this life of a node seems live.
+func (k *Kin) IsLive(peer wire.Peer) bool {
+	m, ok := k.Of(peer.Name)
+	return ok && m.Birth == peer.Birth
+}
+
+// Cores is the live core members, own zone first, then by a fixed order.
+func (k *Kin) Cores() []wire.Member {
+	var cores []wire.Member
+	for _, s := range k.View() {
+		if s.Core && (s.State == Alive || s.State == Suspect) {
+			cores = append(cores, s.Member)
+		}
+	}
+	zone := k.r.Props.Zone
+	sort.Slice(cores, func(i, j int) bool {
+		a, b := cores[i], cores[j]
+		if (a.Zone == zone) != (b.Zone == zone) {
+			return a.Zone == zone
+		}
+		x, y := mark.Score(string(k.r.Name), string(a.Name)), mark.Score(string(k.r.Name), string(b.Name))
+		if x != y {
+			return x < y
+		}
+		return a.Name < b.Name
+	})
+	return cores
+}
+
+func (k *Kin) list() []wire.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := []wire.Member{k.me}
+	for _, m := range k.members {
+		list = append(list, m.member)
+	}
+	return list
+}
+
+func (k *Kin) publish() {
+	view := make(map[mark.Name]Standing, len(k.members)+1)
+	for name, m := range k.members {
+		view[name] = Standing{m.member, m.since}
+	}
+	view[k.me.Name] = Standing{k.me, time.Time{}}
+	k.view.Store(&view)
+}
+
+func rank(state string) int {
+	switch state {
+	case Alive:
+		return 0
+	case Suspect:
+		return 1
+	}
+	return 2
+}
+
+// learn folds others' news into the view. Within one birth the higher
+// incarnation wins, and at the same one the worse state; another birth wins
+// over one that is known to be down, or by coming from the node itself.
+func (k *Kin) learn(news []wire.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	didChange := false
+	for _, m := range news {
+		if m.Name == k.me.Name {
+			if m.Birth == k.me.Birth && m.State != Alive && m.Incarnation >= k.me.Incarnation && k.me.State == Alive {
+				k.me.Incarnation = m.Incarnation + 1
+				k.me.State = Alive
+				didChange = true
+			}
+			if m.Birth != k.me.Birth && m.Incarnation >= k.me.Incarnation {
+				k.me.Incarnation = m.Incarnation + 1
+				didChange = true
+			}
+			continue
+		}
+		if m.Name == "" || m.Birth == "" || m.Wire == "" {
+			continue
+		}
+		old, ok := k.members[m.Name]
+		switch {
+		case !ok:
+			if rank(m.State) == 2 {
+				continue
+			}
+			k.r.Sign.Say(sign.MemberUp, "member", string(m.Name), "wire", m.Wire, "zone", m.Zone)
+		case old.member.Birth != m.Birth:
+			if m.State != Alive || m.Incarnation <= old.member.Incarnation {
+				continue
+			}
+			k.r.Sign.Say(sign.MemberReborn, "member", string(m.Name), "birth", string(m.Birth), "wire", m.Wire)
+		default:
+			isNewer := m.Incarnation > old.member.Incarnation || m.Incarnation == old.member.Incarnation && rank(m.State) > rank(old.member.State)
+			if !isNewer {
+				continue
+			}
+			k.tell(old.member.State, m)
+		}
+		since := time.Now()
+		if ok && old.member.Birth == m.Birth && rank(old.member.State) == rank(m.State) {
+			since = old.since
+		}
+		k.members[m.Name] = &known{member: m, since: since}
+		didChange = true
+	}
+	if didChange {
+		k.publish()
+	}
+}
+
+func (k *Kin) tell(before string, m wire.Member) {
+	if before == m.State {
+		return
+	}
+	switch m.State {
+	case Alive:
+		k.r.Sign.Say(sign.MemberUp, "member", string(m.Name), "wire", m.Wire, "zone", m.Zone)
+	case Suspect:
+		k.r.Sign.Say(sign.MemberSuspect, "member", string(m.Name))
+	default:
+		k.r.Sign.Say(sign.MemberDown, "member", string(m.Name), "state", m.State)
+	}
+}
+
+// gossip picks the news that was passed on least often.
+func (k *Kin) gossip() []wire.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	limit := 4
+	for n := len(k.members) + 1; n > 1; n /= 2 {
+		limit += 2
+	}
+	news := []wire.Member{}
+	for _, m := range k.members {
+		if m.sent < limit {
+			m.sent++
+			if news = append(news, m.member); len(news) >= 6 {
+				break
+			}
+		}
+	}
+	return news
+}
+
+// sync exchanges whole lists: with the seeds until one answers, and with a
+// random member from time to time.
+func (k *Kin) sync() {
+	isIn := false
+	for {
+		var addresses []string
+		if !isIn {
+			addresses = k.r.Props.Seeds
+		} else {
+			for name, s := range k.View() {
+				if name != k.r.Name && rank(s.State) < 2 {
+					addresses = append(addresses, s.Wire)
+				}
+			}
+			if len(addresses) > 0 {
+				pick := rand.IntN(len(addresses))
+				addresses = addresses[pick : pick+1]
+			}
+			if len(k.r.Props.Seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
+				addresses = append(addresses, k.r.Props.Seeds[rand.IntN(len(k.r.Props.Seeds))])
+			}
+		}
+		for _, address := range addresses {
+			if address != k.r.Props.WireAddress && k.Sync(address) {
+				isIn = true
+			}
+		}
+		pause := 300 * time.Millisecond
+		if isIn {
+			pause = realm.Jitter(10 * time.Second)
+			if len(k.View()) < 3 {
+				pause = time.Second
+			}
+		}
+		if !k.r.Pause(pause) {
+			return
+		}
+	}
+}
+
+// Sync exchanges whole lists with one address.
+func (k *Kin) Sync(address string) bool {
+	ctx, end := context.WithTimeout(k.r, time.Second)
+	defer end()
+	var receipt wire.KinSync
+	if err := k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: k.list()}, &receipt); err != nil {
+		return false
+	}
+	k.learn(receipt.Members)
+	return true
+}
+
+// Leave tells a few others that this node goes on purpose.
+func (k *Kin) Leave() {
+	k.Amend(func(m *wire.Member) { m.State = Left })
+	me := k.Me()
+	told := 0
+	for name, s := range k.View() {
+		if name != k.r.Name && s.State == Alive && told < 4 {
+			k.send(s.Wire, wire.Probe{Kind: "news", News: []wire.Member{me}})
+			told++
+		}
+	}
+}
--- /dev/null
+++ b/internal/kin/probe.go
@@ -0,0 +1,173 @@
+// The probing half of kin: datagrams of one JSON line each. A ping that is not
+// answered in time is repeated through two third parties; if that fails too the
+// member is suspected, and it is down when the suspicion is not refuted.
+package kin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func (k *Kin) send(address string, probe wire.Probe) {
+	me := k.Me()
+	probe.From, probe.Birth = me.Name, me.Birth
+	if probe.News == nil {
+		probe.News = k.gossip()
+	}
+	raw, err := json.Marshal(probe)
+	if err != nil {
+		return
+	}
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return
+	}
+	k.w.Count("kin.probe", len(raw)+1)
+	k.conn.WriteTo(append(raw, '\n'), net.UDPAddrFromAddrPort(to))
+}
+
+func (k *Kin) receive() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, from, err := k.conn.ReadFrom(buffer)
+		if err != nil {
+			if k.r.IsOver() || !k.r.Pause(10*time.Millisecond) {
+				return
+			}
+			continue
+		}
+		var probe wire.Probe
+		if err := json.Unmarshal(buffer[:n], &probe); err != nil {
+			k.r.Sign.Say(sign.MessageRefused, "kind", "kin.probe", "from", from.String())
+			continue
+		}
+		k.learn(probe.News)
+		switch probe.Kind {
+		case "ping":
+			if probe.To != "" && probe.To != k.r.Name {
+				continue
+			}
+			me := k.Me()
+			k.send(from.String(), wire.Probe{Kind: "ack", Seq: probe.Seq, News: append(k.gossip(), me)})
+		case "ack":
+			k.mu.Lock()
+			if waiter, ok := k.acks[probe.Seq]; ok {
+				delete(k.acks, probe.Seq)
+				close(waiter)
+			}
+			k.mu.Unlock()
+		case "relay":
+			to, ok := k.Of(probe.To)
+			if !ok {
+				continue
+			}
+			seq := probe.Seq
+			k.r.Go(func() {
+				if k.ping(to.Wire, to.Name, nil) {
+					k.send(from.String(), wire.Probe{Kind: "ack", Seq: seq})
+				}
+			})
+		}
+	}
+}
+
+// ping waits for the ack of one member; meanwhile verbs run after half time.
+func (k *Kin) ping(address string, name mark.Name, relay func(seq uint64)) bool {
+	k.mu.Lock()
+	k.seq++
+	seq := k.seq
+	waiter := make(chan struct{})
+	k.acks[seq] = waiter
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.acks, seq)
+		k.mu.Unlock()
+	}()
+	await := func() bool {
+		wakeup := time.NewTimer(k.r.Props.KinReply)
+		defer wakeup.Stop()
+		select {
+		case <-waiter:
+			return true
+		case <-wakeup.C:
+		case <-k.r.Done():
+		}
+		return false
+	}
+	k.send(address, wire.Probe{Kind: "ping", Seq: seq, To: name})
+	if await() {
+		return true
+	}
+	if relay == nil || k.r.IsOver() {
+		return false
+	}
+	relay(seq)
+	return await() || await()
+}
+
+// next picks the members in turn, in an order shuffled anew every time round.
+func (k *Kin) next() (wire.Member, bool) {
+	view := k.View()
+	for range 2 {
+		for len(k.order) > 0 {
+			name := k.order[0]
+			k.order = k.order[1:]
+			if s, ok := view[name]; ok && name != k.r.Name && rank(s.State) < 2 {
+				return s.Member, true
+			}
+		}
+		for name, s := range view {
+			if name != k.r.Name && rank(s.State) < 2 {
+				k.order = append(k.order, name)
+			}
+		}
+		rand.Shuffle(len(k.order), func(i, j int) { k.order[i], k.order[j] = k.order[j], k.order[i] })
+	}
+	return wire.Member{}, false
+}
+
+func (k *Kin) probe() {
+	for k.r.Pause(k.r.Props.KinProbe) {
+		k.bury()
+		target, ok := k.next()
+		if !ok {
+			continue
+		}
+		relay := func(seq uint64) {
+			asked := 0
+			for name, s := range k.View() {
+				if name != k.r.Name && name != target.Name && s.State == Alive && asked < 2 {
+					k.send(s.Wire, wire.Probe{Kind: "relay", Seq: seq, To: target.Name})
+					asked++
+				}
+			}
+		}
+		if !k.ping(target.Wire, target.Name, relay) && !k.r.IsOver() {
+			target.State = Suspect
+			k.learn([]wire.Member{target})
+		}
+	}
+}
+
+// bury takes out those whose suspicion was not refuted.
+func (k *Kin) bury() {
+	var dead []wire.Member
+	for _, s := range k.View() {
+		if s.State == Suspect && time.Since(s.Since) > k.r.Props.KinSuspect {
+			m := s.Member
+			m.State = Down
+			dead = append(dead, m)
+		}
+	}
+	if len(dead) > 0 {
+		k.learn(dead)
+	}
+}
--- /dev/null
+++ b/internal/lore/lore.go
@@ -0,0 +1,228 @@
+// Package lore keeps a core node's state in goleveldb. One task writes: it
+// gathers what waits into one batch, numbers the batch, and syncs it, so that
+// writes reach the disk in the order they were handed in. At the start a gap in
+// the numbers, or anything else that can't be read, shows damage; a batch that
+// was torn at the very end was never acknowledged and is dropped. Damaged data
+// is set aside and never served from.
+package lore
+
+import (
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+// Lore is one data folder.
+type Lore struct {
+	r     *realm.Realm
+	db    *leveldb.DB
+	mu    sync.Mutex
+	queue []*Writing
+	wake  chan struct{}
+	seq   uint64
+	syncs atomic.Int64
+	since atomic.Int64
+	start time.Time
+	// Failed is closed when a write has failed; nothing is written after it.
+	Failed chan struct{}
+}
+
+// Writing is a batch on its way to the disk.
+type Writing struct {
+	batch leveldb.Batch
+	done  chan struct{}
+	over  <-chan struct{}
+	err   error
+}
+
+func (w *Writing) Put(key string, value []byte) { w.batch.Put([]byte(key), value) }
+func (w *Writing) Delete(key string)            { w.batch.Delete([]byte(key)) }
+
+// Wait returns when the batch is synced or has failed.
+func (w *Writing) Wait() error {
+	select {
+	case <-w.done:
+		return w.err
+	case <-w.over:
+		return fault.New(fault.StorageBroken, "stopping")
+	}
+}
+
+const (
+	seqPrefix = "~seq/"
+	seqKept   = 512
+)
+
+// Open opens the folder, or sets it aside and opens an empty one.
+func Open(r *realm.Realm) (*Lore, error) {
+	l := &Lore{r: r, wake: make(chan struct{}, 1), start: time.Now(), Failed: make(chan struct{})}
+	problem := l.load()
+	if problem != nil {
+		if l.db != nil {
+			l.db.Close()
+			l.db = nil
+		}
+		folder := r.Props.DataFolder
+		aside := folder + ".damaged-" + time.Now().Format("20060102-150405")
+		r.Sign.Say(sign.StoreDamaged, "folder", folder, "aside", aside, "cause", problem.Error())
+		if err := os.Rename(folder, aside); err != nil {
+			return nil, fault.New(fault.StorageBroken, "%s is damaged (%v) and can't be set aside: %v", folder, problem, err)
+		}
+		if err := l.load(); err != nil {
+			return nil, fault.New(fault.StorageBroken, "%s: %v", folder, err)
+		}
+	}
+	r.Go(l.write)
+	return l, nil
+}
+
+func (l *Lore) load() error {
+	stor, err := l.r.Net.Store(filepath.Join(l.r.Props.DataFolder, "lore"))
+	if err != nil {
+		return err
+	}
+	options := &opt.Options{Strict: opt.StrictManifest | opt.StrictBlockChecksum | opt.StrictReader | opt.StrictCompaction, WriteBuffer: 2 << 20, BlockCacheCapacity: 1 << 20}
+	l.db, err = leveldb.Open(stor, options)
+	if err != nil {
+		stor.Close()
+		return err
+	}
+	var first, last, count uint64
+	walk := l.db.NewIterator(util.BytesPrefix([]byte(seqPrefix)), nil)
+	defer walk.Release()
+	for walk.Next() {
+		n := binary.BigEndian.Uint64(walk.Key()[len(seqPrefix):])
+		if count == 0 {
+			first = n
+		}
+		last = n
+		count++
+	}
+	if err := walk.Error(); err != nil {
+		return err
+	}
+	if count > 0 && last-first+1 != count {
+		return fault.New(fault.StorageBroken, "batches are missing between %d and %d", first, last)
+	}
+	l.seq = last
+	return nil
+}
+
+// Begin starts a batch.
+func (l *Lore) Begin() *Writing { return &Writing{done: make(chan struct{}), over: l.r.Done()} }
+
+// Hand puts a batch into the queue; the order of handing is the order on disk.
+func (l *Lore) Hand(w *Writing) {
+	l.mu.Lock()
+	l.queue = append(l.queue, w)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Lore) write() {
+	defer l.db.Close()
+	for {
+		select {
+		case <-l.r.Done():
+			l.drain(fault.New(fault.StorageBroken, "stopping"))
+			return
+		case <-l.wake:
+		}
+		l.mu.Lock()
+		queue := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		if len(queue) == 0 {
+			continue
+		}
+		var whole leveldb.Batch
+		for _, w := range queue {
+			w.batch.Replay(&whole)
+		}
+		l.seq++
+		whole.Put(seqKey(l.seq), nil)
+		if l.seq > seqKept {
+			whole.Delete(seqKey(l.seq - seqKept))
+		}
+		l.since.Store(int64(time.Since(l.start)) + 1)
+		err := l.db.Write(&whole, &opt.WriteOptions{Sync: true})
+		l.since.Store(0)
+		l.syncs.Add(1)
+		if err != nil {
+			err = fault.New(fault.StorageBroken, "%v", err)
+		}
+		for _, w := range queue {
+			w.err = err
+			close(w.done)
+		}
+		if err != nil {
+			l.r.Sign.Say(sign.StoreFailed, "cause", err.Error())
+			close(l.Failed)
+			<-l.r.Done()
+			l.drain(err)
+			return
+		}
+	}
+}
+
+func (l *Lore) drain(err error) {
+	l.mu.Lock()
+	queue := l.queue
+	l.queue = nil
+	l.mu.Unlock()
+	for _, w := range queue {
+		w.err = err
+		close(w.done)
+	}
+}
+
+func seqKey(n uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte(seqPrefix), n)
+}
+
+// Stalled is for how long the write under way has been waiting on the disk.
+func (l *Lore) Stalled() time.Duration {
+	since := l.since.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(l.start) - time.Duration(since)
+}
+
+// Syncs is how many batches were synced.
+func (l *Lore) Syncs() int64 { return l.syncs.Load() }
+
+// Get reads one value; none is nil.
+func (l *Lore) Get(key string) ([]byte, error) {
+	value, err := l.db.Get([]byte(key), nil)
+	if err == leveldb.ErrNotFound {
+		return nil, nil
+	}
+	return value, err
+}
+
+// Walk visits all keys under a prefix in order.
+func (l *Lore) Walk(prefix string, visit func(key string, value []byte) error) error {
+	walk := l.db.NewIterator(util.BytesPrefix([]byte(prefix)), nil)
+	defer walk.Release()
+	for walk.Next() {
+		if err := visit(string(walk.Key()), append([]byte(nil), walk.Value()...)); err != nil {
+			return err
+		}
+	}
+	return walk.Error()
+}
--- /dev/null
+++ b/internal/mark/mark.go
@@ -0,0 +1,74 @@
+// Package mark holds the small types that everything else is told apart by:
+// names, births, parts, terms, stamps, epochs. A Term orders owners of a part
+// (round first, then node name); a Stamp is an index in a part's log; an Epoch
+// numbers the whole plan and only grows.
+package mark
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"strings"
+)
+
+type (
+	Name  string
+	Birth string
+	Part  int
+	Stamp uint64
+	Epoch uint64
+)
+
+// Parts is the number of data parts; the configuration part comes after them.
+const (
+	Parts  = 16
+	Config = Part(Parts)
+)
+
+type Term struct {
+	Round uint64 `json:"round"`
+	Node  Name   `json:"node"`
+}
+
+func (t Term) Less(o Term) bool {
+	if t.Round != o.Round {
+		return t.Round < o.Round
+	}
+	return t.Node < o.Node
+}
+
+func (t Term) String() string { return fmt.Sprintf("%d.%s", t.Round, t.Node) }
+
+func NewBirth() Birth { return Birth(NewID()) }
+
+func NewID() string {
+	raw := make([]byte, 8)
+	if _, err := rand.Read(raw); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(raw)
+}
+
+// PartOf hashes the space of a name, which is what stands before its first
+// slash, so that a space lies whole in one part and can be watched there.
+func PartOf(name string) Part {
+	space, _, _ := strings.Cut(name, "/")
+	return Part(Score(space) % Parts)
+}
+
+// Score is the project's one hash for placement.
+func Score(words ...string) uint64 {
+	h := fnv.New64a()
+	for _, word := range words {
+		h.Write([]byte(word))
+		h.Write([]byte{0})
+	}
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/internal/pact/feed.go
@@ -0,0 +1,234 @@
+// Writing: the owner appends an entry, hands it to its own disk as one vote
+// among the others, and feeds it to each member by a task of its own. A member
+// takes entries only when they follow what it has, and answers once synced.
+package pact
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/lore"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	feedTime  = 3 * time.Second
+	feedMost  = 256
+	feedBytes = 2 << 20
+)
+
+// append adds an entry of the owner's own term.
+func (t *Part) append(w *lore.Writing, e wire.Entry) mark.Stamp {
+	last, _ := t.last()
+	e.Index, e.Term = last+1, t.promised
+	t.entries = append(t.entries, e)
+	t.putEntries(w, []wire.Entry{e})
+	if e.Kind == "group" {
+		t.regroup()
+	}
+	t.p.store.Hand(w)
+	term := t.promised
+	t.p.r.Go(func() {
+		if w.Wait() != nil {
+			return
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.isOwner && t.promised == term && t.match[t.p.me] < e.Index {
+			t.match[t.p.me] = e.Index
+			t.count()
+		}
+	})
+	t.stir()
+	return e.Index
+}
+
+// Propose writes an entry and waits until it is committed and folded. Without
+// ownership nothing is written; once written, only the receipt is certain.
+func (t *Part) Propose(ctx context.Context, body any) (mark.Stamp, any, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, fault.New(fault.Internal, "%v", err)
+	}
+	return t.propose(ctx, wire.Entry{Body: raw})
+}
+
+// Barrier returns once everything that is in the log now is committed.
+func (t *Part) Barrier(ctx context.Context) error {
+	_, _, err := t.propose(ctx, wire.Entry{Kind: "own"})
+	return err
+}
+
+func (t *Part) propose(ctx context.Context, e wire.Entry) (mark.Stamp, any, error) {
+	t.mu.Lock()
+	if !t.isServing {
+		t.mu.Unlock()
+		return 0, nil, fault.New(fault.NotOwner, "part %d", t.no)
+	}
+	w := t.p.store.Begin()
+	wait := waiter{term: t.promised, done: make(chan any, 1)}
+	last, _ := t.last()
+	t.waiters[last+1] = wait
+	index := t.append(w, e)
+	t.mu.Unlock()
+	select {
+	case receipt, ok := <-wait.done:
+		if !ok {
+			return index, nil, fault.New(fault.Unsure, "part %d changed its owner", t.no)
+		}
+		return index, receipt, nil
+	case <-ctx.Done():
+		return index, nil, fault.New(fault.Unsure, "part %d: %v", t.no, ctx.Err())
+	case <-t.p.r.Done():
+		return index, nil, fault.New(fault.Unsure, "part %d: stopping", t.no)
+	}
+}
+
+func (t *Part) feedAll() {
+	for _, peer := range t.group {
+		t.startFeed(peer)
+	}
+}
+
+func (t *Part) startFeed(peer wire.Peer) {
+	if peer == t.p.me || t.feeds[peer] {
+		return
+	}
+	t.feeds[peer] = true
+	ctx, term := t.ctx, t.promised
+	t.p.r.Go(func() { t.feed(ctx, term, peer) })
+}
+
+// feed keeps one member up to date while the term lasts.
+func (t *Part) feed(ctx context.Context, term mark.Term, peer wire.Peer) {
+	t.mu.Lock()
+	next, _ := t.last()
+	t.mu.Unlock()
+	isKnown := false
+	told := mark.Stamp(0)
+	pause := func(d time.Duration) {
+		wakeup := time.NewTimer(d)
+		defer wakeup.Stop()
+		select {
+		case <-ctx.Done():
+		case <-wakeup.C:
+		}
+	}
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		if !t.isOwner || t.promised != term || !t.feeds[peer] {
+			t.mu.Unlock()
+			return
+		}
+		last, _ := t.last()
+		isTold := t.no != mark.Config || told >= t.commit
+		if isKnown && next > last && isTold {
+			change := t.change
+			t.mu.Unlock()
+			select {
+			case <-change:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		ask := &wire.AppendAsk{Part: t.no, Term: term, From: t.p.me, Commit: t.commit}
+		if next <= t.base.Index {
+			snapshot := t.base
+			ask.Snapshot, ask.Prev, ask.PrevTerm = &snapshot, t.base.Index, t.base.Term
+		} else {
+			ask.Prev = next - 1
+			ask.PrevTerm, _ = t.at(ask.Prev)
+			size := 0
+			for _, e := range t.entries[ask.Prev-t.base.Index:] {
+				if len(ask.Entries) >= feedMost || size > feedBytes {
+					break
+				}
+				ask.Entries = append(ask.Entries, e)
+				size += len(e.Body)
+			}
+		}
+		t.mu.Unlock()
+		m, ok := t.p.k.View()[peer.Name]
+		if !ok || m.Birth != peer.Birth {
+			pause(200 * time.Millisecond)
+			continue
+		}
+		limited, end := context.WithTimeout(ctx, feedTime)
+		var receipt wire.AppendReceipt
+		err := t.p.w.Ask(limited, m.Wire, "pact.append", ask, &receipt)
+		end()
+		if err != nil || receipt.From != peer {
+			pause(100 * time.Millisecond)
+			continue
+		}
+		t.mu.Lock()
+		switch {
+		case receipt.Ok:
+			isKnown, told, next = true, ask.Commit, receipt.Match+1
+			if t.isOwner && t.promised == term && t.match[peer] < receipt.Match {
+				t.match[peer] = receipt.Match
+				t.count()
+				t.stir()
+			}
+		case term.Less(receipt.Promised):
+			t.seen = max(t.seen, receipt.Promised.Round)
+			if t.promised == term {
+				t.stepDown("a member promised a higher term")
+			}
+		default:
+			next = receipt.Match + 1
+		}
+		t.mu.Unlock()
+	}
+}
+
+// accept is a member's answer to what it is fed.
+func (t *Part) accept(ask *wire.AppendAsk) (*wire.AppendReceipt, error) {
+	t.mu.Lock()
+	receipt := &wire.AppendReceipt{From: t.p.me, Promised: t.promised}
+	if ask.Term.Less(t.promised) {
+		t.mu.Unlock()
+		return receipt, nil
+	}
+	w := t.p.store.Begin()
+	if t.promised.Less(ask.Term) {
+		t.stepDown("a higher term owns")
+		t.promised = ask.Term
+		t.putPromise(w)
+	}
+	if t.matchIn != ask.Term {
+		t.matchIn, t.matched = ask.Term, 0
+	}
+	receipt.Promised = ask.Term
+	t.heard = time.Now()
+	if ask.Snapshot != nil && ask.Snapshot.Index > t.commit {
+		if err := t.install(w, ask.Snapshot); err != nil {
+			t.mu.Unlock()
+			return nil, err
+		}
+	}
+	last, _ := t.last()
+	prevTerm, ok := t.at(ask.Prev)
+	isBelow := ask.Prev < t.base.Index
+	if !isBelow && (!ok || prevTerm != ask.PrevTerm) {
+		t.p.store.Hand(w)
+		receipt.Match = min(t.commit, last)
+		t.mu.Unlock()
+		return receipt, w.Wait()
+	}
+	if err := t.adopt(w, ask.Entries); err != nil {
+		t.p.store.Hand(w)
+		t.mu.Unlock()
+		return nil, err
+	}
+	t.p.store.Hand(w)
+	receipt.Ok, receipt.Match = true, max(ask.Prev+mark.Stamp(len(ask.Entries)), t.base.Index)
+	t.matched = max(t.matched, receipt.Match)
+	t.advance(min(ask.Commit, t.matched))
+	t.mu.Unlock()
+	t.p.heardOf(t.no, ask.From.Name, ask.Term)
+	return receipt, w.Wait()
+}
--- /dev/null
+++ b/internal/pact/found.go
@@ -0,0 +1,199 @@
+// Founding: only when the founding number of distinct empty core nodes have
+// seen one another does the first of them propose a charter. All of them must
+// promise, accept and sync it before it opens, so no two charters can ever
+// open; a later proposer carries on the newest charter it finds. Where an open
+// charter exists, an empty node takes it over and never founds.
+package pact
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const foundTime = 2 * time.Second
+
+// seekCharter joins a fleet if there is one, or tries to found it.
+func (p *Pact) seekCharter() {
+	cores := p.k.Cores()
+	for _, m := range cores {
+		if m.Fleet == "" || m.Name == p.r.Name {
+			continue
+		}
+		ctx, end := context.WithTimeout(p.r, foundTime)
+		var charter wire.Charter
+		err := p.w.Ask(ctx, m.Wire, "pact.charter", struct{}{}, &charter)
+		end()
+		if err == nil && charter.Open && p.putCharter(&charter, charter.Round) == nil {
+			p.say(sign.FleetJoined, "fleet", charter.Fleet)
+			return
+		}
+	}
+	me := p.k.Me()
+	sort.Slice(cores, func(i, j int) bool { return cores[i].Name < cores[j].Name })
+	var founders []wire.Member
+	for _, m := range cores {
+		if m.Fleet != "" {
+			return
+		}
+		if m.Founders == me.Founders && len(founders) < me.Founders {
+			founders = append(founders, m)
+		}
+	}
+	if len(founders) < me.Founders || founders[0].Name != me.Name {
+		return
+	}
+	p.propose(founders)
+}
+
+// propose runs one round of founding with all founders.
+func (p *Pact) propose(founders []wire.Member) {
+	p.mu.Lock()
+	round := mark.Term{Round: p.pledge.Round + 1, Node: p.me.Name}
+	p.mu.Unlock()
+	charter := &wire.Charter{Fleet: mark.NewID(), Members: founders, Parts: mark.Parts}
+	receipts, ok := p.askAll(founders, &wire.FoundAsk{Step: "promise", Round: round, From: p.me})
+	var newest mark.Term
+	for _, receipt := range receipts {
+		if receipt.Charter != nil && newest.Less(receipt.Charter.Round) {
+			newest, charter = receipt.Charter.Round, receipt.Charter
+		}
+		p.mu.Lock()
+		if p.pledge.Round < receipt.Promised.Round {
+			p.pledge = mark.Term{Round: receipt.Promised.Round, Node: p.pledge.Node}
+		}
+		p.mu.Unlock()
+	}
+	if !ok {
+		return
+	}
+	charter.Round = round
+	if _, ok := p.askAll(charter.Members, &wire.FoundAsk{Step: "accept", Round: round, Charter: charter, From: p.me}); !ok {
+		return
+	}
+	opened := *charter
+	opened.Open = true
+	p.askAll(charter.Members, &wire.FoundAsk{Step: "open", Round: round, Charter: &opened, From: p.me})
+}
+
+// askAll is true only if every one agreed.
+func (p *Pact) askAll(founders []wire.Member, ask *wire.FoundAsk) ([]*wire.FoundReceipt, bool) {
+	ctx, end := context.WithTimeout(p.r, foundTime)
+	defer end()
+	type result struct {
+		receipt *wire.FoundReceipt
+		ok      bool
+	}
+	results := make(chan result, len(founders))
+	for _, m := range founders {
+		p.r.Go(func() {
+			receipt := &wire.FoundReceipt{}
+			var err error
+			if m.Name == p.me.Name {
+				receipt, err = p.found(ask)
+			} else {
+				err = p.w.Ask(ctx, m.Wire, "pact.found", ask, receipt)
+			}
+			if err != nil {
+				results <- result{}
+				return
+			}
+			results <- result{receipt, receipt.Ok && receipt.From.Birth == m.Birth}
+		})
+	}
+	isAll := true
+	var receipts []*wire.FoundReceipt
+	for range founders {
+		got := <-results
+		isAll = isAll && got.ok
+		if got.receipt != nil {
+			receipts = append(receipts, got.receipt)
+		}
+	}
+	return receipts, isAll
+}
+
+// found answers a step of founding.
+func (p *Pact) found(ask *wire.FoundAsk) (*wire.FoundReceipt, error) {
+	p.mu.Lock()
+	receipt := &wire.FoundReceipt{From: p.me, Promised: p.pledge, Charter: p.charter}
+	isOpen := p.charter != nil && p.charter.Open
+	isLower := ask.Round.Less(p.pledge)
+	p.mu.Unlock()
+	if ask.Step != "promise" && ask.Charter == nil {
+		return nil, fault.New(fault.BadMessage, "no charter in step %q", ask.Step)
+	}
+	switch {
+	case isOpen || isLower && ask.Step != "open":
+		return receipt, nil
+	case ask.Step == "promise":
+		p.mu.Lock()
+		p.pledge = ask.Round
+		p.mu.Unlock()
+		raw, _ := json.Marshal(ask.Round)
+		w := p.store.Begin()
+		w.Put("pledge", raw)
+		p.store.Hand(w)
+		if err := w.Wait(); err != nil {
+			return nil, err
+		}
+	case ask.Step == "accept" || ask.Step == "open":
+		if err := p.putCharter(ask.Charter, ask.Round); err != nil {
+			return nil, err
+		}
+		if ask.Step == "open" {
+			p.say(sign.FleetFounded, "fleet", ask.Charter.Fleet, "members", len(ask.Charter.Members))
+		}
+	default:
+		return nil, fault.New(fault.BadMessage, "no step %q", ask.Step)
+	}
+	receipt.Ok, receipt.Promised = true, ask.Round
+	return receipt, nil
+}
+
+// putCharter syncs a charter and, if it is open, enters the fleet.
+func (p *Pact) putCharter(charter *wire.Charter, round mark.Term) error {
+	p.mu.Lock()
+	if p.charter != nil && p.charter.Open {
+		p.mu.Unlock()
+		return nil
+	}
+	if round.Less(p.pledge) && !charter.Open {
+		p.mu.Unlock()
+		return fault.New(fault.NotOwner, "a higher round of founding was promised")
+	}
+	p.charter, p.pledge = charter, round
+	raw, _ := json.Marshal(charter)
+	w := p.store.Begin()
+	w.Put("charter", raw)
+	p.store.Hand(w)
+	p.mu.Unlock()
+	if err := w.Wait(); err != nil {
+		return err
+	}
+	if charter.Open {
+		p.enter(charter)
+	}
+	return nil
+}
+
+// enter shows the fleet to others and gives every part its first group.
+func (p *Pact) enter(charter *wire.Charter) {
+	for _, t := range p.parts {
+		t.mu.Lock()
+		if t.base.Index == 0 && len(t.base.Group) == 0 {
+			t.base.Group = Placement(t.no, charter.Members)
+			t.regroup()
+		}
+		t.since = time.Now()
+		t.mu.Unlock()
+	}
+	p.k.Amend(func(m *wire.Member) { m.Fleet = charter.Fleet })
+	close(p.Ready)
+}
--- /dev/null
+++ b/internal/pact/pact.go
@@ -0,0 +1,326 @@
+// Package pact keeps the replicated parts. Each part has a log, a group of
+// members and an owner of its own; nothing stands over the parts. An owner
+// stands under a term, a majority's synced promises make it owner, a majority's
+// synced entries make a write, and a majority's word that nobody stands higher
+// makes a read. Members are told apart by birth, so an empty disk has no vote.
+package pact
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/lore"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Machine is what a part's entries are folded into. Apply must come out the
+// same on every member; the receipt goes to whoever proposed the entry.
+type Machine interface {
+	Apply(index mark.Stamp, body json.RawMessage) any
+	Dump() (json.RawMessage, error)
+	Load(state json.RawMessage) error
+}
+
+// Pact is all the parts of one core node.
+type Pact struct {
+	r     *realm.Realm
+	w     *wire.Wire
+	k     *kin.Kin
+	store *lore.Lore
+	me    wire.Peer
+	parts []*Part
+
+	mu      sync.Mutex
+	charter *wire.Charter
+	pledge  mark.Term
+	owners  map[mark.Part]claimed
+	rounds  map[wire.Peer]*rounder
+	isBusy  map[mark.Part]bool
+	isGoing bool
+	Ready   chan struct{}
+}
+
+type claimed struct {
+	name mark.Name
+	term mark.Term
+	at   time.Time
+}
+
+// Born reads the birth from the store, or makes one for an empty store.
+func Born(store *lore.Lore) (mark.Birth, error) {
+	raw, err := store.Get("birth")
+	if err != nil {
+		return "", err
+	}
+	if raw != nil {
+		return mark.Birth(raw), nil
+	}
+	birth := mark.NewBirth()
+	w := store.Begin()
+	w.Put("birth", []byte(birth))
+	store.Hand(w)
+	return birth, w.Wait()
+}
+
+func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Pact, error) {
+	me := k.Me()
+	p := &Pact{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
+		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*rounder{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
+	for no, machine := range machines {
+		p.parts = append(p.parts, newPart(p, mark.Part(no), machine))
+	}
+	if err := p.load(); err != nil {
+		return nil, err
+	}
+	handle(w, "pact.promise", func(c *wire.Call, ask *wire.PromiseAsk) (any, error) {
+		part, err := p.part(ask.Part)
+		if err != nil {
+			return nil, err
+		}
+		return part.promise(ask)
+	})
+	handle(w, "pact.append", func(c *wire.Call, ask *wire.AppendAsk) (any, error) {
+		part, err := p.part(ask.Part)
+		if err != nil {
+			return nil, err
+		}
+		return part.accept(ask)
+	})
+	handle(w, "pact.round", func(c *wire.Call, ask *wire.RoundAsk) (any, error) { return p.hear(ask), nil })
+	handle(w, "pact.invite", func(c *wire.Call, ask *wire.InviteAsk) (any, error) {
+		part, err := p.part(ask.Part)
+		if err != nil {
+			return nil, err
+		}
+		p.r.Go(func() { part.stand(true) })
+		return struct{}{}, nil
+	})
+	handle(w, "pact.found", func(c *wire.Call, ask *wire.FoundAsk) (any, error) { return p.found(ask) })
+	handle(w, "pact.charter", func(c *wire.Call, ask *struct{}) (any, error) {
+		if charter := p.Charter(); charter != nil {
+			return charter, nil
+		}
+		return nil, fault.New(fault.NoOwner, "no charter here")
+	})
+	return p, nil
+}
+
+// handle reads the ask before the verb sees it.
+func handle[T any](w *wire.Wire, kind string, verb func(*wire.Call, *T) (any, error)) {
+	w.Handle(kind, func(c *wire.Call) (any, error) {
+		var ask T
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		return verb(c, &ask)
+	})
+}
+
+func (p *Pact) part(no mark.Part) (*Part, error) {
+	if no < 0 || int(no) >= len(p.parts) {
+		return nil, fault.New(fault.BadMessage, "no part %d", no)
+	}
+	return p.parts[no], nil
+}
+
+// Part is one of the parts; the number is known to be right.
+func (p *Pact) Part(no mark.Part) *Part { return p.parts[no] }
+
+// Parts is all of them.
+func (p *Pact) Parts() []*Part { return p.parts }
+
+func (p *Pact) load() error {
+	raw, err := p.store.Get("charter")
+	if err != nil {
+		return err
+	}
+	if raw != nil {
+		charter := &wire.Charter{}
+		if err := json.Unmarshal(raw, charter); err != nil {
+			return fault.New(fault.StorageBroken, "charter: %v", err)
+		}
+		p.charter, p.pledge = charter, charter.Round
+	}
+	if raw, err = p.store.Get("pledge"); err != nil {
+		return err
+	}
+	if raw != nil {
+		if err := json.Unmarshal(raw, &p.pledge); err != nil {
+			return fault.New(fault.StorageBroken, "pledge: %v", err)
+		}
+	}
+	for _, part := range p.parts {
+		if err := part.load(); err != nil {
+			return err
+		}
+	}
+	if p.charter != nil && p.charter.Open {
+		p.enter(p.charter)
+	}
+	return nil
+}
+
+// Open starts the tasks; kin and wire are open already.
+func (p *Pact) Open() {
+	p.r.Go(p.tend)
+}
+
+// Charter is the open charter, or nil.
+func (p *Pact) Charter() *wire.Charter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.charter == nil || !p.charter.Open {
+		return nil
+	}
+	return p.charter
+}
+
+// Owner is who last claimed a part, as far as this node heard.
+func (p *Pact) Owner(no mark.Part) (mark.Name, bool) {
+	if p.parts[no].IsOwner() {
+		return p.r.Name, true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.owners[no]
+	return c.name, ok && time.Since(c.at) < 3*time.Second
+}
+
+// tend is the slow hand: founding, rounds to new peers, standing, membership.
+func (p *Pact) tend() {
+	isNext := 0
+	for p.r.Pause(realm.Jitter(100 * time.Millisecond)) {
+		if p.Charter() == nil {
+			p.seekCharter()
+			continue
+		}
+		p.keepRounds()
+		isStalled := p.store.Stalled() > time.Second
+		for _, part := range p.parts {
+			if isStalled {
+				part.yieldUp("disk stalls")
+				continue
+			}
+			part.checkMajority()
+			if part.isMyTurn() {
+				p.once(part.no, func() { part.stand(false) })
+			}
+		}
+		if isNext++; isNext%5 == 0 && !p.IsGoing() {
+			for _, part := range p.parts {
+				if part.IsServing() {
+					p.once(part.no, part.tendGroup)
+				}
+			}
+		}
+	}
+}
+
+// once runs a task for a part unless one is under way.
+func (p *Pact) once(no mark.Part, task func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isBusy[no] {
+		return
+	}
+	p.isBusy[no] = true
+	p.r.Go(func() {
+		task()
+		p.mu.Lock()
+		p.isBusy[no] = false
+		p.mu.Unlock()
+	})
+}
+
+func (p *Pact) IsGoing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isGoing
+}
+
+// HandOver passes all owned parts on, for a planned stop.
+func (p *Pact) HandOver(ctx context.Context) {
+	p.mu.Lock()
+	p.isGoing = true
+	p.mu.Unlock()
+	var all sync.WaitGroup
+	for _, part := range p.parts {
+		if part.IsServing() {
+			all.Add(1)
+			p.r.Go(func() {
+				defer all.Done()
+				part.handOver(ctx)
+			})
+		}
+	}
+	all.Wait()
+}
+
+// Order is the agreed order of a part's group.
+func Order(no mark.Part, group []wire.Peer) []wire.Peer {
+	order := append([]wire.Peer(nil), group...)
+	word := fmt.Sprint("part", no)
+	sort.Slice(order, func(i, j int) bool {
+		a, b := mark.Score(word, string(order[i].Name)), mark.Score(word, string(order[j].Name))
+		if a != b {
+			return a > b
+		}
+		return order[i].Name < order[j].Name
+	})
+	return order
+}
+
+// Placement picks the group of a part: spread over zones first, then by order.
+func Placement(no mark.Part, members []wire.Member) []wire.Peer {
+	var all []wire.Peer
+	zones := map[mark.Name]string{}
+	for _, m := range members {
+		all = append(all, wire.Peer{Name: m.Name, Birth: m.Birth})
+		zones[m.Name] = m.Zone
+	}
+	size := Size(no, len(all))
+	var group []wire.Peer
+	used := map[string]int{}
+	order := Order(no, all)
+	for level := 0; len(group) < size; level++ {
+		for _, peer := range order {
+			if len(group) < size && used[zones[peer.Name]] == level && !holds(group, peer) {
+				group = append(group, peer)
+				used[zones[peer.Name]]++
+			}
+		}
+	}
+	return group
+}
+
+// Size is how many members a part has in a fleet of so many core nodes.
+func Size(no mark.Part, cores int) int {
+	size := 3
+	if no == mark.Config {
+		size = 5
+	}
+	if size > cores {
+		size = cores
+	}
+	return size
+}
+
+func holds(group []wire.Peer, peer wire.Peer) bool {
+	for _, p := range group {
+		if p == peer {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pact) say(e sign.Event, pairs ...any) { p.r.Sign.Say(e, pairs...) }
--- /dev/null
+++ b/internal/pact/part.go
@@ -0,0 +1,365 @@
+// A Part is one replicated part on one member: its promised term, its log above
+// a snapshot, its commit, and, while this member owns it, how far each other
+// member has synced. Memory runs ahead of the disk only in the order in which
+// batches are handed to the store; whatever is told to others waits for that.
+package pact
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/lore"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+type waiter struct {
+	term mark.Term
+	done chan any
+}
+
+// Part is one part on one member.
+type Part struct {
+	p       *Pact
+	no      mark.Part
+	machine Machine
+
+	mu       sync.Mutex
+	change   chan struct{}
+	promised mark.Term
+	seen     uint64
+	base     wire.Snapshot
+	entries  []wire.Entry
+	commit   mark.Stamp
+	applied  mark.Stamp
+	group    []wire.Peer
+	groupAt  mark.Stamp
+	matched  mark.Stamp
+	matchIn  mark.Term
+	heard    time.Time
+	since    time.Time
+
+	isOwner   bool
+	isServing bool
+	served    time.Time
+	began     mark.Stamp
+	ctx       context.Context
+	end       context.CancelFunc
+	match     map[wire.Peer]mark.Stamp
+	acks      map[wire.Peer]time.Time
+	feeds     map[wire.Peer]bool
+	waiters   map[mark.Stamp]waiter
+}
+
+func newPart(p *Pact, no mark.Part, machine Machine) *Part {
+	return &Part{p: p, no: no, machine: machine, change: make(chan struct{}), since: time.Now(), waiters: map[mark.Stamp]waiter{}}
+}
+
+func (t *Part) key(kind string) string { return fmt.Sprintf("p/%02d/%s", t.no, kind) }
+func (t *Part) entryKey(index mark.Stamp) string {
+	return t.key(fmt.Sprintf("e/%016x", uint64(index)))
+}
+
+// load reads the part from the store and checks that nothing is missing.
+func (t *Part) load() error {
+	read := func(kind string, into any) error {
+		raw, err := t.p.store.Get(t.key(kind))
+		if err != nil || raw == nil {
+			return err
+		}
+		return json.Unmarshal(raw, into)
+	}
+	if err := read("promised", &t.promised); err != nil {
+		return fault.New(fault.StorageBroken, "part %d: promise: %v", t.no, err)
+	}
+	if err := read("base", &t.base); err != nil {
+		return fault.New(fault.StorageBroken, "part %d: snapshot: %v", t.no, err)
+	}
+	if t.base.State != nil {
+		if err := t.machine.Load(t.base.State); err != nil {
+			return fault.New(fault.StorageBroken, "part %d: state: %v", t.no, err)
+		}
+	}
+	next := t.base.Index + 1
+	err := t.p.store.Walk(t.key("e/"), func(key string, value []byte) error {
+		var e wire.Entry
+		if err := json.Unmarshal(value, &e); err != nil {
+			return fault.New(fault.StorageBroken, "part %d: %s: %v", t.no, key, err)
+		}
+		if e.Index != next {
+			return fault.New(fault.StorageBroken, "part %d: entry %d stands where %d should", t.no, e.Index, next)
+		}
+		if t.promised.Less(e.Term) {
+			return fault.New(fault.StorageBroken, "part %d: entry %d is above the promise", t.no, e.Index)
+		}
+		t.entries = append(t.entries, e)
+		next++
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	t.commit, t.applied = t.base.Index, t.base.Index
+	t.regroup()
+	return nil
+}
+
+// regroup finds the newest group in the log.
+func (t *Part) regroup() {
+	before := t.groupAt
+	t.group, t.groupAt = t.base.Group, t.base.Index
+	for i := len(t.entries) - 1; i >= 0; i-- {
+		if t.entries[i].Kind == "group" {
+			t.group, t.groupAt = t.entries[i].Group, t.entries[i].Index
+			break
+		}
+	}
+	if before != t.groupAt {
+		t.p.say(sign.GroupChanged, "part", int(t.no), "members", names(t.group), "index", uint64(t.groupAt))
+	}
+}
+
+func names(group []wire.Peer) string {
+	text := ""
+	for _, peer := range group {
+		text += fmt.Sprintf("%s/%.4s ", peer.Name, peer.Birth)
+	}
+	return text
+}
+
+func (t *Part) last() (mark.Stamp, mark.Term) {
+	if n := len(t.entries); n > 0 {
+		return t.entries[n-1].Index, t.entries[n-1].Term
+	}
+	return t.base.Index, t.base.Term
+}
+
+// at is the entry's term; false if it is not in the log.
+func (t *Part) at(index mark.Stamp) (mark.Term, bool) {
+	if index == t.base.Index {
+		return t.base.Term, true
+	}
+	if index < t.base.Index || index > t.base.Index+mark.Stamp(len(t.entries)) {
+		return mark.Term{}, false
+	}
+	return t.entries[index-t.base.Index-1].Term, true
+}
+
+// after is a copy of the entries above an index, which is in the log.
+func (t *Part) after(index mark.Stamp) []wire.Entry {
+	if index < t.base.Index {
+		index = t.base.Index
+	}
+	return append([]wire.Entry(nil), t.entries[index-t.base.Index:]...)
+}
+
+func (t *Part) stir() {
+	close(t.change)
+	t.change = make(chan struct{})
+}
+
+// putPromise and the other put verbs add to a batch what memory now says.
+func (t *Part) putPromise(w *lore.Writing) {
+	raw, _ := json.Marshal(t.promised)
+	w.Put(t.key("promised"), raw)
+}
+
+func (t *Part) putEntries(w *lore.Writing, entries []wire.Entry) {
+	for _, e := range entries {
+		raw, _ := json.Marshal(e)
+		w.Put(t.entryKey(e.Index), raw)
+	}
+}
+
+// cut drops the entries above an index, on disk too.
+func (t *Part) cut(w *lore.Writing, index mark.Stamp) {
+	for _, e := range t.entries[index-t.base.Index:] {
+		w.Delete(t.entryKey(e.Index))
+	}
+	t.entries = append([]wire.Entry(nil), t.entries[:index-t.base.Index]...)
+}
+
+// install replaces everything below and including a snapshot's index.
+func (t *Part) install(w *lore.Writing, s *wire.Snapshot) error {
+	if err := t.machine.Load(s.State); err != nil {
+		return fault.New(fault.BadMessage, "part %d: snapshot: %v", t.no, err)
+	}
+	t.cut(w, t.base.Index)
+	t.base = *s
+	raw, _ := json.Marshal(t.base)
+	w.Put(t.key("base"), raw)
+	t.commit, t.applied = s.Index, s.Index
+	t.regroup()
+	return nil
+}
+
+// adopt writes entries that follow prev into the log; those already there
+// under the same term stay, the first that differs cuts all after it.
+func (t *Part) adopt(w *lore.Writing, entries []wire.Entry) error {
+	for i, e := range entries {
+		if e.Index <= t.base.Index {
+			continue
+		}
+		if term, ok := t.at(e.Index); ok {
+			if term == e.Term {
+				continue
+			}
+			if e.Index <= t.commit {
+				return fault.New(fault.Internal, "part %d: entry %d is committed and differs", t.no, e.Index)
+			}
+			t.cut(w, e.Index-1)
+			t.failWaiters(e.Index)
+		}
+		if last, _ := t.last(); e.Index != last+1 {
+			return fault.New(fault.BadMessage, "part %d: entry %d does not follow %d", t.no, e.Index, last)
+		}
+		t.entries = append(t.entries, entries[i:]...)
+		t.putEntries(w, entries[i:])
+		break
+	}
+	t.regroup()
+	return nil
+}
+
+func (t *Part) failWaiters(from mark.Stamp) {
+	for index, wait := range t.waiters {
+		if index >= from {
+			close(wait.done)
+			delete(t.waiters, index)
+		}
+	}
+}
+
+// advance moves the commit and folds what it now covers.
+func (t *Part) advance(commit mark.Stamp) {
+	if last, _ := t.last(); commit > last {
+		commit = last
+	}
+	if commit <= t.commit {
+		return
+	}
+	t.commit = commit
+	for t.applied < t.commit {
+		e := t.entries[t.applied-t.base.Index]
+		t.applied++
+		var receipt any
+		if e.Kind == "" {
+			receipt = t.machine.Apply(e.Index, e.Body)
+		}
+		if wait, ok := t.waiters[e.Index]; ok {
+			delete(t.waiters, e.Index)
+			if wait.term == e.Term {
+				wait.done <- receipt
+			} else {
+				close(wait.done)
+			}
+		}
+	}
+	if t.isOwner && !t.isServing && t.commit >= t.began {
+		t.isServing, t.served = true, time.Now()
+		t.p.say(sign.PartOwned, "part", int(t.no), "term", t.promised.String(), "commit", uint64(t.commit))
+	}
+	t.stir()
+	t.fold()
+}
+
+// fold makes a snapshot when the log has grown long.
+func (t *Part) fold() {
+	if int(t.applied-t.base.Index) < t.p.r.Props.PactSnapshot || t.groupAt > t.applied {
+		return
+	}
+	state, err := t.machine.Dump()
+	if err != nil {
+		return
+	}
+	term, _ := t.at(t.applied)
+	w := t.p.store.Begin()
+	for _, e := range t.entries[:t.applied-t.base.Index] {
+		w.Delete(t.entryKey(e.Index))
+	}
+	t.entries = t.after(t.applied)
+	t.base = wire.Snapshot{Index: t.applied, Term: term, Group: t.group, State: state}
+	raw, _ := json.Marshal(t.base)
+	w.Put(t.key("base"), raw)
+	t.groupAt = t.applied
+	t.p.store.Hand(w)
+}
+
+// majorityOf is the value that more than half of the group reach.
+func majorityOf(group []wire.Peer, values func(wire.Peer) int64) int64 {
+	if len(group) == 0 {
+		return -1
+	}
+	var all []int64
+	for _, peer := range group {
+		all = append(all, values(peer))
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] > all[j] })
+	return all[len(group)/2]
+}
+
+// count commits what a majority has synced under the owner's own term.
+func (t *Part) count() {
+	if !t.isOwner {
+		return
+	}
+	index := mark.Stamp(majorityOf(t.group, func(peer wire.Peer) int64 { return int64(t.match[peer]) }))
+	if term, ok := t.at(index); ok && term == t.promised && index > t.commit {
+		t.advance(index)
+	}
+}
+
+func (t *Part) IsOwner() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isOwner
+}
+
+func (t *Part) IsServing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isServing
+}
+
+// Serving tells since when this member serves the part, and under which term.
+func (t *Part) Serving() (mark.Term, time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.promised, t.served, t.isServing
+}
+
+// Watch is closed at the next change of the part.
+func (t *Part) Watch() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.change
+}
+
+// Outline is what the shell shows of a part.
+type Outline struct {
+	Part      mark.Part
+	Promised  mark.Term
+	Commit    mark.Stamp
+	Last      mark.Stamp
+	IsOwner   bool
+	IsServing bool
+	Group     []wire.Peer
+	Age       time.Duration
+}
+
+func (t *Part) Outline() Outline {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last, _ := t.last()
+	o := Outline{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.group, Age: -1}
+	if t.isOwner {
+		o.Age = time.Since(t.confirmed())
+	}
+	return o
+}
--- /dev/null
+++ b/internal/pact/round.go
@@ -0,0 +1,196 @@
+// Rounds: one task to each other core node carries all the claims this node
+// holds in one message, some four times a second and whenever a read waits. A
+// receipt confirms every claim it does not refuse, as of the moment the message
+// was sent; a majority's moments make the age of the confirmation.
+package pact
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+type rounder struct {
+	kick chan struct{}
+	end  context.CancelFunc
+}
+
+// keepRounds has one task for each core node there is.
+func (p *Pact) keepRounds() {
+	view := p.k.View()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, r := range p.rounds {
+		if m, ok := view[peer.Name]; !ok || m.Birth != peer.Birth {
+			r.end()
+			delete(p.rounds, peer)
+		}
+	}
+	for name, m := range view {
+		peer := wire.Peer{Name: name, Birth: m.Birth}
+		if !m.Core || name == p.r.Name || p.rounds[peer] != nil {
+			continue
+		}
+		ctx, end := context.WithCancel(p.r)
+		r := &rounder{kick: make(chan struct{}, 1), end: end}
+		p.rounds[peer] = r
+		p.r.Go(func() { p.round(ctx, peer, r) })
+	}
+}
+
+func (p *Pact) kickRounds() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.rounds {
+		select {
+		case r.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *Pact) round(ctx context.Context, peer wire.Peer, r *rounder) {
+	wakeup := time.NewTimer(0)
+	defer wakeup.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+		case <-wakeup.C:
+		}
+		wakeup.Reset(p.r.Props.PactRound)
+		claims := p.claims()
+		m, ok := p.k.View()[peer.Name]
+		if len(claims) == 0 || !ok || m.Birth != peer.Birth {
+			continue
+		}
+		sent := time.Now()
+		limited, end := context.WithTimeout(ctx, 500*time.Millisecond)
+		var receipt wire.RoundReceipt
+		err := p.w.Ask(limited, m.Wire, "pact.round", &wire.RoundAsk{From: p.me, Claims: claims}, &receipt)
+		end()
+		if err == nil && receipt.From == peer {
+			p.credit(peer, sent, claims, &receipt)
+		}
+	}
+}
+
+func (p *Pact) claims() (claims []wire.Claim) {
+	for _, t := range p.parts {
+		t.mu.Lock()
+		if t.isOwner {
+			claims = append(claims, wire.Claim{Part: t.no, Term: t.promised, Commit: t.commit, Serving: t.isServing})
+		}
+		t.mu.Unlock()
+	}
+	return claims
+}
+
+// credit notes a member's word on each claim it did not refuse.
+func (p *Pact) credit(peer wire.Peer, sent time.Time, claims []wire.Claim, receipt *wire.RoundReceipt) {
+	no := map[mark.Part]mark.Term{}
+	for _, refused := range receipt.Refused {
+		no[refused.Part] = refused.Term
+	}
+	for _, claim := range claims {
+		t := p.parts[claim.Part]
+		t.mu.Lock()
+		if t.isOwner && t.promised == claim.Term {
+			if higher, ok := no[claim.Part]; ok {
+				t.seen = max(t.seen, higher.Round)
+				t.stepDown("a member promised " + higher.String())
+			} else if t.acks[peer].Before(sent) {
+				t.acks[peer] = sent
+				t.stir()
+			}
+		}
+		t.mu.Unlock()
+	}
+}
+
+// hear answers a round.
+func (p *Pact) hear(ask *wire.RoundAsk) *wire.RoundReceipt {
+	receipt := &wire.RoundReceipt{From: p.me}
+	for _, claim := range ask.Claims {
+		t, err := p.part(claim.Part)
+		if err != nil {
+			continue
+		}
+		t.mu.Lock()
+		if claim.Term.Less(t.promised) {
+			receipt.Refused = append(receipt.Refused, wire.Claim{Part: claim.Part, Term: t.promised})
+			t.mu.Unlock()
+			continue
+		}
+		t.heard = time.Now()
+		if t.matchIn == claim.Term {
+			t.advance(min(claim.Commit, t.matched))
+		}
+		t.mu.Unlock()
+		if claim.Serving {
+			p.heardOf(claim.Part, ask.From.Name, claim.Term)
+		}
+	}
+	return receipt
+}
+
+func (p *Pact) heardOf(no mark.Part, name mark.Name, term mark.Term) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.owners[no]; !term.Less(old.term) {
+		p.owners[no] = claimed{name: name, term: term, at: time.Now()}
+	}
+}
+
+// confirmed is the moment as of which a majority confirms the owner's term.
+func (t *Part) confirmed() time.Time {
+	now := time.Now()
+	age := majorityOf(t.group, func(peer wire.Peer) int64 {
+		if peer == t.p.me {
+			return 0
+		}
+		return -int64(now.Sub(t.acks[peer]))
+	})
+	return now.Add(time.Duration(age))
+}
+
+// Confirm waits until a majority has confirmed the term as of a moment.
+func (t *Part) Confirm(ctx context.Context, since time.Time) error {
+	isKicked := false
+	for {
+		t.mu.Lock()
+		if !t.isServing {
+			t.mu.Unlock()
+			return fault.New(fault.NotOwner, "part %d", t.no)
+		}
+		if !t.confirmed().Before(since) {
+			t.mu.Unlock()
+			return nil
+		}
+		change := t.change
+		t.mu.Unlock()
+		if !isKicked {
+			t.p.kickRounds()
+			isKicked = true
+		}
+		select {
+		case <-change:
+		case <-ctx.Done():
+			return fault.New(fault.NoOwner, "part %d can't be confirmed: %v", t.no, ctx.Err())
+		}
+	}
+}
+
+// Age is how long ago the term was confirmed; false if the part isn't served.
+func (t *Part) Age() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isServing {
+		return 0, false
+	}
+	return time.Since(t.confirmed()), true
+}
--- /dev/null
+++ b/internal/pact/stand.go
@@ -0,0 +1,245 @@
+// Standing for a part and giving it up. The first live member in the agreed
+// order stands after the owner's silence, each later one a while after; it asks
+// all members for promises, takes over the most advanced log among a majority
+// of them, and serves once an entry of its own term is synced by a majority.
+package pact
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/lore"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const promiseTime = 800 * time.Millisecond
+
+// isMyTurn tells whether the silence has lasted long enough for this member.
+func (t *Part) isMyTurn() bool {
+	if t.p.IsGoing() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isOwner || !holds(t.group, t.p.me) {
+		return false
+	}
+	rank := 0
+	for _, peer := range Order(t.no, t.group) {
+		if peer == t.p.me {
+			break
+		}
+		if t.p.k.IsLive(peer) {
+			rank++
+		}
+	}
+	silence := t.p.r.Props.PactSilence
+	since := t.heard
+	if since.Before(t.since) {
+		since = t.since
+	}
+	return time.Since(since) > silence+time.Duration(rank)*silence/2
+}
+
+// promise answers a member that stands.
+func (t *Part) promise(ask *wire.PromiseAsk) (*wire.PromiseReceipt, error) {
+	t.mu.Lock()
+	receipt := &wire.PromiseReceipt{From: t.p.me, Promised: t.promised}
+	isHeard := !ask.Invited && time.Since(t.heard) < t.p.r.Props.PactSilence*3/4 && !t.heard.IsZero()
+	isConfirmed := t.isOwner && !ask.Invited && time.Since(t.confirmed()) < t.p.r.Props.PactSilence*3/4
+	if !t.promised.Less(ask.Term) || isHeard || isConfirmed {
+		t.mu.Unlock()
+		return receipt, nil
+	}
+	t.stepDown("a higher term stands")
+	t.promised = ask.Term
+	t.matchIn, t.matched = ask.Term, 0
+	t.since = time.Now()
+	w := t.p.store.Begin()
+	t.putPromise(w)
+	t.p.store.Hand(w)
+	receipt.Granted, receipt.Promised = true, ask.Term
+	receipt.Last, receipt.LastTerm = t.last()
+	if ask.Commit < t.base.Index {
+		snapshot := t.base
+		receipt.Snapshot = &snapshot
+	}
+	receipt.Entries = t.after(ask.Commit)
+	if ask.Commit > receipt.Last {
+		receipt.Entries = nil
+	}
+	t.mu.Unlock()
+	if err := w.Wait(); err != nil {
+		return nil, err
+	}
+	return receipt, nil
+}
+
+// stand tries to become the owner.
+func (t *Part) stand(isInvited bool) {
+	t.mu.Lock()
+	if t.isOwner || !holds(t.group, t.p.me) || t.p.IsGoing() {
+		t.mu.Unlock()
+		return
+	}
+	round := max(t.promised.Round, t.seen) + 1
+	term := mark.Term{Round: round, Node: t.p.me.Name}
+	t.promised, t.matchIn, t.matched = term, term, 0
+	t.since = time.Now()
+	w := t.p.store.Begin()
+	t.putPromise(w)
+	t.p.store.Hand(w)
+	commit, group := t.commit, t.group
+	mine := &wire.PromiseReceipt{From: t.p.me, Granted: true}
+	mine.Last, mine.LastTerm = t.last()
+	t.mu.Unlock()
+	if w.Wait() != nil {
+		return
+	}
+	sent := time.Now()
+	best, granted := t.gather(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, group, mine)
+	if best == nil {
+		t.p.say(sign.StandFailed, "part", int(t.no), "term", term.String())
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.promised != term || t.p.r.IsOver() {
+		return
+	}
+	w = t.p.store.Begin()
+	if best != mine {
+		if best.Snapshot != nil && best.Snapshot.Index > t.commit {
+			if err := t.install(w, best.Snapshot); err != nil {
+				return
+			}
+		}
+		if last, _ := t.last(); last > best.Last {
+			t.cut(w, max(best.Last, t.commit))
+		}
+		if err := t.adopt(w, best.Entries); err != nil {
+			t.p.say(sign.StandFailed, "part", int(t.no), "cause", err.Error())
+			t.p.store.Hand(w)
+			return
+		}
+	}
+	t.own(w, term, sent, granted)
+}
+
+// gather asks for promises and returns the most advanced log of a majority.
+func (t *Part) gather(ask *wire.PromiseAsk, group []wire.Peer, mine *wire.PromiseReceipt) (*wire.PromiseReceipt, []wire.Peer) {
+	ctx, end := context.WithTimeout(t.p.r, promiseTime)
+	defer end()
+	receipts := make(chan *wire.PromiseReceipt, len(group))
+	asked := 0
+	for _, peer := range group {
+		if peer == t.p.me {
+			continue
+		}
+		m, ok := t.p.k.View()[peer.Name]
+		if !ok || m.Birth != peer.Birth {
+			continue
+		}
+		asked++
+		t.p.r.Go(func() {
+			var receipt wire.PromiseReceipt
+			if err := t.p.w.Ask(ctx, m.Wire, "pact.promise", ask, &receipt); err != nil || receipt.From != peer {
+				receipts <- nil
+				return
+			}
+			receipts <- &receipt
+		})
+	}
+	best, granted := mine, []wire.Peer{t.p.me}
+	for ; asked > 0 && len(granted) <= len(group)/2; asked-- {
+		receipt := <-receipts
+		if receipt == nil {
+			continue
+		}
+		if !receipt.Granted {
+			t.mu.Lock()
+			t.seen = max(t.seen, receipt.Promised.Round)
+			t.mu.Unlock()
+			continue
+		}
+		granted = append(granted, receipt.From)
+		if best.LastTerm.Less(receipt.LastTerm) || best.LastTerm == receipt.LastTerm && best.Last < receipt.Last {
+			best = receipt
+		}
+	}
+	if len(granted) <= len(group)/2 {
+		return nil, nil
+	}
+	return best, granted
+}
+
+// own makes this member the owner; it serves when its first entry commits.
+func (t *Part) own(w *lore.Writing, term mark.Term, sent time.Time, granted []wire.Peer) {
+	t.isOwner, t.isServing = true, false
+	t.ctx, t.end = context.WithCancel(t.p.r)
+	t.match, t.acks, t.feeds = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
+	for _, peer := range granted {
+		t.acks[peer] = sent
+	}
+	last, _ := t.last()
+	t.began = last + 1
+	t.append(w, wire.Entry{Kind: "own"})
+	t.feedAll()
+	t.p.kickRounds()
+}
+
+// stepDown ends the ownership; whoever waits for a write is left unsure.
+func (t *Part) stepDown(cause string) {
+	if !t.isOwner {
+		return
+	}
+	t.isOwner, t.isServing = false, false
+	t.end()
+	t.failWaiters(0)
+	t.since = time.Now()
+	t.p.say(sign.PartLost, "part", int(t.no), "term", t.promised.String(), "cause", cause)
+	t.stir()
+}
+
+func (t *Part) yieldUp(cause string) {
+	t.mu.Lock()
+	t.stepDown(cause)
+	t.mu.Unlock()
+}
+
+// checkMajority gives up a part whose term no majority confirms any more.
+func (t *Part) checkMajority() {
+	t.mu.Lock()
+	if t.isOwner && time.Since(t.confirmed()) > 2*t.p.r.Props.PactSilence {
+		t.stepDown("no majority in reach")
+	}
+	t.mu.Unlock()
+}
+
+// handOver invites the next live member that has everything.
+func (t *Part) handOver(ctx context.Context) {
+	t.mu.Lock()
+	if !t.isServing {
+		t.mu.Unlock()
+		return
+	}
+	last, _ := t.last()
+	term := t.promised
+	var next *wire.Member
+	for _, peer := range Order(t.no, t.group) {
+		m, ok := t.p.k.Of(peer.Name)
+		if peer != t.p.me && ok && m.Birth == peer.Birth && t.match[peer] == last {
+			next = &m
+			break
+		}
+	}
+	t.stepDown("handed over")
+	t.mu.Unlock()
+	if next != nil {
+		limited, end := context.WithTimeout(ctx, time.Second)
+		defer end()
+		t.p.w.Ask(limited, next.Wire, "pact.invite", &wire.InviteAsk{Part: t.no, Term: term}, nil)
+	}
+}
--- /dev/null
+++ b/internal/plan/check.go
@@ -0,0 +1,145 @@
+// Checking a change set: it is laid over the configuration in force and the
+// whole result is checked before anything is proposed. Every fault is named by
+// its path; one fault refuses all of it.
+package plan
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	mostMappings = 20000
+	mostServices = 2000
+)
+
+// Lay puts a change set over a configuration and checks the result.
+func Lay(config wire.Config, change *wire.Change) (wire.Config, []string) {
+	var paths []string
+	fail := func(format string, args ...any) { paths = append(paths, fmt.Sprintf(format, args...)) }
+	if change.Id == "" || len(change.Id) > 128 {
+		fail("id: is missing or longer than 128 bytes")
+	}
+	if change.Whole {
+		config = wire.Config{}
+		if len(change.Drop.Mappings)+len(change.Drop.Services)+len(change.Drop.Limits) > 0 {
+			fail("drop: has no place in a whole configuration")
+		}
+	}
+	next := wire.Config{}
+	next.Mappings = lay(config.Mappings, change.Put.Mappings, change.Drop.Mappings, func(m wire.Mapping) string { return m.Name }, "mappings", fail)
+	next.Services = lay(config.Services, change.Put.Services, change.Drop.Services, func(s wire.Service) string { return s.Name }, "services", fail)
+	next.Limits = lay(config.Limits, change.Put.Limits, change.Drop.Limits, func(l wire.Limit) string { return l.Service }, "limits", fail)
+	sortConfig(&next)
+	checkConfig(&next, fail)
+	return next, paths
+}
+
+func lay[T any](old, put []T, drop []string, name func(T) string, kind string, fail func(string, ...any)) []T {
+	gone := map[string]bool{}
+	for i, d := range drop {
+		gone[d] = true
+		isThere := false
+		for _, item := range old {
+			isThere = isThere || name(item) == d
+		}
+		if !isThere {
+			fail("drop.%s.%d: there is no %q", kind, i, d)
+		}
+	}
+	fresh := map[string]bool{}
+	for i, item := range put {
+		if fresh[name(item)] {
+			fail("put.%s.%d: %q stands twice", kind, i, name(item))
+		}
+		if gone[name(item)] {
+			fail("put.%s.%d: %q is dropped as well", kind, i, name(item))
+		}
+		fresh[name(item)] = true
+	}
+	var next []T
+	for _, item := range old {
+		if !gone[name(item)] && !fresh[name(item)] {
+			next = append(next, item)
+		}
+	}
+	return append(next, put...)
+}
+
+func checkConfig(c *wire.Config, fail func(string, ...any)) {
+	if len(c.Mappings) > mostMappings {
+		fail("mappings: %d are more than %d", len(c.Mappings), mostMappings)
+	}
+	if len(c.Services) > mostServices {
+		fail("services: %d are more than %d", len(c.Services), mostServices)
+	}
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" || strings.ContainsAny(s.Name, "/ \t\r\n") || len(s.Name) > 128 {
+			fail("services.%s.name: is empty, too long, or holds a slash or a space", s.Name)
+		}
+		services[s.Name] = true
+	}
+	taken := map[string]string{}
+	for _, m := range c.Mappings {
+		at := "mappings." + m.Name
+		if m.Name == "" || len(m.Name) > 256 {
+			fail("%s.name: is empty or too long", at)
+		}
+		if !strings.HasPrefix(m.Path, "/") {
+			fail("%s.path: does not begin with a slash", at)
+		}
+		if len(m.To) == 0 {
+			fail("%s.to: is empty", at)
+		}
+		total := 0
+		for i, split := range m.To {
+			if !services[split.Service] {
+				fail("%s.to.%d.service: there is no service %q", at, i, split.Service)
+			}
+			if split.Weight < 0 || split.Weight > 1_000_000 {
+				fail("%s.to.%d.weight: is outside 0 to 1000000", at, i)
+			}
+			total += split.Weight
+		}
+		if len(m.To) > 0 && total == 0 {
+			fail("%s.to: all weights are zero", at)
+		}
+		if m.Deadline < 0 || m.Deadline > 600_000 {
+			fail("%s.deadline: is outside 0 to 600000 ms", at)
+		}
+		if m.Once && m.Repeatable {
+			fail("%s.once: makes no sense for a repeatable mapping", at)
+		}
+		methods := m.Methods
+		if len(methods) == 0 {
+			methods = []string{"*"}
+		}
+		for i, method := range methods {
+			if method == "" || method != strings.ToUpper(method) {
+				fail("%s.methods.%d: %q is not a method", at, i, method)
+			}
+			key := m.Host + " " + m.Path + " " + method
+			if other, ok := taken[key]; ok {
+				fail("%s.path: is the same as that of %s", at, other)
+			}
+			taken[key] = m.Name
+		}
+	}
+	for _, l := range c.Limits {
+		if !services[l.Service] {
+			fail("limits.%s.service: there is no such service", l.Service)
+		}
+		if l.Inflight < 0 {
+			fail("limits.%s.inflight: is below zero", l.Service)
+		}
+		if l.ExtraPercent != nil && (*l.ExtraPercent < 0 || *l.ExtraPercent > 20) {
+			fail("limits.%s.extra_percent: is outside 0 to 20", l.Service)
+		}
+		if l.ExtraBase != nil && (*l.ExtraBase < 0 || *l.ExtraBase > 60) {
+			fail("limits.%s.extra_base: is outside 0 to 60", l.Service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/plan/ledger.go
@@ -0,0 +1,165 @@
+// Package plan turns change sets and what servers report into epochs. The
+// Ledger is the replicated state of the configuration part: the groups of the
+// epoch in force, and the receipts of the change sets that were accepted. Each
+// entry is one whole epoch, written as what differs from the one before.
+package plan
+
+import (
+	"crypto/md5"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// The groups by name; each service has a target list beside them.
+const (
+	Routes   = "routes"
+	Services = "services"
+	Limits   = "limits"
+	Shares   = "shares"
+	Targets  = "targets/"
+
+	changesKept = 4096
+)
+
+// Sheet is one epoch as it stands; it is never written to after it was made.
+type Sheet struct {
+	Epoch   mark.Epoch
+	Changed mark.Epoch
+	Groups  map[string]wire.Group
+	Changes []wire.ChangeReceipt
+}
+
+// Ledger folds the configuration part.
+type Ledger struct {
+	mu    sync.RWMutex
+	sheet *Sheet
+	Told  func(*Sheet, *wire.Planned)
+}
+
+func NewLedger() *Ledger { return &Ledger{sheet: &Sheet{Groups: map[string]wire.Group{}}} }
+
+// Digest is the MD5 that the distribution tells groups apart by.
+func Digest(data []byte) string {
+	sum := md5.Sum(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Apply folds one epoch; one that does not follow the last is not taken.
+func (l *Ledger) Apply(index mark.Stamp, body json.RawMessage) any {
+	var planned wire.Planned
+	if err := json.Unmarshal(body, &planned); err != nil {
+		return false
+	}
+	l.mu.Lock()
+	old := l.sheet
+	if planned.Epoch != old.Epoch+1 {
+		l.mu.Unlock()
+		return false
+	}
+	sheet := &Sheet{Epoch: planned.Epoch, Changed: old.Changed, Groups: maps.Clone(old.Groups), Changes: old.Changes}
+	for name, data := range planned.Put {
+		sheet.Groups[name] = wire.Group{Digest: Digest(data), Stamp: mark.Stamp(planned.Epoch), Data: data}
+	}
+	for _, name := range planned.Drop {
+		delete(sheet.Groups, name)
+	}
+	if planned.Change != nil {
+		sheet.Changed = planned.Epoch
+		changes := append([]wire.ChangeReceipt(nil), old.Changes...)
+		if len(changes) >= changesKept {
+			changes = changes[1:]
+		}
+		sheet.Changes = append(changes, *planned.Change)
+	}
+	l.sheet = sheet
+	l.mu.Unlock()
+	if l.Told != nil {
+		l.Told(sheet, &planned)
+	}
+	return true
+}
+
+// Sheet is the epoch in force, as far as this member knows.
+func (l *Ledger) Sheet() *Sheet {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.sheet
+}
+
+func (l *Ledger) Dump() (json.RawMessage, error) {
+	s := l.Sheet()
+	return json.Marshal(wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Groups: s.Groups, Changes: s.Changes})
+}
+
+func (l *Ledger) Load(raw json.RawMessage) error {
+	var state wire.LedgerState
+	if err := json.Unmarshal(raw, &state); err != nil {
+		return err
+	}
+	if state.Groups == nil {
+		state.Groups = map[string]wire.Group{}
+	}
+	l.mu.Lock()
+	l.sheet = &Sheet{Epoch: state.Epoch, Changed: state.Changed, Groups: state.Groups, Changes: state.Changes}
+	l.mu.Unlock()
+	return nil
+}
+
+// Find is the receipt of an accepted change set.
+func (s *Sheet) Find(id string) (wire.ChangeReceipt, bool) {
+	for i := len(s.Changes) - 1; i >= 0; i-- {
+		if s.Changes[i].Id == id {
+			return s.Changes[i], true
+		}
+	}
+	return wire.ChangeReceipt{}, false
+}
+
+// Manifest names every group of the epoch with its digest and stamp.
+func (s *Sheet) Manifest() map[string]wire.Held {
+	manifest := make(map[string]wire.Held, len(s.Groups))
+	for name, group := range s.Groups {
+		manifest[name] = wire.Held{Digest: group.Digest, Stamp: group.Stamp}
+	}
+	return manifest
+}
+
+// Config is the operators' part of the epoch.
+func (s *Sheet) Config() (config wire.Config) {
+	json.Unmarshal(s.Groups[Routes].Data, &config.Mappings)
+	json.Unmarshal(s.Groups[Services].Data, &config.Services)
+	json.Unmarshal(s.Groups[Limits].Data, &config.Limits)
+	return config
+}
+
+// View is the epoch as operators see it.
+func (s *Sheet) View() *wire.EpochView {
+	view := &wire.EpochView{Epoch: s.Epoch, Changed: s.Changed, Manifest: s.Manifest(), Config: s.Config(), Targets: map[string][]wire.Target{}, Shares: map[mark.Name]int{}}
+	for name, group := range s.Groups {
+		if service, ok := strings.CutPrefix(name, Targets); ok {
+			var list []wire.Target
+			json.Unmarshal(group.Data, &list)
+			view.Targets[service] = list
+		}
+	}
+	json.Unmarshal(s.Groups[Shares].Data, &view.Shares)
+	for i := range view.Config.Services {
+		if view.Config.Services[i].Key != "" {
+			view.Config.Services[i].Key = "(kept secret)"
+		}
+	}
+	return view
+}
+
+func sortConfig(c *wire.Config) {
+	sort.Slice(c.Mappings, func(i, j int) bool { return c.Mappings[i].Name < c.Mappings[j].Name })
+	sort.Slice(c.Services, func(i, j int) bool { return c.Services[i].Name < c.Services[j].Name })
+	sort.Slice(c.Limits, func(i, j int) bool { return c.Limits[i].Service < c.Limits[j].Service })
+}
--- /dev/null
+++ b/internal/realm/realm.go
@@ -0,0 +1,93 @@
+// Package realm is the project's one context: what every task of a node needs
+// (settings, events, the network and the disk it may use, and the end of its
+// life), handed on in place of many arguments. The simulator makes realms with
+// a network and disks of its own; everything else stays the same.
+package realm
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/syndtr/goleveldb/leveldb/storage"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+// Net is the verbs by which a node reaches others and its disk.
+type Net struct {
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Listen func(address string) (net.Listener, error)
+	Packet func(address string) (net.PacketConn, error)
+	Store  func(folder string) (storage.Storage, error)
+}
+
+// Realm is one life of one node.
+type Realm struct {
+	context.Context
+	Props *props.Props
+	Sign  *sign.Sign
+	Net   Net
+	Name  mark.Name
+
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+func New(parent context.Context, p *props.Props, s *sign.Sign, n Net) *Realm {
+	ctx, end := context.WithCancel(parent)
+	return &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), end: end}
+}
+
+// Go runs a task that End waits for.
+func (r *Realm) Go(task func()) {
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		task()
+	}()
+}
+
+// End tells all tasks to finish and waits for them.
+func (r *Realm) End() {
+	r.end()
+	r.tasks.Wait()
+}
+
+func (r *Realm) IsOver() bool { return r.Err() != nil }
+
+// Pause waits, and tells whether life goes on.
+func (r *Realm) Pause(d time.Duration) bool {
+	wakeup := time.NewTimer(d)
+	defer wakeup.Stop()
+	select {
+	case <-r.Done():
+		return false
+	case <-wakeup.C:
+		return true
+	}
+}
+
+// Jitter spreads a pause by a quarter to both sides.
+func Jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+// Host is the real network and disk.
+func Host() Net {
+	var dialer net.Dialer
+	return Net{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Packet: func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) },
+		Store: func(folder string) (storage.Storage, error) {
+			return storage.OpenFile(folder, false)
+		},
+	}
+}
--- /dev/null
+++ b/internal/seat/desk.go
@@ -0,0 +1,242 @@
+// The desk is the generated API's handler: it turns each call into an op on the
+// call's part and passes it to that part's owner, and turns problems into
+// numbered answers.
+package seat
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Deadlines of calls that name none.
+const (
+	callTime = 3 * time.Second
+	beatTime = 2 * time.Second
+)
+
+type desk struct{ n *Node }
+
+var _ api.Handler = (*desk)(nil)
+
+func (d *desk) Beat(ctx context.Context, req *api.Beat) (*api.Taken, error) {
+	limited, end := context.WithTimeout(ctx, beatTime)
+	defer end()
+	beat := &wire.Beat{Service: req.Service, Instance: req.Instance, Seq: req.Seq, Address: req.Address, Zone: req.Zone.Or(""), Weight: req.Weight.Or(100), State: string(req.State)}
+	if err := plan.CheckBeat(beat); err != nil {
+		d.n.R.Sign.Say(sign.BeatRefused, "service", beat.Service, "instance", beat.Instance, "cause", err.Error())
+		return nil, err
+	}
+	var done struct{}
+	if err := d.n.pass(limited, op{mark.PartOf(beat.Service), "beat", beat}, 0, &done); err != nil {
+		return nil, err
+	}
+	return &api.Taken{Again: 300}, nil
+}
+
+func (d *desk) Submit(ctx context.Context, req *api.Change) (*api.ChangeReceipt, error) {
+	limited, end := context.WithTimeout(ctx, 2*callTime)
+	defer end()
+	var change wire.Change
+	if err := recast(req, &change); err != nil {
+		return nil, err
+	}
+	receipt := &api.ChangeReceipt{}
+	err := d.n.pass(limited, op{mark.Config, "submit", &change}, 0, receipt)
+	if fault.Is(err, fault.ReplyLost) || fault.Is(err, fault.Unsure) {
+		err = fault.New(fault.ChangeUnknown, "%v", err)
+	}
+	return receipt, err
+}
+
+func (d *desk) AskChange(ctx context.Context, params api.AskChangeParams) (*api.ChangeReceipt, error) {
+	limited, end := context.WithTimeout(ctx, callTime)
+	defer end()
+	receipt := &api.ChangeReceipt{}
+	return receipt, d.n.pass(limited, op{mark.Config, "change", params.ID}, 0, receipt)
+}
+
+func (d *desk) Epoch(ctx context.Context) (*api.EpochView, error) {
+	limited, end := context.WithTimeout(ctx, callTime)
+	defer end()
+	view := &api.EpochView{}
+	return view, d.n.pass(limited, op{mark.Config, "epoch", nil}, 0, view)
+}
+
+// bond passes a coordination call; a code in the receipt becomes a problem.
+func (d *desk) bond(ctx context.Context, call *wire.BondOp) (*api.Receipt, error) {
+	limited, end := context.WithTimeout(ctx, callTime+time.Duration(call.Hold)*time.Millisecond)
+	defer end()
+	var receipt wire.BondReceipt
+	if err := d.n.pass(limited, op{mark.PartOf(call.Name), "bond", call}, 0, &receipt); err != nil {
+		if fault.Is(err, fault.ReplyLost) {
+			err = fault.New(fault.Unsure, "%v", err)
+		}
+		return nil, err
+	}
+	if receipt.Code != 0 {
+		code, ok := fault.Codes[receipt.Code]
+		if !ok {
+			code = fault.Internal
+		}
+		return nil, &told{fault.Problem{Code: code, Note: receipt.Note}, receipt}
+	}
+	out := &api.Receipt{}
+	return out, recast(&receipt, out)
+}
+
+// told is a problem that says more: the stamp, fence and holder in force.
+type told struct {
+	fault.Problem
+	receipt wire.BondReceipt
+}
+
+func (t *told) Error() string { return t.Problem.Error() }
+func (t *told) Unwrap() error { return &t.Problem }
+
+func callOf(op string, req *api.Call) *wire.BondOp {
+	call := &wire.BondOp{Op: op, Id: req.ID.Or(""), Name: req.Name, Value: json.RawMessage(req.Value), Delta: req.Delta.Or(1), Holder: req.Holder.Or(""), Ttl: req.TTL.Or(0), Fence: mark.Stamp(req.Fence.Or(0))}
+	if stamp, ok := req.If.Get(); ok {
+		wanted := mark.Stamp(stamp)
+		call.If = &wanted
+	}
+	return call
+}
+
+func (d *desk) PutKey(ctx context.Context, req *api.Call) (*api.Receipt, error) {
+	return d.bond(ctx, callOf("put", req))
+}
+
+func (d *desk) DropKey(ctx context.Context, req *api.Call) (*api.Receipt, error) {
+	return d.bond(ctx, callOf("drop", req))
+}
+
+func (d *desk) GetKey(ctx context.Context, params api.GetKeyParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name})
+}
+
+func (d *desk) ListKeys(ctx context.Context, params api.ListKeysParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "list", Name: params.Prefix})
+}
+
+func (d *desk) AddCounter(ctx context.Context, req *api.Call) (*api.Receipt, error) {
+	return d.bond(ctx, callOf("add", req))
+}
+
+func (d *desk) GetCounter(ctx context.Context, params api.GetCounterParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Count})
+}
+
+func (d *desk) GetLock(ctx context.Context, params api.GetLockParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Lock})
+}
+
+func (d *desk) GetLeader(ctx context.Context, params api.GetLeaderParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Lock})
+}
+
+func (d *desk) Lock(ctx context.Context, req *api.Call, params api.LockParams) (*api.Receipt, error) {
+	return d.bond(ctx, callOf(string(params.Verb), req))
+}
+
+func (d *desk) Elect(ctx context.Context, req *api.Call, params api.ElectParams) (*api.Receipt, error) {
+	verbs := map[api.ElectVerb]string{api.ElectVerbCampaign: "acquire", api.ElectVerbRenew: "renew", api.ElectVerbResign: "release"}
+	return d.bond(ctx, callOf(verbs[params.Verb], req))
+}
+
+func (d *desk) Watch(ctx context.Context, params api.WatchParams) (*api.Receipt, error) {
+	return d.bond(ctx, &wire.BondOp{Op: "watch", Name: params.Name, From: mark.Stamp(params.From), Hold: params.Hold.Or(20000)})
+}
+
+func (d *desk) Health(ctx context.Context) (*api.Health, error) {
+	return &api.Health{Node: string(d.n.R.Name), State: "alive"}, nil
+}
+
+func (d *desk) Ready(ctx context.Context) (*api.Health, error) {
+	health := &api.Health{Node: string(d.n.R.Name), State: "ready"}
+	if d.n.isGoing.Load() {
+		return nil, fault.New(fault.Stopping, "")
+	}
+	if d.n.Flow != nil {
+		chart := d.n.Flow.Cache.Chart()
+		if !d.n.Flow.IsFresh(chart, "") {
+			return nil, fault.New(fault.NotFresh, "")
+		}
+		health.Epoch = api.NewOptUint64(uint64(chart.Epoch))
+	}
+	if d.n.Pact != nil && d.n.Pact.Charter() == nil {
+		return nil, fault.New(fault.NoOwner, "no fleet yet")
+	}
+	return health, nil
+}
+
+// NewError makes the numbered answer of a problem.
+func (d *desk) NewError(ctx context.Context, err error) *api.ProblemStatusCodeWithHeaders {
+	return problemOf(err)
+}
+
+func problemOf(err error) *api.ProblemStatusCodeWithHeaders {
+	p := fault.Of(err)
+	out := &api.ProblemStatusCodeWithHeaders{StatusCode: p.Code.Status, Response: api.Problem{Code: p.Code.No, Name: p.Code.Name, Text: p.Code.Text, Paths: p.Paths}}
+	if p.Note != "" {
+		out.Response.Note = api.NewOptString(p.Note)
+	}
+	if p.Code.Outcome != "" {
+		out.Response.Outcome = api.NewOptString(p.Code.Outcome)
+	}
+	if t, ok := err.(*told); ok {
+		out.Response.Stamp = api.NewOptUint64(uint64(t.receipt.Stamp))
+		out.Response.Fence = api.NewOptUint64(uint64(t.receipt.Fence))
+		if t.receipt.Holder != "" {
+			out.Response.Holder = api.NewOptString(t.receipt.Holder)
+		}
+	}
+	if p.Code.Status >= 500 || p.Code.No == fault.Held.No {
+		out.RetryAfter = api.NewOptInt(1 + rand.IntN(3))
+	}
+	return out
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	out := problemOf(err)
+	raw, _ := out.Response.MarshalJSON()
+	w.Header().Set("Content-Type", "application/json")
+	if wait, ok := out.RetryAfter.Get(); ok {
+		w.Header().Set("Retry-After", strconv.Itoa(wait))
+	}
+	w.WriteHeader(out.StatusCode)
+	w.Write(raw)
+}
+
+// badCall names what the generated code could not read.
+func badCall(ctx context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	code := fault.BadCall
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/beats"):
+		code = fault.BadBeat
+	case strings.HasPrefix(r.URL.Path, "/v1/changes"):
+		code = fault.BadChange
+	}
+	if ogenerrors.ErrorCode(err) >= 500 {
+		code = fault.Internal
+	}
+	writeProblem(w, fault.New(code, "%v", err))
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeProblem(w, &fault.Problem{Code: fault.Code{No: fault.BadCall.No, Name: fault.BadCall.Name, Status: 404, Text: fault.BadCall.Text}, Note: "no such call: " + r.Method + " " + r.URL.Path})
+}
--- /dev/null
+++ b/internal/seat/show.go
@@ -0,0 +1,118 @@
+// What a node shows of itself to the shell: rows of words under columns, each
+// folded from the live state at the time of the call.
+package seat
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+)
+
+func (d *desk) Show(ctx context.Context, params api.ShowParams) (*api.Rows, error) {
+	rows := &api.Rows{Columns: []string{}, Rows: [][]string{}}
+	columns := func(names ...string) { rows.Columns = names }
+	add := func(values ...any) {
+		row := make([]string, len(values))
+		for i, v := range values {
+			row[i] = fmt.Sprint(v)
+		}
+		rows.Rows = append(rows.Rows, row)
+	}
+	n := d.n
+	switch params.What {
+	case api.ShowWhatMembers:
+		columns("name", "state", "role", "zone", "wire", "gate", "strength", "birth", "fleet")
+		for name, m := range n.Kin.View() {
+			role := "proxy"
+			if m.Core {
+				role = "core"
+				if m.Gate != "" {
+					role = "core+proxy"
+				}
+			}
+			add(name, m.State, role, m.Zone, m.Wire, m.Gate, m.Strength, m.Birth, m.Fleet)
+		}
+	case api.ShowWhatParts:
+		columns("part", "owner", "term", "commit", "last", "serving", "age", "group")
+		if n.Pact != nil {
+			for _, part := range n.Pact.Parts() {
+				o := part.Outline()
+				owner, _ := n.Pact.Owner(o.Part)
+				group := ""
+				for _, peer := range o.Group {
+					group += string(peer.Name) + " "
+				}
+				no := fmt.Sprint(int(o.Part))
+				if o.Part == mark.Config {
+					no = "config"
+				}
+				add(no, owner, o.Promised, o.Commit, o.Last, o.IsServing, o.Age.Round(time.Millisecond), group)
+			}
+		}
+	case api.ShowWhatTargets:
+		columns("service", "instance", "address", "zone", "weight", "state", "silence")
+		if n.Roll != nil {
+			for _, row := range n.Roll.Rows() {
+				add(row...)
+			}
+		}
+	case api.ShowWhatAges:
+		columns("what", "epoch", "age")
+		if n.Flow != nil {
+			ages := n.Flow.Ages()
+			epoch, _ := n.Flow.Cache.Have()
+			add("in use", epoch, "")
+			add("config", ages.Epoch, time.Since(ages.Config).Round(time.Millisecond))
+			for no, at := range ages.Parts {
+				add(fmt.Sprint("part ", no), ages.Epoch, time.Since(at).Round(time.Millisecond))
+			}
+		}
+	case api.ShowWhatCounts:
+		columns("what", "count")
+		for name, count := range n.R.Sign.Counts() {
+			add("event "+name, count)
+		}
+		if n.Gate != nil {
+			n.Gate.Outcomes.Range(func(name, count any) bool {
+				add("outcome "+name.(string), count.(*atomic.Int64).Load())
+				return true
+			})
+			add("requests under way", n.Gate.Inflight())
+		}
+		if n.Store != nil {
+			add("syncs", n.Store.Syncs())
+		}
+	case api.ShowWhatTraffic:
+		columns("kind", "messages", "bytes")
+		for kind, c := range n.Wire.Traffic() {
+			add(kind, c[0], c[1])
+		}
+	case api.ShowWhatEvents:
+		columns("time", "event", "name", "what")
+		for _, e := range n.R.Sign.Recent(200) {
+			what := ""
+			for i := 0; i+1 < len(e.Pairs); i += 2 {
+				what += fmt.Sprintf("%v=%v ", e.Pairs[i], e.Pairs[i+1])
+			}
+			add(e.At.Format(time.RFC3339Nano), e.Event.No, e.Event.Name, what)
+		}
+		return rows, nil
+	case api.ShowWhatNode:
+		columns("name", "zone", "core", "gate", "ready")
+		_, err := d.Ready(ctx)
+		add(n.R.Name, n.R.Props.Zone, n.Pact != nil, n.R.Props.GateAddress, err == nil)
+	}
+	sort.SliceStable(rows.Rows, func(i, j int) bool {
+		a, b := rows.Rows[i][0], rows.Rows[j][0]
+		if len(a) != len(b) && params.What == api.ShowWhatParts {
+			return len(a) < len(b)
+		}
+		return a < b
+	})
+	return rows, nil
+}
--- /dev/null
+++ b/internal/sham/caller.go
@@ -0,0 +1,89 @@
+// Stand-in callers: each call bears a number of its own, and what came back is
+// held against what the server must have said.
+package sham
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/gate"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+)
+
+// Digest names a body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Caller sends requests to proxies.
+type Caller struct {
+	H      *judge.History
+	client *http.Client
+}
+
+func NewCaller(n realm.Net, h *judge.History) *Caller {
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, at string) (net.Conn, error) { return n.Dial(ctx, at) }, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second}
+	return &Caller{H: h, client: &http.Client{Transport: transport, Timeout: 15 * time.Second}}
+}
+
+// Close ends idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Call sends one request and records how it ended.
+func (c *Caller) Call(ctx context.Context, proxy, method, path, service string, body []byte) judge.Record {
+	return c.Repeat(ctx, proxy, method, path, service, body, mark.NewID(), false)
+}
+
+// Repeat sends a request under a call number given.
+func (c *Caller) Repeat(ctx context.Context, proxy, method, path, service string, body []byte, call string, isRepeat bool) judge.Record {
+	r := judge.Record{Kind: judge.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Digest: Digest(body)}
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+proxy+path, reader)
+	if err != nil {
+		return r
+	}
+	request.GetBody = nil
+	request.Header.Set(CallHeader, call)
+	if method != http.MethodGet {
+		request.Header.Set(gate.HeaderOnce, call)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		r.Outcome, r.Note = "broken", err.Error()
+		c.H.Add(r)
+		return r
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	r.Status, r.Outcome, r.RetryAfter = response.StatusCode, response.Header.Get(gate.HeaderOutcome), response.Header.Get("Retry-After")
+	r.Code, _ = strconv.Atoi(response.Header.Get(gate.HeaderCode))
+	r.Epoch, _ = strconv.ParseUint(response.Header.Get(gate.HeaderEpoch), 10, 64)
+	switch {
+	case err != nil:
+		r.Outcome, r.Note = "broken", err.Error()
+	case response.StatusCode == 200:
+		var answer Answer
+		json.Unmarshal(raw, &answer)
+		if answer.Call != call || answer.Digest != r.Digest || answer.Service != service && service != "" {
+			r.Note = "wrong answer: " + string(raw)
+		}
+	default:
+		r.Note = string(raw)
+	}
+	c.H.Add(r)
+	return r
+}
--- /dev/null
+++ b/internal/sham/operator.go
@@ -0,0 +1,84 @@
+// Stand-in operators and applications, over the generated client.
+package sham
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+)
+
+// Operator submits change sets through one node.
+type Operator struct {
+	H      *judge.History
+	Client *api.Client
+}
+
+func NewOperator(n realm.Net, h *judge.History, address string) *Operator {
+	return &Operator{H: h, Client: Client(n, address)}
+}
+
+// CodeOf is the numbered code of a refused call; -1 if there was no answer.
+func CodeOf(err error) int {
+	var p *api.ProblemStatusCodeWithHeaders
+	if errors.As(err, &p) {
+		return p.Response.Code
+	}
+	if err != nil {
+		return -1
+	}
+	return 0
+}
+
+// Submit sends a change set and records the receipt.
+func (o *Operator) Submit(ctx context.Context, change *api.Change) (*api.ChangeReceipt, error) {
+	r := judge.Record{Kind: judge.Changed, Start: o.H.Now(), Name: change.ID, Base: change.Base}
+	for _, m := range change.Put.Value.Mappings {
+		r.Names = append(r.Names, m.Name)
+	}
+	limited, end := context.WithTimeout(ctx, 8*time.Second)
+	defer end()
+	receipt, err := o.Client.Submit(limited, change)
+	r.Code = CodeOf(err)
+	if err == nil {
+		r.Outcome, r.Epoch = "accepted", receipt.Epoch
+	} else {
+		r.Note = err.Error()
+		r.Outcome = "refused"
+		var p *api.ProblemStatusCodeWithHeaders
+		if !errors.As(err, &p) || p.Response.Outcome.Or("") == "unknown" {
+			r.Outcome = "unknown"
+		}
+	}
+	o.H.Add(r)
+	return receipt, err
+}
+
+// Ask asks by id what became of a change set.
+func (o *Operator) Ask(ctx context.Context, id string) (string, error) {
+	r := judge.Record{Kind: judge.Asked, Start: o.H.Now(), Name: id}
+	limited, end := context.WithTimeout(ctx, 5*time.Second)
+	defer end()
+	receipt, err := o.Client.AskChange(limited, api.AskChangeParams{ID: id})
+	r.Code = CodeOf(err)
+	switch {
+	case err == nil:
+		r.Outcome, r.Epoch = "accepted", receipt.Epoch
+	case r.Code == 2004:
+		r.Outcome, err = "absent", nil
+	default:
+		r.Outcome = "unknown"
+	}
+	o.H.Add(r)
+	return r.Outcome, err
+}
+
+// Epoch reads the epoch in force.
+func (o *Operator) Epoch(ctx context.Context) (*api.EpochView, error) {
+	limited, end := context.WithTimeout(ctx, 5*time.Second)
+	defer end()
+	return o.Client.Epoch(limited)
+}
--- /dev/null
+++ b/internal/sham/server.go
@@ -0,0 +1,207 @@
+// Package sham holds the stand-ins at the fleet's edges: servers that beat, run
+// requests and seal their answers, callers, applications and operators. They
+// record what they see for the judge, and they can be told to misbehave.
+package sham
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/gate"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+)
+
+// Ways in which a server misbehaves, by request.
+const (
+	Fine     = ""
+	LoseIt   = "lose"     // runs it, closes the connection without an answer
+	Garbage  = "garbage"  // runs it, answers with bytes that are no answer
+	Cut      = "cut"      // runs it, answers with half the body
+	Unsealed = "unsealed" // runs it, leaves out the seal
+	Swapped  = "swapped"  // runs it, answers with the answer of another request
+	Slow     = "slow"     // runs it after a while
+)
+
+// Server is one stand-in back end.
+type Server struct {
+	Net      realm.Net
+	H        *judge.History
+	Service  string
+	Instance string
+	Address  string
+	Zone     string
+	Key      string
+	Nodes    []string // API addresses
+	Work     time.Duration
+	Misdo    func(n int64) string
+
+	seq    atomic.Uint64
+	n      atomic.Int64
+	state  atomic.Value
+	server *http.Server
+	end    context.CancelFunc
+	tasks  sync.WaitGroup
+	last   atomic.Value
+}
+
+// Client makes an API client over a network.
+func Client(n realm.Net, address string) *api.Client {
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, at string) (net.Conn, error) { return n.Dial(ctx, at) }, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second}
+	client, _ := api.NewClient("http://"+address, api.WithClient(&http.Client{Transport: transport}))
+	return client
+}
+
+// Start listens and beats until Vanish or Leave.
+func (s *Server) Start(parent context.Context) error {
+	if s.Instance == "" {
+		s.Instance = mark.NewID()
+	}
+	s.state.Store("serving")
+	listener, err := s.Net.Listen(s.Address)
+	if err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(parent)
+	s.end = end
+	s.server = &http.Server{Handler: s}
+	s.tasks.Add(2)
+	go func() { defer s.tasks.Done(); s.server.Serve(listener) }()
+	go func() {
+		defer s.tasks.Done()
+		clients := map[string]*api.Client{}
+		for i := 0; ctx.Err() == nil; i++ {
+			address := s.Nodes[(int(mark.Score(s.Instance)%64)+i/8)%len(s.Nodes)]
+			if clients[address] == nil {
+				clients[address] = Client(s.Net, address)
+			}
+			if s.beat(ctx, clients[address], s.state.Load().(string)) != nil {
+				i += 7
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return nil
+}
+
+func (s *Server) beat(ctx context.Context, client *api.Client, state string) error {
+	limited, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	_, err := client.Beat(limited, &api.Beat{Service: s.Service, Instance: s.Instance, Seq: s.seq.Add(1), Address: s.Address, Zone: api.NewOptString(s.Zone), Weight: api.NewOptInt(100), State: api.BeatState(state)})
+	return err
+}
+
+// Say beats a state until it is acknowledged, and records that it is known.
+func (s *Server) Say(ctx context.Context, state string) bool {
+	s.state.Store(state)
+	for i := 0; ctx.Err() == nil; i++ {
+		client := Client(s.Net, s.Nodes[i%len(s.Nodes)])
+		if s.beat(ctx, client, state) == nil {
+			s.H.Add(judge.Record{Kind: judge.Known, Service: s.Service, Instance: s.Instance, Address: s.Address, Note: state})
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return false
+}
+
+// Mute stops the beats but goes on serving.
+func (s *Server) Mute() {
+	s.H.Add(judge.Record{Kind: judge.Silent, Service: s.Service, Instance: s.Instance, Address: s.Address})
+	s.end()
+}
+
+// Vanish is a crash.
+func (s *Server) Vanish() {
+	s.Mute()
+	s.server.Close()
+	s.tasks.Wait()
+}
+
+// Close ends the server without a word in the history.
+func (s *Server) Close() {
+	s.end()
+	s.server.Close()
+	s.tasks.Wait()
+}
+
+// Answer is what a server answers with; a caller can check it.
+type Answer struct {
+	Call    string `json:"call"`
+	Service string `json:"service"`
+	Bytes   int    `json:"bytes"`
+	Digest  string `json:"digest"`
+	Pad     string `json:"pad,omitempty"`
+}
+
+// CallHeader is the stand-in callers' own number of a call.
+const CallHeader = "X-Call"
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	n := s.n.Add(1)
+	way := Fine
+	if s.Misdo != nil {
+		way = s.Misdo(n)
+	}
+	if s.Work > 0 {
+		time.Sleep(s.Work)
+	}
+	if way == Slow {
+		time.Sleep(2 * time.Second)
+	}
+	epoch, _ := strconv.ParseUint(r.Header.Get(gate.HeaderEpoch), 10, 64)
+	call, request := r.Header.Get(CallHeader), r.Header.Get(gate.HeaderRequest)
+	s.H.Add(judge.Record{Kind: judge.Ran, Call: call, Request: request, Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Epoch: epoch, Repeatable: r.Method == http.MethodGet, Digest: Digest(body)})
+	answer, _ := json.Marshal(Answer{Call: call, Service: s.Service, Bytes: len(body), Digest: Digest(body)})
+	seal := gate.Seal(s.Key, request, s.Service, s.Instance, 200, answer)
+	hijack := func(text string) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			io.WriteString(conn, text)
+			conn.Close()
+		}
+	}
+	switch way {
+	case LoseIt:
+		hijack("")
+		return
+	case Garbage:
+		hijack("\x00\x01 what is this\r\n\r\n")
+		return
+	case Cut:
+		hijack(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(answer), gate.HeaderSeal, seal, answer[:len(answer)/2]))
+		return
+	case Swapped:
+		if old, ok := s.last.Load().([]string); ok {
+			w.Header().Set(gate.HeaderSeal, old[0])
+			w.Write([]byte(old[1]))
+			return
+		}
+	}
+	s.last.Store([]string{seal, string(answer)})
+	if way != Unsealed {
+		w.Header().Set(gate.HeaderSeal, seal)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(answer)
+}
--- /dev/null
+++ b/internal/wire/pipe.go
@@ -0,0 +1,149 @@
+// A pipe is the asking end of one connection to a peer. It is dialled when
+// first needed, shared by all who ask that peer, and dropped at the first
+// failure, upon which all who wait on it learn that their receipt is lost.
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+type pipe struct {
+	w       *Wire
+	address string
+	ready   chan struct{}
+	problem error
+	conn    net.Conn
+
+	mu      sync.Mutex
+	writing sync.Mutex
+	next    uint64
+	waiting map[uint64]chan *Frame
+	isOver  bool
+}
+
+const dialTime = 500 * time.Millisecond
+
+func (w *Wire) pipe(ctx context.Context, address string) (*pipe, error) {
+	w.mu.Lock()
+	p, ok := w.pipes[address]
+	if !ok {
+		if w.r.IsOver() {
+			w.mu.Unlock()
+			return nil, fault.New(fault.Unreached, "%s: stopping", address)
+		}
+		p = &pipe{w: w, address: address, ready: make(chan struct{}), waiting: map[uint64]chan *Frame{}}
+		w.pipes[address] = p
+		w.r.Go(p.run)
+	}
+	w.mu.Unlock()
+	select {
+	case <-p.ready:
+		return p, p.problem
+	case <-ctx.Done():
+		return nil, fault.New(fault.Unreached, "%s: %v", address, ctx.Err())
+	}
+}
+
+func (p *pipe) run() {
+	ctx, end := context.WithTimeout(p.w.r, dialTime)
+	conn, err := p.w.r.Net.Dial(ctx, p.address)
+	end()
+	if err != nil {
+		p.problem = fault.New(fault.Unreached, "%s: %v", p.address, err)
+		p.forget()
+		close(p.ready)
+		return
+	}
+	p.conn = conn
+	if !p.w.keep(conn) {
+		p.problem = fault.New(fault.Unreached, "%s: stopping", p.address)
+		p.forget()
+		close(p.ready)
+		return
+	}
+	close(p.ready)
+	reader := bufio.NewReaderSize(conn, 16<<10)
+	for {
+		line, err := readLine(reader, p.w.r.Props.WireLine)
+		if err != nil {
+			break
+		}
+		receipt := &Frame{}
+		if err := json.Unmarshal(line, receipt); err != nil {
+			break
+		}
+		p.mu.Lock()
+		waiter := p.waiting[receipt.Id]
+		delete(p.waiting, receipt.Id)
+		p.mu.Unlock()
+		if waiter != nil {
+			waiter <- receipt
+		}
+	}
+	p.close()
+}
+
+func (p *pipe) forget() {
+	p.w.mu.Lock()
+	if p.w.pipes[p.address] == p {
+		delete(p.w.pipes, p.address)
+	}
+	p.w.mu.Unlock()
+}
+
+func (p *pipe) close() {
+	p.forget()
+	p.w.drop(p.conn)
+	p.mu.Lock()
+	p.isOver = true
+	for id, waiter := range p.waiting {
+		delete(p.waiting, id)
+		close(waiter)
+	}
+	p.mu.Unlock()
+}
+
+func (p *pipe) ask(ctx context.Context, frame *Frame) (*Frame, error) {
+	waiter := make(chan *Frame, 1)
+	p.mu.Lock()
+	if p.isOver {
+		p.mu.Unlock()
+		return nil, fault.New(fault.Unreached, "%s: pipe closed", p.address)
+	}
+	p.next++
+	frame.Id = p.next
+	p.waiting[frame.Id] = waiter
+	p.mu.Unlock()
+	raw, err := json.Marshal(frame)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "%v", err)
+	}
+	p.w.count(frame.Kind, len(raw)+1)
+	p.writing.Lock()
+	p.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	_, err = p.conn.Write(append(raw, '\n'))
+	p.writing.Unlock()
+	if err != nil {
+		p.close()
+		return nil, fault.New(fault.ReplyLost, "%s: %v", p.address, err)
+	}
+	select {
+	case receipt, ok := <-waiter:
+		if !ok {
+			return nil, fault.New(fault.ReplyLost, "%s: pipe closed", p.address)
+		}
+		return receipt, nil
+	case <-ctx.Done():
+		p.mu.Lock()
+		delete(p.waiting, frame.Id)
+		p.mu.Unlock()
+		return nil, fault.New(fault.ReplyLost, "%s %s: %v", p.address, frame.Kind, ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,273 @@
+// Package wire carries JSON lines between the project's own processes: one pipe
+// to each peer, on which asks and receipts are told apart by number. An ask
+// that could not be written is Unreached; one that was written and whose
+// receipt did not come is ReplyLost. What can't be read is refused with a code,
+// counted and logged, and never stops a node.
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+// Call is an ask as its handler sees it.
+type Call struct {
+	context.Context
+	Hops int
+	body json.RawMessage
+}
+
+// Read unpacks the ask.
+func (c *Call) Read(into any) error {
+	if err := json.Unmarshal(c.body, into); err != nil {
+		return fault.New(fault.BadMessage, "%v", err)
+	}
+	return nil
+}
+
+type Handler func(*Call) (any, error)
+
+// Counts are messages and bytes by kind, both ways.
+type Counts struct {
+	Messages, Bytes atomic.Int64
+}
+
+// Wire is a node's end of all its pipes.
+type Wire struct {
+	r        *realm.Realm
+	mu       sync.Mutex
+	pipes    map[string]*pipe
+	handlers map[string]Handler
+	listener net.Listener
+	conns    map[net.Conn]bool
+	counts   sync.Map
+}
+
+func New(r *realm.Realm) *Wire {
+	return &Wire{r: r, pipes: map[string]*pipe{}, handlers: map[string]Handler{}, conns: map[net.Conn]bool{}}
+}
+
+// Handle names the handler of a kind; all are named before Open.
+func (w *Wire) Handle(kind string, handle Handler) { w.handlers[kind] = handle }
+
+// Open starts to listen.
+func (w *Wire) Open() error {
+	listener, err := w.r.Net.Listen(w.r.Props.WireAddress)
+	if err != nil {
+		return fault.New(fault.BadProps, "wire.address: %v", err)
+	}
+	w.listener = listener
+	w.r.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				if w.r.IsOver() || !w.r.Pause(10*time.Millisecond) {
+					return
+				}
+				continue
+			}
+			if w.keep(conn) {
+				w.r.Go(func() { w.serve(conn) })
+			}
+		}
+	})
+	w.r.Go(func() {
+		<-w.r.Done()
+		listener.Close()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for conn := range w.conns {
+			conn.Close()
+		}
+	})
+	return nil
+}
+
+func (w *Wire) keep(conn net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.r.IsOver() {
+		conn.Close()
+		return false
+	}
+	w.conns[conn] = true
+	return true
+}
+
+func (w *Wire) drop(conn net.Conn) {
+	conn.Close()
+	w.mu.Lock()
+	delete(w.conns, conn)
+	w.mu.Unlock()
+}
+
+func (w *Wire) count(kind string, bytes int) {
+	found, ok := w.counts.Load(kind)
+	if !ok {
+		found, _ = w.counts.LoadOrStore(kind, &Counts{})
+	}
+	found.(*Counts).Messages.Add(1)
+	found.(*Counts).Bytes.Add(int64(bytes))
+}
+
+// Traffic is messages and bytes sent, by kind.
+func (w *Wire) Traffic() map[string][2]int64 {
+	view := map[string][2]int64{}
+	w.counts.Range(func(kind, c any) bool {
+		view[kind.(string)] = [2]int64{c.(*Counts).Messages.Load(), c.(*Counts).Bytes.Load()}
+		return true
+	})
+	return view
+}
+
+// Count adds what other packages send themselves.
+func (w *Wire) Count(kind string, bytes int) { w.count(kind, bytes) }
+
+// serve reads asks from one incoming pipe and answers each in a task.
+func (w *Wire) serve(conn net.Conn) {
+	defer w.drop(conn)
+	ctx, end := context.WithCancel(w.r)
+	defer end()
+	var writing sync.Mutex
+	reader := bufio.NewReaderSize(conn, 16<<10)
+	for {
+		line, err := readLine(reader, w.r.Props.WireLine)
+		if err != nil {
+			if fault.Is(err, fault.LineTooLong) {
+				w.r.Sign.Say(sign.MessageRefused, "code", fault.LineTooLong.No, "from", conn.RemoteAddr().String())
+			}
+			return
+		}
+		var ask Frame
+		if err := json.Unmarshal(line, &ask); err != nil {
+			w.r.Sign.Say(sign.MessageRefused, "code", fault.BadMessage.No, "from", conn.RemoteAddr().String())
+			return
+		}
+		w.r.Go(func() {
+			receipt := w.answer(ctx, &ask)
+			raw, err := json.Marshal(receipt)
+			if err != nil {
+				return
+			}
+			w.count(ask.Kind+".receipt", len(raw)+1)
+			writing.Lock()
+			defer writing.Unlock()
+			conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			if _, err := conn.Write(append(raw, '\n')); err != nil {
+				conn.Close()
+			}
+		})
+	}
+}
+
+func (w *Wire) answer(ctx context.Context, ask *Frame) *Frame {
+	receipt := &Frame{Id: ask.Id}
+	fail := func(err error) *Frame {
+		p := fault.Of(err)
+		receipt.Code, receipt.Note, receipt.Paths = p.Code.No, p.Note, p.Paths
+		return receipt
+	}
+	handle, ok := w.handlers[ask.Kind]
+	if !ok {
+		w.r.Sign.Say(sign.MessageRefused, "code", fault.UnknownKind.No, "kind", ask.Kind)
+		return fail(fault.New(fault.UnknownKind, "%q", ask.Kind))
+	}
+	if ask.Deadline > 0 {
+		limited, end := context.WithTimeout(ctx, time.Duration(ask.Deadline)*time.Microsecond)
+		defer end()
+		ctx = limited
+	}
+	body, err := handle(&Call{Context: ctx, Hops: ask.Hops, body: ask.Body})
+	if err != nil {
+		if p := fault.Of(err); p.Code.No == fault.BadMessage.No {
+			w.r.Sign.Say(sign.MessageRefused, "code", p.Code.No, "kind", ask.Kind, "note", p.Note)
+		}
+		return fail(err)
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return fail(fault.New(fault.Internal, "%v", err))
+	}
+	receipt.Body = raw
+	return receipt
+}
+
+func readLine(reader *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		chunk, err := reader.ReadSlice('\n')
+		if err == nil && line == nil {
+			return chunk, nil
+		}
+		line = append(line, chunk...)
+		if len(line) > limit {
+			return nil, fault.New(fault.LineTooLong, "over %d bytes", limit)
+		}
+		if err == nil {
+			return line, nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, err
+		}
+	}
+}
+
+// Hops is how often a call may be passed on.
+const Hops = 4
+
+// Ask sends one ask and waits for its receipt until the deadline of ctx.
+func (w *Wire) Ask(ctx context.Context, address, kind string, body, into any) error {
+	return w.AskHop(ctx, address, kind, 0, body, into)
+}
+
+// AskHop is Ask for a call that was passed on already.
+func (w *Wire) AskHop(ctx context.Context, address, kind string, hops int, body, into any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return fault.New(fault.Internal, "%v", err)
+	}
+	frame := &Frame{Kind: kind, Hops: hops, Body: raw}
+	if end, ok := ctx.Deadline(); ok {
+		left := time.Until(end)
+		if left <= 0 {
+			return fault.New(fault.Unreached, "%s: no time left", address)
+		}
+		frame.Deadline = left.Microseconds() + 1
+	}
+	p, err := w.pipe(ctx, address)
+	if err != nil {
+		return err
+	}
+	receipt, err := p.ask(ctx, frame)
+	if err != nil {
+		return err
+	}
+	if receipt.Code != 0 {
+		code, ok := fault.Codes[receipt.Code]
+		if !ok {
+			code = fault.Internal
+		}
+		problem := fault.New(code, "%s", receipt.Note)
+		fault.Of(problem).Paths = receipt.Paths
+		return problem
+	}
+	if into != nil {
+		if err := json.Unmarshal(receipt.Body, into); err != nil {
+			return fault.New(fault.BadMessage, "%s from %s: %v", kind, address, err)
+		}
+	}
+	return nil
+}
+
+// From is the id of the node that asks, for logs.
+func (w *Wire) From() mark.Name { return w.r.Name }
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,10 @@
+#!/bin/bash
+# The project's test command: build, vet, race tests with a fixed set of seeds,
+# and one bounded run of real processes.
+set -euo pipefail
+cd "$(dirname "$0")"
+go build -o bin/ ./cmd/...
+go vet ./...
+test -z "$(gofmt -l $(git ls-files '*.go' | grep -v '^internal/api/'))"
+go test -race -count=1 -timeout 40m ./...
+./bin/troupe smoke
