Simulator of the real code in virtual time, with faults drawn from seeds

Lost members are now asked for once a second. - a promise asked with a commit above the member's log crashed it.

--- /dev/null
+++ b/internal/dream/disk.go
@@ -0,0 +1,225 @@
+// Disks of the simulated machines, as goleveldb storage. A killed process
+// leaves all it wrote; lost power leaves what was synced and a torn beginning
+// of the rest. A disk can stall, and it can be wiped.
+package dream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+var errGone = errors.New("the disk no longer obeys this process")
+
+type file struct {
+	data   []byte
+	synced int
+}
+
+// Disk is one machine's.
+type Disk struct {
+	mu      sync.Mutex
+	rand    *rand.Rand
+	files   map[storage.FileDesc]*file
+	meta    storage.FileDesc
+	hasMeta bool
+	life    int
+	stalled chan struct{}
+	Syncs   int
+}
+
+func newDisk(r *rand.Rand) *Disk {
+	return &Disk{rand: r, files: map[storage.FileDesc]*file{}}
+}
+
+// Wipe empties the disk.
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	d.files, d.hasMeta = map[storage.FileDesc]*file{}, false
+	d.life++
+	d.mu.Unlock()
+}
+
+// Stall makes every sync wait until Resume.
+func (d *Disk) Stall() {
+	d.mu.Lock()
+	if d.stalled == nil {
+		d.stalled = make(chan struct{})
+	}
+	d.mu.Unlock()
+}
+
+func (d *Disk) Resume() {
+	d.mu.Lock()
+	if d.stalled != nil {
+		close(d.stalled)
+		d.stalled = nil
+	}
+	d.mu.Unlock()
+}
+
+// Spoil flips a byte in the middle of what is on the disk.
+func (d *Disk) Spoil() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var largest *file
+	for fd, f := range d.files {
+		if fd.Type == storage.TypeJournal && (largest == nil || len(f.data) > len(largest.data)) {
+			largest = f
+		}
+	}
+	if largest != nil && len(largest.data) > 64 {
+		largest.data[len(largest.data)/2] ^= 0x5a
+	}
+}
+
+func (d *Disk) detach(isPowerLost bool) {
+	d.mu.Lock()
+	d.life++
+	if isPowerLost {
+		for _, f := range d.files {
+			if rest := len(f.data) - f.synced; rest > 0 {
+				f.data = f.data[:f.synced+d.rand.IntN(rest+1)]
+			}
+		}
+	}
+	d.mu.Unlock()
+	d.Resume()
+}
+
+func (d *Disk) attach() (storage.Storage, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.life++
+	return &disk{Disk: d, life: d.life}, nil
+}
+
+// disk is a Disk as one life of a process has it.
+type disk struct {
+	*Disk
+	life int
+}
+
+func (d *disk) do(verb func() error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.life != d.Disk.life {
+		return errGone
+	}
+	return verb()
+}
+
+type locked struct{}
+
+func (locked) Unlock() {}
+
+func (d *disk) Lock() (storage.Locker, error) { return locked{}, nil }
+func (d *disk) Log(string)                    {}
+func (d *disk) Close() error                  { return nil }
+
+func (d *disk) SetMeta(fd storage.FileDesc) error {
+	return d.do(func() error { d.meta, d.hasMeta = fd, true; return nil })
+}
+
+func (d *disk) GetMeta() (fd storage.FileDesc, err error) {
+	err = d.do(func() error {
+		if !d.hasMeta {
+			return os.ErrNotExist
+		}
+		fd = d.meta
+		return nil
+	})
+	return fd, err
+}
+
+func (d *disk) List(ft storage.FileType) (list []storage.FileDesc, err error) {
+	err = d.do(func() error {
+		for fd := range d.files {
+			if fd.Type&ft != 0 {
+				list = append(list, fd)
+			}
+		}
+		return nil
+	})
+	return list, err
+}
+
+type reader struct{ *bytes.Reader }
+
+func (reader) Close() error { return nil }
+
+func (d *disk) Open(fd storage.FileDesc) (r storage.Reader, err error) {
+	err = d.do(func() error {
+		f, ok := d.files[fd]
+		if !ok {
+			return os.ErrNotExist
+		}
+		r = reader{bytes.NewReader(append([]byte(nil), f.data...))}
+		return nil
+	})
+	return r, err
+}
+
+func (d *disk) Create(fd storage.FileDesc) (w storage.Writer, err error) {
+	err = d.do(func() error {
+		f := &file{}
+		d.files[fd] = f
+		w = &writer{d: d, f: f}
+		return nil
+	})
+	return w, err
+}
+
+func (d *disk) Remove(fd storage.FileDesc) error {
+	return d.do(func() error {
+		if _, ok := d.files[fd]; !ok {
+			return os.ErrNotExist
+		}
+		delete(d.files, fd)
+		return nil
+	})
+}
+
+func (d *disk) Rename(from, to storage.FileDesc) error {
+	return d.do(func() error {
+		f, ok := d.files[from]
+		if !ok {
+			return os.ErrNotExist
+		}
+		delete(d.files, from)
+		d.files[to] = f
+		return nil
+	})
+}
+
+type writer struct {
+	d *disk
+	f *file
+}
+
+func (w *writer) Write(p []byte) (n int, err error) {
+	err = w.d.do(func() error { w.f.data = append(w.f.data, p...); return nil })
+	return len(p), err
+}
+
+func (w *writer) Sync() error {
+	for {
+		w.d.mu.Lock()
+		stalled := w.d.stalled
+		w.d.mu.Unlock()
+		if stalled == nil {
+			break
+		}
+		<-stalled
+	}
+	return w.d.do(func() error { w.f.synced = len(w.f.data); w.d.Syncs++; return nil })
+}
+
+func (w *writer) Close() error { return nil }
+
+var _ io.Writer = (*writer)(nil)
--- /dev/null
+++ b/internal/dream/dream_test.go
@@ -0,0 +1,113 @@
+// The fixed seeds of the simulator that run with the tests, and the long runs:
+//
+//	go test ./internal/dream -run TestSeeds -seeds 1:200 -scenario kills
+//
+// prints, for each seed that breaks a rule, the seed, the rule, the faults and
+// the history around the breach.
+package dream
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	seeds    = flag.String("seeds", "1:2", "first and last seed")
+	scenario = flag.String("scenario", "all", "name of a scenario, or all")
+	keep     = flag.String("keep", "", "folder for the logs of seeds that break a rule")
+)
+
+func TestSeeds(t *testing.T) {
+	var first, last uint64
+	if n, err := fmt.Sscanf(*seeds, "%d:%d", &first, &last); n != 2 || err != nil || last < first {
+		t.Fatalf("-seeds %q is not FIRST:LAST", *seeds)
+	}
+	isFound := false
+	for _, s := range Scenarios {
+		if *scenario != "all" && *scenario != s.Name {
+			continue
+		}
+		isFound = true
+		t.Run(s.Name, func(t *testing.T) {
+			var mu sync.Mutex
+			var recoveries []time.Duration
+			t.Cleanup(func() {
+				sort.Slice(recoveries, func(i, j int) bool { return recoveries[i] < recoveries[j] })
+				if n := len(recoveries); n > 0 {
+					t.Logf("%s: %d seeds, usable again after: median %s, most %s", s.Name, n, recoveries[n/2], recoveries[n-1])
+				}
+			})
+			for seed := first; seed <= last; seed++ {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					if recovery, ok := dreamOf(t, s, seed); ok {
+						mu.Lock()
+						recoveries = append(recoveries, recovery)
+						mu.Unlock()
+					}
+				})
+			}
+		})
+	}
+	if !isFound {
+		t.Fatalf("no scenario %q", *scenario)
+	}
+}
+
+func dreamOf(t *testing.T, s Scenario, seed uint64) (recovery time.Duration, ok bool) {
+	var log io.Writer = io.Discard
+	var kept bytes.Buffer
+	if *keep != "" {
+		log = &quietly{w: &kept}
+	}
+	var report strings.Builder
+	var counts map[string]int
+	synctest.Test(t, func(t *testing.T) {
+		result, err := Run(s, seed, log)
+		if err != nil {
+			fmt.Fprintf(&report, "seed %d: %v\n", seed, err)
+			return
+		}
+		recovery = result.Recovery
+		counts = result.Verdict.Counts
+		if result.Verdict.Counts["called: ran"] == 0 || result.Verdict.Counts["bonded"] == 0 {
+			fmt.Fprintf(&report, "seed %d: nothing ran\n", seed)
+		}
+		if !result.Verdict.IsClean() {
+			fmt.Fprintf(&report, "scenario %s seed %d\n%s\nfaults:\n%s\n", s.Name, seed, result.Verdict, strings.Join(result.Faults, "\n"))
+		}
+	})
+	if testing.Verbose() && report.Len() == 0 {
+		t.Log(counts)
+	}
+	if report.Len() > 0 {
+		t.Error("\n" + report.String())
+		if *keep != "" {
+			os.MkdirAll(*keep, 0o755)
+			os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%s-%d.log", s.Name, seed)), kept.Bytes(), 0o644)
+		}
+		return 0, false
+	}
+	return recovery, true
+}
+
+type quietly struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (l *quietly) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(p)
+}
--- /dev/null
+++ b/internal/dream/faults.go
@@ -0,0 +1,297 @@
+// The faults of the brief, as scenarios. Each draws what it does from the seed,
+// notes it, and keeps to what the brief allows: one disk lost at a time, with
+// the copies mended before the next.
+package dream
+
+import (
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/pact"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func five() Shape {
+	s := Small()
+	s.Cores, s.Proxies = 5, 3
+	return s
+}
+
+// Scenarios is all of them.
+var Scenarios = []Scenario{
+	{Name: "kills", Shape: Small, Length: 25 * time.Second, Faults: kills},
+	{Name: "power", Shape: Small, Length: 25 * time.Second, Faults: power},
+	{Name: "wipes", Shape: five, Length: 30 * time.Second, Faults: wipes},
+	{Name: "cuts", Shape: Small, Length: 30 * time.Second, Faults: cuts},
+	{Name: "freezes", Shape: Small, Length: 25 * time.Second, Faults: freezes},
+	{Name: "stalls", Shape: Small, Length: 25 * time.Second, Faults: stalls},
+	{Name: "servers", Shape: Small, Length: 25 * time.Second, Faults: servers},
+	{Name: "stops", Shape: Small, Length: 25 * time.Second, Faults: stops, IsHarmless: true},
+	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
+}
+
+func (f *Fleet) nap(least, most time.Duration) {
+	time.Sleep(least + time.Duration(f.Rand.Int64N(int64(most-least)+1)))
+}
+
+func (f *Fleet) pick(list []*Machine) *Machine { return list[f.Rand.IntN(len(list))] }
+
+func (f *Fleet) up(m *Machine) {
+	if m.Node() == nil {
+		if err := m.Start(); err != nil {
+			f.Say("%s can't start: %v", m.Name, err)
+		}
+	}
+}
+
+func kills(f *Fleet) {
+	f.nap(time.Second, 4*time.Second)
+	victims := []*Machine{f.pick(f.Machines)}
+	switch f.Rand.IntN(4) {
+	case 0:
+		victims = f.Cores()
+	case 1:
+		victims = append(victims, f.pick(f.Machines))
+	}
+	for _, m := range victims {
+		f.Say("kill %s", m.Name)
+		m.Kill(false)
+	}
+	f.nap(0, 4*time.Second)
+	for _, m := range victims {
+		f.up(m)
+	}
+}
+
+func power(f *Fleet) {
+	f.nap(time.Second, 4*time.Second)
+	victims := []*Machine{f.pick(f.Cores())}
+	switch f.Rand.IntN(3) {
+	case 0:
+		victims = f.Cores()
+	case 1:
+		zone := f.pick(f.Machines).Zone
+		victims = f.some(func(m *Machine) bool { return m.Zone == zone })
+	}
+	for _, m := range victims {
+		f.Say("%s loses power", m.Name)
+		m.Kill(true)
+	}
+	f.nap(0, 4*time.Second)
+	for _, m := range victims {
+		f.up(m)
+	}
+}
+
+// isMended tells whether every part's group is of members that are there now.
+func (f *Fleet) isMended() bool {
+	for _, m := range f.Cores() {
+		if m.Node() == nil {
+			return false
+		}
+	}
+	births := map[wire.Peer]bool{}
+	for _, m := range f.Cores() {
+		me := m.Node().Kin.Me()
+		births[wire.Peer{Name: me.Name, Birth: me.Birth}] = true
+	}
+	for no := range mark.Parts + 1 {
+		isOwned := false
+		for _, m := range f.Cores() {
+			part := m.Node().Pact.Part(mark.Part(no))
+			if !part.IsServing() {
+				continue
+			}
+			o := part.Outline()
+			isOwned = o.Last == o.Commit && len(o.Group) == pact.Size(mark.Part(no), len(f.Cores()))
+			for _, peer := range o.Group {
+				isOwned = isOwned && births[peer]
+			}
+		}
+		if !isOwned {
+			return false
+		}
+	}
+	return true
+}
+
+func wipes(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	m := f.pick(f.Cores())
+	f.Say("%s is lost with its disk", m.Name)
+	m.Kill(true)
+	f.W.Disk(m.IP).Wipe()
+	f.nap(0, 3*time.Second)
+	if f.Rand.IntN(2) == 0 {
+		m.Move()
+		f.Say("%s comes back at %s", m.Name, m.IP)
+	}
+	f.up(m)
+	if !f.Until(30*time.Second, f.isMended) {
+		f.Say("the copies are not mended after 30 s")
+	}
+}
+
+func cuts(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	one, two := f.pick(f.Machines), f.pick(f.Machines)
+	switch f.Rand.IntN(5) {
+	case 0:
+		f.Say("cut %s to %s one way", one.Name, two.Name)
+		f.W.Cut(one.IP, two.IP)
+	case 1:
+		f.Say("cut %s off", one.Name)
+		f.isolate([]*Machine{one})
+	case 2:
+		f.Say("cut %s off, outward only", one.Name)
+		for _, m := range f.Machines {
+			f.W.Cut(one.IP, m.IP)
+		}
+	case 3:
+		f.Say("cut %s off", one.Zone)
+		f.isolate(f.some(func(m *Machine) bool { return m.Zone == one.Zone }))
+	case 4:
+		f.Say("split the core apart")
+		for _, a := range f.Cores() {
+			f.isolate([]*Machine{a})
+		}
+	}
+	f.nap(500*time.Millisecond, 7*time.Second)
+	f.Say("heal")
+	f.W.Heal()
+}
+
+// isolate cuts some machines off from all others of the fleet.
+func (f *Fleet) isolate(some []*Machine) {
+	isIn := map[*Machine]bool{}
+	for _, m := range some {
+		isIn[m] = true
+	}
+	for _, a := range some {
+		for _, b := range f.Machines {
+			if !isIn[b] {
+				f.W.Cut(a.IP, b.IP)
+				f.W.Cut(b.IP, a.IP)
+			}
+		}
+	}
+}
+
+func freezes(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	m := f.pick(f.Machines)
+	f.Say("hold %s still", m.Name)
+	f.W.Hold(m.IP)
+	f.nap(300*time.Millisecond, 6*time.Second)
+	f.W.Release(m.IP)
+	f.Say("release %s", m.Name)
+}
+
+func stalls(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	victims := []*Machine{f.pick(f.Cores())}
+	if f.Rand.IntN(4) == 0 {
+		victims = f.Cores()
+	}
+	for _, m := range victims {
+		f.Say("the disk of %s stalls", m.Name)
+		f.W.Disk(m.IP).Stall()
+	}
+	f.nap(200*time.Millisecond, 6*time.Second)
+	for _, m := range victims {
+		f.W.Disk(m.IP).Resume()
+	}
+	if f.Rand.IntN(3) == 0 {
+		f.Say("%s loses power after a stall", victims[0].Name)
+		victims[0].Kill(true)
+		f.up(victims[0])
+	}
+}
+
+// servers come and go: drained, signed off, crashed, wrong in their answers;
+// and another service takes over an address two seconds after it was left.
+func servers(f *Fleet) {
+	f.nap(200*time.Millisecond, 1500*time.Millisecond)
+	names := []string{"bookings", "rates"}
+	service := names[f.Rand.IntN(2)]
+	list := f.Servers(service)
+	if len(list) < 2 {
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+		return
+	}
+	s := list[f.Rand.IntN(len(list))]
+	switch f.Rand.IntN(6) {
+	case 0:
+		f.Say("%s %s drains and leaves", service, s.Instance)
+		f.Forget(s)
+		s.Say(f.ctx, "draining")
+		time.Sleep(2500 * time.Millisecond)
+		s.Say(f.ctx, "leaving")
+		s.Close()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 1:
+		f.Say("%s %s crashes", service, s.Instance)
+		f.Forget(s)
+		s.Vanish()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 2, 3:
+		other := names[f.Rand.IntN(2)]
+		f.Say("%s %s crashes, %s takes %s after two seconds", service, s.Instance, other, s.Address)
+		f.Forget(s)
+		s.Vanish()
+		time.Sleep(2 * time.Second)
+		f.Serve(other, host(s.Address), f.Rand.IntN(f.Shape.Zones))
+	case 4:
+		f.Say("%s %s falls silent and goes on serving", service, s.Instance)
+		f.Forget(s)
+		s.Mute()
+		time.Sleep(4 * time.Second)
+		s.Close()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 5:
+		ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
+		way := ways[f.Rand.IntN(len(ways))]
+		f.Say("a new server of %s does %q now and then", service, way)
+		f.replace(s, func(n int64) string {
+			if n%3 == 0 {
+				return way
+			}
+			return sham.Fine
+		})
+	}
+}
+
+// replace puts a server that misbehaves in the place of one that leaves.
+func (f *Fleet) replace(s *sham.Server, misdo func(int64) string) {
+	f.Forget(s)
+	s.Say(f.ctx, "leaving")
+	time.Sleep(2500 * time.Millisecond)
+	s.Close()
+	bad := &sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo}
+	if err := bad.Start(f.ctx); err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	f.servers = append(f.servers, bad)
+	f.mu.Unlock()
+}
+
+func stops(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	m := f.pick(f.Machines)
+	f.Say("stop %s as planned", m.Name)
+	m.Stop()
+	f.nap(0, 2*time.Second)
+	f.up(m)
+	f.nap(time.Second, 2*time.Second)
+}
+
+func mixed(f *Fleet) {
+	all := []func(*Fleet){kills, power, wipes, cuts, freezes, stalls, servers, servers, stops}
+	all[f.Rand.IntN(len(all))](f)
+	for _, m := range f.Machines {
+		f.up(m)
+	}
+	f.Until(30*time.Second, f.isMended)
+}
--- /dev/null
+++ b/internal/dream/fleet.go
@@ -0,0 +1,318 @@
+// A Fleet is the nodes and the stand-ins of one simulated run. Machines are
+// started, killed, held still, wiped and moved; stand-in servers come and go;
+// everything at the edges is written into the history that the judge reads.
+package dream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/seat"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+// Shape is what a fleet is made of.
+type Shape struct {
+	Cores, Proxies, Zones int
+	Servers               map[string]int
+	Repeatable            map[string]bool
+	Settings              map[string]string
+}
+
+// Small is the shape of most simulated runs.
+func Small() Shape {
+	return Shape{Cores: 3, Proxies: 2, Zones: 3, Servers: map[string]int{"rates": 3, "bookings": 3}, Repeatable: map[string]bool{"rates": true}, Settings: map[string]string{}}
+}
+
+// Machine is one node's place; its node is nil while it is down.
+type Machine struct {
+	f       *Fleet
+	Name    string
+	Zone    string
+	IP      string
+	IsCore  bool
+	IsProxy bool
+	mu      sync.Mutex
+	node    *seat.Node
+}
+
+// Fleet is one run.
+type Fleet struct {
+	W        *World
+	H        *judge.History
+	Shape    Shape
+	Machines []*Machine
+	Log      io.Writer
+	Rand     *rand.Rand
+	ctx      context.Context
+	end      context.CancelFunc
+	loads    sync.WaitGroup
+
+	mu      sync.Mutex
+	servers []*sham.Server
+	hosts   int
+	Faults  []string
+	isLoad  atomic.Bool
+	changes atomic.Int64
+}
+
+func NewFleet(seed uint64, shape Shape, log io.Writer) *Fleet {
+	ctx, end := context.WithCancel(context.Background())
+	f := &Fleet{W: NewWorld(seed), H: judge.New(nil), Shape: shape, Log: log, Rand: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, end: end}
+	f.isLoad.Store(true)
+	f.H.Add(judge.Record{Kind: judge.Began, Note: fmt.Sprint("seed ", seed)})
+	for i := range shape.Cores {
+		f.Add(fmt.Sprintf("core%d", i+1), i%shape.Zones, true, false)
+	}
+	for i := range shape.Proxies {
+		f.Add(fmt.Sprintf("proxy%d", i+1), i%shape.Zones, false, true)
+	}
+	return f
+}
+
+// Add puts a machine into the fleet; it is down at first.
+func (f *Fleet) Add(name string, zone int, isCore, isProxy bool) *Machine {
+	m := &Machine{f: f, Name: name, Zone: fmt.Sprint("zone", zone+1), IP: f.host(zone), IsCore: isCore, IsProxy: isProxy}
+	f.Machines = append(f.Machines, m)
+	return m
+}
+
+func (f *Fleet) host(zone int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts++
+	ip := fmt.Sprintf("10.%d.%d.%d", zone+1, f.hosts/200, f.hosts%200+1)
+	f.W.Place(ip, fmt.Sprint("zone", zone+1))
+	return ip
+}
+
+func (m *Machine) Wire() string { return m.IP + ":7000" }
+func (m *Machine) Api() string  { return m.IP + ":7001" }
+func (m *Machine) Gate() string { return m.IP + ":7002" }
+
+// Node is the running node, or nil.
+func (m *Machine) Node() *seat.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node
+}
+
+// Start brings the machine's process up.
+func (m *Machine) Start() error {
+	set := map[string]string{"name": m.Name, "zone": m.Zone, "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.f.Shape.Cores), "log.level": "debug"}
+	seeds := ""
+	for _, other := range m.f.Machines {
+		if other.IsCore && len(seeds) < 40 {
+			seeds += "," + other.Wire()
+		}
+	}
+	set["seeds"] = seeds[1:]
+	if m.IsCore {
+		set["data.folder"] = "/dream/" + m.Name
+	}
+	if m.IsProxy {
+		set["gate.address"] = m.Gate()
+	}
+	for key, value := range m.f.Shape.Settings {
+		set[key] = value
+	}
+	p, err := props.Load("", set)
+	if err != nil {
+		return err
+	}
+	r := realm.New(m.f.ctx, p, sign.New(m.f.Log, "debug", m.Name), m.f.W.Net(m.IP))
+	node, err := seat.Start(r)
+	if err != nil {
+		m.f.W.Kill(m.IP, false)
+		r.End()
+		return err
+	}
+	m.mu.Lock()
+	m.node = node
+	m.mu.Unlock()
+	if node.Store != nil {
+		go func() {
+			select {
+			case <-node.Store.Failed:
+				m.Kill(false)
+			case <-r.Done():
+			}
+		}()
+	}
+	return nil
+}
+
+// Kill ends the process at once; with the power, what was not synced is gone.
+func (m *Machine) Kill(isPowerLost bool) {
+	m.mu.Lock()
+	node := m.node
+	m.node = nil
+	m.mu.Unlock()
+	if node == nil {
+		return
+	}
+	m.f.W.Kill(m.IP, isPowerLost)
+	node.R.End()
+}
+
+// Stop is the planned stop.
+func (m *Machine) Stop() {
+	m.mu.Lock()
+	node := m.node
+	m.node = nil
+	m.mu.Unlock()
+	if node == nil {
+		return
+	}
+	node.Stop()
+	m.f.W.Kill(m.IP, false)
+}
+
+// Move gives a machine that is down an empty disk and a new address.
+func (m *Machine) Move() {
+	var zone int
+	fmt.Sscanf(m.Zone, "zone%d", &zone)
+	m.IP = m.f.host(zone - 1)
+}
+
+// Of finds a machine.
+func (f *Fleet) Of(name string) *Machine {
+	for _, m := range f.Machines {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) some(isWanted func(*Machine) bool) (list []*Machine) {
+	for _, m := range f.Machines {
+		if isWanted(m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (f *Fleet) Cores() []*Machine   { return f.some(func(m *Machine) bool { return m.IsCore }) }
+func (f *Fleet) Proxies() []*Machine { return f.some(func(m *Machine) bool { return m.IsProxy }) }
+
+func (f *Fleet) apis() (list []string) {
+	for _, m := range f.Cores() {
+		list = append(list, m.Api())
+	}
+	return list
+}
+
+// Serve starts a stand-in server at a new address, or at one given.
+func (f *Fleet) Serve(service, ip string, zone int) *sham.Server {
+	if ip == "" {
+		ip = f.host(zone)
+	}
+	s := &sham.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond}
+	if err := s.Start(f.ctx); err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	f.servers = append(f.servers, s)
+	f.mu.Unlock()
+	return s
+}
+
+// Servers is the stand-ins of a service that were started and not taken out.
+func (f *Fleet) Servers(service string) (list []*sham.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.Service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Forget takes a server out of the list, so that it is not picked again.
+func (f *Fleet) Forget(gone *sham.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, s := range f.servers {
+		if s == gone {
+			f.servers = append(f.servers[:i], f.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Say notes a fault for the report.
+func (f *Fleet) Say(format string, args ...any) {
+	line := fmt.Sprintf("%8s %s", f.H.Now().Round(time.Millisecond), fmt.Sprintf(format, args...))
+	f.mu.Lock()
+	f.Faults = append(f.Faults, line)
+	f.mu.Unlock()
+	if f.Log != nil {
+		fmt.Fprintln(f.Log, "DREAM", line)
+	}
+}
+
+// Boot starts every machine and every server, and submits the first change set.
+func (f *Fleet) Boot() error {
+	for _, m := range f.Machines {
+		if err := m.Start(); err != nil {
+			return err
+		}
+	}
+	for service, n := range f.Shape.Servers {
+		for i := range n {
+			f.Serve(service, "", i%f.Shape.Zones)
+		}
+	}
+	if !f.Until(20*time.Second, func() bool { return f.submitFirst() }) {
+		return fmt.Errorf("the first change set was not accepted")
+	}
+	if !f.Until(20*time.Second, f.IsUsable) {
+		return fmt.Errorf("the fleet did not come up")
+	}
+	return nil
+}
+
+// Until waits, in virtual time, until it is so.
+func (f *Fleet) Until(limit time.Duration, isSo func() bool) bool {
+	over := time.Now().Add(limit)
+	for !isSo() {
+		if time.Now().After(over) {
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return true
+}
+
+// Close ends everything, so that the bubble can end.
+func (f *Fleet) Close() {
+	f.isLoad.Store(false)
+	f.loads.Wait()
+	f.W.Heal()
+	for _, m := range f.Machines {
+		if m.Node() != nil {
+			f.W.Disk(m.IP).Resume()
+			m.Kill(false)
+		}
+	}
+	f.mu.Lock()
+	servers := f.servers
+	f.mu.Unlock()
+	for _, s := range servers {
+		s.Close()
+	}
+	f.end()
+	time.Sleep(30 * time.Second)
+}
--- /dev/null
+++ b/internal/dream/load.go
@@ -0,0 +1,236 @@
+// What goes on at the edges of a simulated fleet: callers, applications and
+// operators, each a few tasks that call, wait a little and call again.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// task runs until the load is ended.
+func (f *Fleet) task(verb func(r *rand.Rand)) {
+	seed := f.Rand.Uint64()
+	f.loads.Add(1)
+	go func() {
+		defer f.loads.Done()
+		r := rand.New(rand.NewPCG(seed, 3))
+		for f.isLoad.Load() {
+			verb(r)
+		}
+	}()
+}
+
+func pause(r *rand.Rand, mean time.Duration) {
+	time.Sleep(mean/2 + time.Duration(r.Int64N(int64(mean))))
+}
+
+// outside is a machine that is in no zone of the fleet.
+func (f *Fleet) outside(i int) string { return fmt.Sprintf("10.99.0.%d", i+1) }
+
+// Callers starts callers for every service and proxy.
+func (f *Fleet) Callers(mean time.Duration) {
+	for i, proxy := range f.Proxies() {
+		for service := range f.Shape.Servers {
+			caller := sham.NewCaller(f.W.Net(f.outside(i)), f.H)
+			f.task(func(r *rand.Rand) {
+				method, body := "POST", []byte(fmt.Sprintf(`{"n":%d}`, r.Uint32()))
+				if f.Shape.Repeatable[service] {
+					method, body = "GET", nil
+				}
+				caller.Call(f.ctx, proxy.Gate(), method, "/"+service, service, body)
+				pause(r, mean)
+			})
+		}
+	}
+}
+
+// change is the change set that adds one mapping of its own.
+func (f *Fleet) change(id string, base uint64) *api.Change {
+	service := "rates"
+	for name := range f.Shape.Servers {
+		service = name
+	}
+	config := api.Config{Mappings: []api.Mapping{{Name: id, Path: "/extra/" + id, To: []api.Split{{Service: service, Weight: 1}}}}}
+	return &api.Change{ID: id, Base: base, Put: api.NewOptConfig(config)}
+}
+
+func (f *Fleet) submitFirst() bool {
+	config := api.Config{}
+	for name := range f.Shape.Servers {
+		config.Services = append(config.Services, api.Service{Name: name, Key: api.NewOptString("key-" + name)})
+		config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: name, Weight: 1}}, Repeatable: api.NewOptBool(f.Shape.Repeatable[name]), Deadline: api.NewOptInt64(3000)})
+	}
+	operator := sham.NewOperator(f.W.Net(f.outside(40)), f.H, f.Cores()[0].Api())
+	_, err := operator.Submit(f.ctx, &api.Change{ID: "first", Whole: api.NewOptBool(true), Put: api.NewOptConfig(config)})
+	return err == nil
+}
+
+// Operators race: each reads the epoch, thinks, and submits against it. What is
+// left unknown is asked for by id, once.
+func (f *Fleet) Operators(n int, mean time.Duration) {
+	for i := range n {
+		operators := []*sham.Operator{}
+		for _, m := range f.Machines {
+			operators = append(operators, sham.NewOperator(f.W.Net(f.outside(41+i)), f.H, m.Api()))
+		}
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			o := operators[r.IntN(len(operators))]
+			view, err := o.Epoch(f.ctx)
+			if err != nil {
+				return
+			}
+			pause(r, 50*time.Millisecond)
+			id := fmt.Sprintf("c%d-%d", i, f.changes.Add(1))
+			change := f.change(id, view.Epoch)
+			if r.IntN(6) == 0 {
+				change.Put.Value.Mappings[0].To[0].Service = "nowhere"
+			}
+			_, err = o.Submit(f.ctx, change)
+			if err != nil && r.IntN(2) == 0 {
+				pause(r, time.Second)
+				o.Ask(f.ctx, id)
+			}
+		})
+	}
+}
+
+// Apps exercise locks, counters, keys and watches through random nodes.
+func (f *Fleet) Apps(n int, mean time.Duration) {
+	clients := []*api.Client{}
+	for _, m := range f.Machines {
+		clients = append(clients, sham.Client(f.W.Net(f.outside(60)), m.Api()))
+	}
+	for i := range n {
+		holder := fmt.Sprint("app", i)
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			client := clients[r.IntN(len(clients))]
+			switch r.IntN(4) {
+			case 0:
+				f.lockOnce(r, client, holder)
+			case 1:
+				f.bonded(judge.Record{Op: "add", Name: fmt.Sprint("count/", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+					receipt, err := client.AddCounter(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(mark.NewID())})
+					if err == nil {
+						rec.Count, rec.Stamp = receipt.Count.Or(0), receipt.Stamp
+					}
+					return err
+				})
+			case 2:
+				f.bonded(judge.Record{Op: "put", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+					value, _ := json.Marshal(r.Uint32())
+					receipt, err := client.PutKey(ctx, &api.Call{Name: rec.Name, Value: api.Any(value), ID: api.NewOptString(mark.NewID())})
+					if err == nil {
+						rec.Stamp = receipt.Stamp
+					}
+					return err
+				})
+			case 3:
+				f.bonded(judge.Record{Op: "get", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+					receipt, err := client.GetKey(ctx, api.GetKeyParams{Name: rec.Name})
+					if sham.CodeOf(err) == fault.NoKey.No {
+						return nil
+					}
+					if err == nil {
+						rec.Stamp = receipt.Stamp
+					}
+					return err
+				})
+			}
+		})
+	}
+	for k := range 3 {
+		from := uint64(0)
+		f.task(func(r *rand.Rand) { f.watchOnce(r, clients[r.IntN(len(clients))], fmt.Sprint("key", k), &from) })
+	}
+}
+
+// bonded records one coordination call.
+func (f *Fleet) bonded(r judge.Record, call func(ctx context.Context, r *judge.Record) error) error {
+	r.Kind, r.Start = judge.Bonded, f.H.Now()
+	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
+	defer end()
+	err := call(ctx, &r)
+	r.Outcome, r.Code = "done", sham.CodeOf(err)
+	if err != nil {
+		r.Outcome, r.Note = "refused", err.Error()
+		var p *api.ProblemStatusCodeWithHeaders
+		if !errors.As(err, &p) || p.Response.Outcome.Or("") == "unknown" {
+			r.Outcome = "unknown"
+		}
+	}
+	f.H.Add(r)
+	return err
+}
+
+// lockOnce takes a lock, holds it a while, perhaps renews it, gives it back or
+// lets it run out.
+func (f *Fleet) lockOnce(r *rand.Rand, client *api.Client, holder string) {
+	name := fmt.Sprint("lock/", r.IntN(2))
+	const ttl = 2 * time.Second
+	var fence uint64
+	session := holder + "-" + mark.NewID()
+	err := f.bonded(judge.Record{Op: "acquire", Name: name, Holder: session, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+		receipt, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), TTL: api.NewOptInt64(ttl.Milliseconds()), ID: api.NewOptString(mark.NewID())}, api.LockParams{Verb: api.LockVerbAcquire})
+		if err == nil {
+			fence = receipt.Fence.Or(0)
+			rec.Fence = fence
+		}
+		return err
+	})
+	if err != nil {
+		return
+	}
+	for range r.IntN(4) {
+		time.Sleep(time.Duration(r.Int64N(int64(ttl))))
+		err := f.bonded(judge.Record{Op: "renew", Name: name, Holder: session, Fence: fence, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+			_, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence)}, api.LockParams{Verb: api.LockVerbRenew})
+			return err
+		})
+		if err != nil {
+			return
+		}
+	}
+	if r.IntN(3) > 0 {
+		f.bonded(judge.Record{Op: "release", Name: name, Holder: session, Fence: fence}, func(ctx context.Context, rec *judge.Record) error {
+			_, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence), ID: api.NewOptString(mark.NewID())}, api.LockParams{Verb: api.LockVerbRelease})
+			return err
+		})
+	}
+}
+
+// watchOnce goes on with a watch from where the last one ended.
+func (f *Fleet) watchOnce(r *rand.Rand, client *api.Client, name string, from *uint64) {
+	ctx, end := context.WithTimeout(f.ctx, 6*time.Second)
+	defer end()
+	rec := judge.Record{Kind: judge.Watched, Start: f.H.Now(), Name: name, From: *from}
+	receipt, err := client.Watch(ctx, api.WatchParams{Name: name, From: *from, Hold: api.NewOptInt64(2000)})
+	switch {
+	case err == nil:
+		rec.Outcome, rec.Stamp = "done", receipt.Stamp
+		for _, e := range receipt.Events {
+			rec.Stamps = append(rec.Stamps, e.Stamp)
+		}
+		if *from > 0 {
+			f.H.Add(rec)
+		}
+		*from = receipt.Stamp
+	case sham.CodeOf(err) == fault.StampTooOld.No:
+		rec.Outcome = "too old"
+		f.H.Add(rec)
+		*from = 0
+	default:
+		pause(r, 200*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/dream/run.go
@@ -0,0 +1,130 @@
+// A run: boot, load, faults drawn from the seed, everything brought back, the
+// time until the fleet is usable again, the last questions, and the verdict.
+package dream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// Scenario is faults by name; each returns after it has done its work.
+type Scenario struct {
+	Name   string
+	Shape  func() Shape
+	Length time.Duration
+	Faults func(f *Fleet)
+	// IsHarmless marks scenarios of planned stops only.
+	IsHarmless bool
+}
+
+// Result is what a run came to.
+type Result struct {
+	Verdict  *judge.Verdict
+	Recovery time.Duration
+	Faults   []string
+	Fleet    *Fleet
+}
+
+// IsUsable tells whether every proxy that is up serves every service, and the
+// core takes calls.
+func (f *Fleet) IsUsable() bool {
+	caller := sham.NewCaller(f.W.Net(f.outside(90)), f.H)
+	defer caller.Close()
+	for _, proxy := range f.Proxies() {
+		if proxy.Node() == nil {
+			continue
+		}
+		for service := range f.Shape.Servers {
+			method, body := "POST", []byte("{}")
+			if f.Shape.Repeatable[service] {
+				method, body = "GET", nil
+			}
+			if caller.Call(f.ctx, proxy.Gate(), method, "/"+service, service, body).Outcome != "ran" {
+				return false
+			}
+		}
+	}
+	client := sham.Client(f.W.Net(f.outside(91)), f.Cores()[0].Api())
+	for i := range 3 {
+		ctx, end := context.WithTimeout(f.ctx, time.Second)
+		_, err := client.PutKey(ctx, &api.Call{Name: fmt.Sprint("usable", i), Value: api.Any("1")})
+		end()
+		if err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Restore brings everything back: ways, disks, machines.
+func (f *Fleet) Restore() {
+	f.W.Lose(0)
+	f.W.Heal()
+	for _, m := range f.Machines {
+		f.W.Disk(m.IP).Resume()
+		if m.Node() == nil {
+			if err := m.Start(); err != nil {
+				f.Say("%s can't start: %v", m.Name, err)
+			}
+		}
+	}
+}
+
+// Run carries a scenario out; it must be called in a bubble of virtual time.
+func Run(s Scenario, seed uint64, log io.Writer) (*Result, error) {
+	f := NewFleet(seed, s.Shape(), log)
+	defer f.Close()
+	if err := f.Boot(); err != nil {
+		return nil, err
+	}
+	if s.IsHarmless {
+		f.H.Add(judge.Record{Kind: judge.Harmless})
+	}
+	f.Callers(60 * time.Millisecond)
+	f.Operators(2, 2*time.Second)
+	f.Apps(6, 100*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	for time.Since(began) < s.Length {
+		s.Faults(f)
+	}
+	f.Restore()
+	back := f.H.Now()
+	rescue := judge.Record{Kind: judge.Rescue, Start: back, Outcome: "usable"}
+	if !f.Until(30*time.Second, f.IsUsable) {
+		rescue.Outcome = "not usable"
+	}
+	f.H.Add(rescue)
+	recovery := f.H.Now() - back
+	time.Sleep(3 * time.Second)
+	f.isLoad.Store(false)
+	f.loads.Wait()
+	f.ask()
+	f.H.Add(judge.Record{Kind: judge.Ended})
+	return &Result{Verdict: judge.Judge(f.H.Records()), Recovery: recovery, Faults: f.Faults, Fleet: f}, nil
+}
+
+// ask asks after every change set, and reads the configuration at the end.
+func (f *Fleet) ask() {
+	operator := sham.NewOperator(f.W.Net(f.outside(92)), f.H, f.Cores()[0].Api())
+	asked := map[string]bool{}
+	for _, r := range f.H.Records() {
+		if r.Kind == judge.Changed && !asked[r.Name] {
+			asked[r.Name] = true
+			f.Until(10*time.Second, func() bool { _, err := operator.Ask(f.ctx, r.Name); return err == nil })
+		}
+	}
+	if view, err := operator.Epoch(f.ctx); err == nil {
+		r := judge.Record{Kind: judge.InForce, Epoch: view.Epoch}
+		for _, m := range view.Config.Mappings {
+			r.Names = append(r.Names, m.Name)
+		}
+		f.H.Add(r)
+	}
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -38,12 +38,12 @@
 
 	mu        sync.Mutex
 	listening map[mark.Name]string
-	fetching  sync.Mutex
+	fetching  realm.Turn
 	isFresh   bool
 }
 
 func NewClient(r *realm.Realm, w *wire.Wire, k *kin.Kin) *Client {
-	c := &Client{r: r, w: w, k: k, Cache: NewCache(r.Sign), listening: map[mark.Name]string{}}
+	c := &Client{r: r, w: w, k: k, Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
 	c.ages.Store(&Vouched{})
 	return c
 }
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -98,6 +98,9 @@
 				v.Counts[fmt.Sprintf("called: code %d", r.Code)]++
 			}
 		}
+		if r.Kind == Bonded {
+			v.Counts[fmt.Sprintf("bonded: %s %s %d", r.Op, r.Outcome, r.Code)]++
+		}
 		hasEnd = hasEnd || r.Kind == Ended
 	}
 	if !hasEnd {
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -24,6 +24,8 @@
 	Suspect = "suspect"
 	Down    = "down"
 	Left    = "left"
+
+	lostKept = 10 * time.Minute
 )
 
 // known is a member with what this node alone knows of it.
@@ -272,6 +274,9 @@
 				pick := rand.IntN(len(addresses))
 				addresses = addresses[pick : pick+1]
 			}
+			if lost := k.lost(); len(lost) > 0 {
+				addresses = append(addresses, lost[rand.IntN(len(lost))])
+			}
 			if len(k.r.Props.Seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
 				addresses = append(addresses, k.r.Props.Seeds[rand.IntN(len(k.r.Props.Seeds))])
 			}
@@ -284,8 +289,8 @@
 		pause := 300 * time.Millisecond
 		if isIn {
 			pause = realm.Jitter(10 * time.Second)
-			if len(k.View()) < 3 {
-				pause = time.Second
+			if len(k.View()) < 3 || len(k.lost()) > 0 {
+				pause = realm.Jitter(time.Second)
 			}
 		}
 		if !k.r.Pause(pause) {
@@ -294,8 +299,31 @@
 	}
 }
 
-// Sync exchanges whole lists with one address.
+// lost is the addresses of members that went down of late without a word: each
+// side of a healed cut holds the other for down, and neither probes it.
+func (k *Kin) lost() (addresses []string) {
+	for _, s := range k.View() {
+		if s.State == Down && time.Since(s.Since) < lostKept {
+			addresses = append(addresses, s.Wire)
+		}
+	}
+	return addresses
+}
+
+// Sync exchanges whole lists with one address, and once more if that showed
+// this node that it was held for down.
 func (k *Kin) Sync(address string) bool {
+	before := k.Me().Incarnation
+	if !k.exchange(address) {
+		return false
+	}
+	if k.Me().Incarnation != before {
+		k.exchange(address)
+	}
+	return true
+}
+
+func (k *Kin) exchange(address string) bool {
 	ctx, end := context.WithTimeout(k.r, time.Second)
 	defer end()
 	var receipt wire.KinSync
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -8,7 +8,6 @@
 
 import (
 	"encoding/binary"
-	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -62,6 +61,8 @@
 const (
 	seqPrefix = "~seq/"
 	seqKept   = 512
+
+	afterDamage = "after-damage"
 )
 
 // Open opens the folder, or sets it aside and opens an empty one.
@@ -76,12 +77,15 @@
 		folder := r.Props.DataFolder
 		aside := folder + ".damaged-" + time.Now().Format("20060102-150405")
 		r.Sign.Say(sign.StoreDamaged, "folder", folder, "aside", aside, "cause", problem.Error())
-		if err := os.Rename(folder, aside); err != nil {
+		if err := r.Net.Aside(folder, aside); err != nil {
 			return nil, fault.New(fault.StorageBroken, "%s is damaged (%v) and can't be set aside: %v", folder, problem, err)
 		}
 		if err := l.load(); err != nil {
 			return nil, fault.New(fault.StorageBroken, "%s: %v", folder, err)
 		}
+		if err := l.db.Put([]byte(afterDamage), []byte("1"), &opt.WriteOptions{Sync: true}); err != nil {
+			return nil, fault.New(fault.StorageBroken, "%s: %v", folder, err)
+		}
 	}
 	r.Go(l.write)
 	return l, nil
@@ -119,6 +123,14 @@
 	return nil
 }
 
+// IsAfterDamage tells whether this store took the place of a damaged one. Such
+// a node may join a fleet, but must not found one: its fleet exists, even if
+// all its members should be damaged at once.
+func (l *Lore) IsAfterDamage() bool {
+	value, _ := l.Get(afterDamage)
+	return value != nil
+}
+
 // Begin starts a batch.
 func (l *Lore) Begin() *Writing { return &Writing{done: make(chan struct{}), over: l.r.Done()} }
 
--- a/internal/pact/found.go
+++ b/internal/pact/found.go
@@ -46,7 +46,7 @@
 			founders = append(founders, m)
 		}
 	}
-	if len(founders) < me.Founders || founders[0].Name != me.Name {
+	if me.Founders == 0 || len(founders) < me.Founders || founders[0].Name != me.Name {
 		return
 	}
 	p.propose(founders)
--- a/internal/pact/stand.go
+++ b/internal/pact/stand.go
@@ -66,9 +66,8 @@
 		snapshot := t.base
 		receipt.Snapshot = &snapshot
 	}
-	receipt.Entries = t.after(ask.Commit)
-	if ask.Commit > receipt.Last {
-		receipt.Entries = nil
+	if ask.Commit < receipt.Last {
+		receipt.Entries = t.after(ask.Commit)
 	}
 	t.mu.Unlock()
 	if err := w.Wait(); err != nil {
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -35,7 +35,7 @@
 	ledger *Ledger
 	kick   chan struct{}
 
-	planning sync.Mutex
+	planning realm.Turn
 	mu       sync.Mutex
 	term     mark.Term
 	news     map[mark.Part]*news
@@ -45,7 +45,7 @@
 }
 
 func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *Ledger) *Planner {
-	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[string]bool{}, zero: time.Now()}
+	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[string]bool{}, zero: time.Now(), planning: realm.NewTurn()}
 	l.reset(mark.Term{})
 	return l
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	Listen func(address string) (net.Listener, error)
 	Packet func(address string) (net.PacketConn, error)
 	Store  func(folder string) (storage.Storage, error)
+	Aside  func(folder, aside string) error
 }
 
 // Realm is one life of one node.
@@ -89,5 +91,15 @@
 		Store: func(folder string) (storage.Storage, error) {
 			return storage.OpenFile(folder, false)
 		},
+		Aside: os.Rename,
 	}
 }
+
+// Turn is a lock that may be held while waiting for others, and that a bubble
+// of virtual time sees through.
+type Turn chan struct{}
+
+func NewTurn() Turn { return make(Turn, 1) }
+
+func (t Turn) Lock()   { t <- struct{}{} }
+func (t Turn) Unlock() { <-t }
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -61,6 +61,9 @@
 			return nil, err
 		}
 		me.Core, me.Founders = true, p.FoundCores
+		if n.Store.IsAfterDamage() {
+			me.Founders = 0
+		}
 	}
 	n.Kin = kin.New(r, n.Wire, me)
 	if me.Core {
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
 )
 
 type pipe struct {
@@ -22,13 +23,20 @@
 	conn    net.Conn
 
 	mu      sync.Mutex
-	writing sync.Mutex
+	writing realm.Turn
 	next    uint64
 	waiting map[uint64]chan *Frame
 	isOver  bool
+	lastGot time.Time
 }
 
-const dialTime = 500 * time.Millisecond
+// A pipe on which nothing came for the length of an ask that ran out of time is
+// dropped: a connection that lived through a cut may otherwise stay silent for
+// as long as TCP's own growing pauses last.
+const (
+	dialTime = 500 * time.Millisecond
+	deafTime = 300 * time.Millisecond
+)
 
 func (w *Wire) pipe(ctx context.Context, address string) (*pipe, error) {
 	w.mu.Lock()
@@ -38,7 +46,7 @@
 			w.mu.Unlock()
 			return nil, fault.New(fault.Unreached, "%s: stopping", address)
 		}
-		p = &pipe{w: w, address: address, ready: make(chan struct{}), waiting: map[uint64]chan *Frame{}}
+		p = &pipe{w: w, address: address, ready: make(chan struct{}), waiting: map[uint64]chan *Frame{}, writing: realm.NewTurn()}
 		w.pipes[address] = p
 		w.r.Go(p.run)
 	}
@@ -80,6 +88,7 @@
 			break
 		}
 		p.mu.Lock()
+		p.lastGot = time.Now()
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -125,6 +134,7 @@
 	if err != nil {
 		return nil, fault.New(fault.Internal, "%v", err)
 	}
+	sent := time.Now()
 	p.w.count(frame.Kind, len(raw)+1)
 	p.writing.Lock()
 	p.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
@@ -143,7 +153,11 @@
 	case <-ctx.Done():
 		p.mu.Lock()
 		delete(p.waiting, frame.Id)
+		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > deafTime
 		p.mu.Unlock()
+		if isDeaf {
+			p.close()
+		}
 		return nil, fault.New(fault.ReplyLost, "%s %s: %v", p.address, frame.Kind, ctx.Err())
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -138,7 +138,7 @@
 	defer w.drop(conn)
 	ctx, end := context.WithCancel(w.r)
 	defer end()
-	var writing sync.Mutex
+	writing := realm.NewTurn()
 	reader := bufio.NewReaderSize(conn, 16<<10)
 	for {
 		line, err := readLine(reader, w.r.Props.WireLine)
