--- /dev/null
+++ b/internal/judge/judge_test.go
@@ -0,0 +1,130 @@
+// Each checker is seen to pass a sound history and to fail on a planted fault.
+package judge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const s = time.Second
+
+func sound() []Record {
+	return []Record{
+		{Kind: Began, At: 1},
+		{Kind: Called, Start: 1 * s, At: 1*s + 9, Call: "a", Service: "bookings", Status: 200, Outcome: "ran", Digest: "d"},
+		{Kind: Ran, At: 1*s + 5, Call: "a", Request: "ra", Proxy: "p", Service: "bookings", Owner: "bookings", Instance: "i1", Address: "x", Epoch: 3, Digest: "d"},
+		{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "b", Service: "bookings", Status: 503, Code: 1002, Outcome: "not run", RetryAfter: "1"},
+		{Kind: Known, At: 4 * s, Service: "bookings", Instance: "i1"},
+		{Kind: Changed, Start: 5 * s, At: 5*s + 9, Name: "c1", Base: 3, Epoch: 4, Outcome: "accepted", Names: []string{"c1"}},
+		{Kind: Changed, Start: 5 * s, At: 5*s + 9, Name: "c2", Base: 3, Outcome: "refused", Code: 2002, Names: []string{"c2"}},
+		{Kind: Bonded, Start: 6 * s, At: 6*s + 9, Op: "acquire", Name: "l", Holder: "h1", Fence: 7, Ttl: 2 * s, Outcome: "done"},
+		{Kind: Bonded, Start: 9 * s, At: 9*s + 9, Op: "acquire", Name: "l", Holder: "h2", Fence: 9, Ttl: 2 * s, Outcome: "done"},
+		{Kind: Bonded, Start: 10 * s, At: 10*s + 9, Op: "add", Name: "n", Count: 1, Outcome: "done"},
+		{Kind: Bonded, Start: 11 * s, At: 11*s + 9, Op: "add", Name: "n", Count: 2, Outcome: "done"},
+		{Kind: Bonded, Start: 12 * s, At: 12*s + 9, Op: "put", Name: "k", Stamp: 20, Outcome: "done"},
+		{Kind: Bonded, Start: 13 * s, At: 13*s + 9, Op: "get", Name: "k", Stamp: 20, Outcome: "done"},
+		{Kind: Watched, Start: 13 * s, At: 13*s + 9, Name: "k", From: 19, Stamp: 25, Stamps: []uint64{20}, Outcome: "done"},
+		{Kind: Rescue, Start: 20 * s, At: 24 * s, Outcome: "usable"},
+		{Kind: Asked, Start: 25 * s, At: 25*s + 9, Name: "c1", Epoch: 4, Outcome: "accepted"},
+		{Kind: InForce, At: 26 * s, Names: []string{"first", "c1"}},
+		{Kind: Ended, At: 27 * s},
+	}
+}
+
+func rules(v *Verdict) []string {
+	seen := map[string]bool{}
+	var list []string
+	for _, b := range v.Breaches {
+		if !seen[b.Rule] {
+			seen[b.Rule] = true
+			list = append(list, b.Rule)
+		}
+	}
+	return list
+}
+
+func TestSoundHistoryIsClean(t *testing.T) {
+	if v := Judge(sound()); !v.IsClean() {
+		t.Fatal(v)
+	}
+}
+
+func TestEveryCheckerSeesItsFault(t *testing.T) {
+	ran := func(call, request, service, owner, instance string, at time.Duration, epoch uint64) Record {
+		return Record{Kind: Ran, At: at, Call: call, Request: request, Proxy: "p", Service: service, Owner: owner, Instance: instance, Epoch: epoch, Digest: "d"}
+	}
+	many := func() (list []Record) {
+		for i := range 100 {
+			list = append(list, Record{Kind: Ran, At: 15*s + time.Duration(i), Call: "a", Repeatable: true, Service: "rates", Owner: "rates", Instance: "j", Epoch: 9, Proxy: "q"})
+		}
+		return list
+	}
+	planted := map[string][]Record{
+		"runs-twice":     {ran("a", "ra2", "bookings", "bookings", "i2", 2*s, 3)},
+		"not-run":        {ran("b", "rb", "bookings", "bookings", "i2", 3*s, 3)},
+		"wrong-answer":   {{Kind: Called, At: 3 * s, Call: "z", Status: 200, Outcome: "ran", Digest: "d"}},
+		"late-hand-over": {ran("c", "rc", "bookings", "bookings", "i1", 6*s+100*time.Millisecond, 9)},
+		"wrong-service":  {ran("c", "rc", "rates", "bookings", "i2", 3*s, 3)},
+		"old-plan":       {ran("c", "rc", "bookings", "bookings", "i2", 7*s+100*time.Millisecond, 3)},
+		"slid-back":      {ran("c", "rc", "bookings", "bookings", "i2", 1*s+100, 9), ran("d", "rd", "bookings", "bookings", "i2", 4*s, 8)},
+		"racing-changes": {{Kind: Changed, At: 6 * s, Name: "c3", Base: 3, Epoch: 5, Outcome: "accepted"}},
+		"lost-change":    {{Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c1", Outcome: "absent"}},
+		"extra-tries":    many(),
+		"dropped":        {{Kind: Harmless, At: 2}, {Kind: Called, At: 3 * s, Call: "y", Outcome: "unknown", Code: 1007}},
+		"locks":          {{Kind: Bonded, Start: 7 * s, At: 7*s + 9, Op: "acquire", Name: "l", Holder: "h3", Fence: 8, Ttl: s, Outcome: "done"}},
+		"counters":       {{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "add", Name: "n", Count: 2, Outcome: "done"}},
+		"stale-read":     {{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "get", Name: "k", Stamp: 19, Outcome: "done"}},
+		"watch-gap":      {{Kind: Watched, Start: 14 * s, At: 14*s + 9, Name: "k", From: 19, Stamp: 25, Outcome: "done"}},
+		"too-long":       {{Kind: Rescue, Start: 20 * s, At: 36 * s, Outcome: "usable"}},
+		"answered":       {{Kind: Called, At: 3 * s, Call: "y", Status: 503, Code: 1002, Outcome: "not run"}},
+	}
+	for rule := range Checks {
+		if planted[rule] == nil {
+			t.Errorf("no fault is planted for %s", rule)
+		}
+	}
+	for rule, faults := range planted {
+		t.Run(rule, func(t *testing.T) {
+			v := Judge(append(sound(), faults...))
+			if diff := cmp.Diff([]string{rule}, rules(v)); diff != "" {
+				t.Errorf("rules broken (-want +got):\n%s%s", diff, v)
+			}
+		})
+	}
+}
+
+func TestOtherFaultsOfTheSameRules(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule   string
+		faults []Record
+	}{
+		"a refused change in force":       {"racing-changes", []Record{{Kind: InForce, At: 26 * s, Names: []string{"c2"}}}},
+		"absent, then accepted":           {"racing-changes", []Record{{Kind: Asked, Start: 25 * s, At: 25*s + 9, Name: "c9", Outcome: "absent"}, {Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c9", Outcome: "accepted", Epoch: 9}}},
+		"a fence that shrinks":            {"locks", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "acquire", Name: "l", Holder: "h4", Fence: 3, Ttl: s, Outcome: "done"}}},
+		"a count that goes backward":      {"counters", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "add", Name: "n", Count: 0, Outcome: "done"}}},
+		"a young event told too old":      {"watch-gap", []Record{{Kind: Watched, Start: 20 * s, At: 20*s + 9, Name: "k", From: 15, Outcome: "too old"}}},
+		"never usable":                    {"too-long", []Record{{Kind: Rescue, Start: 20 * s, At: 21 * s, Outcome: "not usable"}}},
+		"a request by a silent server":    {"late-hand-over", []Record{{Kind: Silent, At: 3 * s, Service: "bookings", Instance: "i7"}, {Kind: Ran, At: 6*s + s, Call: "c", Request: "rc", Service: "bookings", Owner: "bookings", Instance: "i7", Epoch: 9}}},
+		"one request handed over again":   {"runs-twice", []Record{{Kind: Ran, At: 2 * s, Call: "q", Request: "ra", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3}}},
+		"a success of another's body":     {"wrong-answer", []Record{{Kind: Called, At: 3 * s, Call: "a", Status: 200, Outcome: "ran", Digest: "d", Note: "wrong answer"}}},
+		"a broken call in a planned stop": {"dropped", []Record{{Kind: Harmless, At: 2}, {Kind: Called, At: 3 * s, Call: "a", Outcome: "broken"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := Judge(append(sound(), c.faults...))
+			if diff := cmp.Diff([]string{c.rule}, rules(v)); diff != "" {
+				t.Errorf("rules broken (-want +got):\n%s%s", diff, v)
+			}
+		})
+	}
+}
+
+func TestHistoryWithoutEndProvesNothing(t *testing.T) {
+	records := sound()
+	v := Judge(records[:len(records)-1])
+	if v.IsClean() || !strings.Contains(v.String(), "incomplete") {
+		t.Fatal(v)
+	}
+}
