Budget of extra tries holds for any window, also for repeats via other proxies

Cause: the budget looked back over ten seconds, so tries paid for by traffic that had left the window still stood in a later window; repeats that came to another proxy were not recognised; a key counted as seen even if its request was refused as not run, so coming back as told spent budget. Ruled out: counting of refused requests (changed nothing), margin alone (moved the breach to a later second). Change: a bucket per service (a fifth of a try for each first request, the sixty at a steady rate, half of it held at most, empty at start); orders handed over without an answer are told to the other proxies as hashes.

Also: stand-in callers no longer let their library repeat by itself.

--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -28,6 +28,7 @@
 	{Name: "stalls", Shape: Small, Length: 25 * time.Second, Faults: stalls},
 	{Name: "servers", Shape: Small, Length: 25 * time.Second, Faults: servers},
 	{Name: "stops", Shape: Small, Length: 25 * time.Second, Faults: stops, IsHarmless: true},
+	{Name: "storm", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(12) }, Faults: storm},
 	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
 }
 
@@ -277,6 +278,29 @@
 	f.mu.Unlock()
 }
 
+// storm has servers that lose many answers, while callers repeat at once; now
+// and then a proxy is killed and comes back with an empty memory.
+func storm(f *Fleet) {
+	for _, s := range f.Servers("bookings") {
+		if s.Misdo == nil {
+			f.Say("%s %s gives way to one that loses answers", s.Service, s.Instance)
+			f.replace(s, func(n int64) string {
+				if n%2 == 0 {
+					return sham.LoseIt
+				}
+				return sham.Fine
+			})
+		}
+	}
+	f.nap(2*time.Second, 6*time.Second)
+	if f.Rand.IntN(2) == 0 {
+		m := f.pick(f.Proxies())
+		f.Say("kill %s", m.Name)
+		m.Kill(false)
+		f.up(m)
+	}
+}
+
 func stops(f *Fleet) {
 	f.nap(time.Second, 3*time.Second)
 	m := f.pick(f.Machines)
--- a/internal/dream/load.go
+++ b/internal/dream/load.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// Stormers call for orders and, when one fails, repeat it at once under the
+// same key, up to many times.
+func (f *Fleet) Stormers(n int) {
+	for range n {
+		caller := sham.NewCaller(f.W.Net(f.outside(30)), f.H)
+		proxies := f.Proxies()
+		f.task(func(r *rand.Rand) {
+			call, body := mark.NewID(), []byte(`{"storm":1}`)
+			for try := range 30 {
+				got := caller.Repeat(f.ctx, proxies[r.IntN(len(proxies))].Gate(), "POST", "/bookings", "bookings", body, call, try > 0)
+				if got.Outcome == "ran" || !f.isLoad.Load() {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			pause(r, 100*time.Millisecond)
+		})
+	}
+}
+
 // change is the change set that adds one mapping of its own.
 func (f *Fleet) change(id string, base uint64) *api.Change {
 	service := "rates"
@@ -96,7 +116,7 @@
 			id := fmt.Sprintf("c%d-%d", i, f.changes.Add(1))
 			change := f.change(id, view.Epoch)
 			if r.IntN(6) == 0 {
-				change.Put.Value.Mappings[0].To[0].Service = "nowhere"
+				change.Put.Value.Mappings[0].To[0].Service = sham.Nowhere
 			}
 			_, err = o.Submit(f.ctx, change)
 			if err != nil && r.IntN(2) == 0 {
--- a/internal/dream/run.go
+++ b/internal/dream/run.go
@@ -21,6 +21,7 @@
 	Shape  func() Shape
 	Length time.Duration
 	Faults func(f *Fleet)
+	Start  func(f *Fleet)
 	// IsHarmless marks scenarios of planned stops only.
 	IsHarmless bool
 }
@@ -91,6 +92,9 @@
 	f.Callers(60 * time.Millisecond)
 	f.Operators(2, 2*time.Second)
 	f.Apps(6, 100*time.Millisecond)
+	if s.Start != nil {
+		s.Start(f)
+	}
 	time.Sleep(2 * time.Second)
 	began := time.Now()
 	for time.Since(began) < s.Length {
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -1,116 +1,196 @@
 // The budget of extra tries: per service, in any ten seconds, a fifth of the
-// traffic at most plus this proxy's part of sixty. Our own further tries and
-// recognisable repeats by callers count alike. A proxy younger than the window
-// has no part of the sixty yet, so that proxies which come and go can't make
-// more of it than there is.
+// traffic at most plus this proxy's part of sixty. Each first request puts a
+// fifth of a try into a bucket, time puts the part of the sixty into it at a
+// steady rate, each extra try takes one out, and the bucket holds half of the
+// sixty at most: so no window whatever can hold more. A window looked back on
+// would not do, for traffic that is past may have left the window while the
+// tries it paid for are still in it. Our own further tries and recognisable
+// repeats by callers count alike. A new proxy's bucket is empty, so that proxies
+// which come and go can't make more of the sixty than there is.
 package gate
 
 import (
 	"sync"
 	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
 )
 
 const (
-	window = 10 * time.Second
-	slots  = 50
-	slot   = window / slots
+	window  = 10 * time.Second
+	debtMax = -200
 )
 
-type slotCount struct {
-	no             int64
-	traffic, extra int
+type bucket struct {
+	tries float64
+	at    time.Time
 }
 
-type ledger struct {
-	slots [slots + 1]slotCount
-}
+// Bounds is what a service may have: a percentage of its traffic, and a base
+// for the whole fleet in a window.
+type Bounds struct{ Percent, Base int }
 
 // Budget counts for all services of one proxy.
 type Budget struct {
 	mu       sync.Mutex
-	began    time.Time
-	services map[string]*ledger
-	keys     map[string]time.Time
+	services map[string]*bucket
+	keys     map[uint64]seenKey
 	swept    time.Time
+	fleets   []fleetSize
+}
+
+// seenKey is a caller's key that was handed over; its service is set as long as
+// it counts here as a first request.
+type seenKey struct {
+	at      time.Time
+	service string
+	isTold  bool
+}
+
+// fleetSize is how many proxies there were until a moment; zero is until now.
+type fleetSize struct {
+	n     int
+	until time.Time
 }
 
 func NewBudget() *Budget {
-	return &Budget{began: time.Now(), services: map[string]*ledger{}, keys: map[string]time.Time{}}
+	return &Budget{services: map[string]*bucket{}, keys: map[uint64]seenKey{}}
 }
 
-func (b *Budget) of(service string) *ledger {
+// Fleet notes how many proxies there are. For the length of the window the part
+// of the sixty is that of the largest fleet, for one that is gone may have used
+// its part.
+func (b *Budget) Fleet(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var kept []fleetSize
+	for _, f := range b.fleets {
+		if f.until.IsZero() {
+			f.until = now
+		}
+		if now.Sub(f.until) <= window {
+			kept = append(kept, f)
+		}
+	}
+	b.fleets = append(kept, fleetSize{n: n})
+}
+
+func (b *Budget) proxies() int {
+	most := 1
+	for _, f := range b.fleets {
+		if f.until.IsZero() || time.Since(f.until) <= window {
+			most = max(most, f.n)
+		}
+	}
+	return most
+}
+
+// of is the service's bucket, filled up to now.
+func (b *Budget) of(service string, bounds Bounds) *bucket {
+	now := time.Now()
 	l := b.services[service]
 	if l == nil {
-		l = &ledger{}
+		l = &bucket{at: now}
 		b.services[service] = l
 	}
+	part := float64(bounds.Base) / 2 / float64(b.proxies())
+	if l.tries < part {
+		l.tries = min(l.tries+part*now.Sub(l.at).Seconds()/window.Seconds(), part)
+	}
+	l.at = now
 	return l
 }
 
-func (l *ledger) at(no int64) *slotCount {
-	s := &l.slots[no%int64(len(l.slots))]
-	if s.no != no {
-		*s = slotCount{no: no}
+// Extra takes one extra try out of the budget, or says no.
+func (b *Budget) Extra(service string, bounds Bounds) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.of(service, bounds)
+	if l.tries < 1 {
+		return false
 	}
-	return s
+	l.tries--
+	return true
 }
 
-func (l *ledger) sum(no int64) (traffic, extra int) {
-	for i := range l.slots {
-		if s := &l.slots[i]; s.no > no-slots-1 && s.no <= no {
-			extra += s.extra
-			if s.no > no-slots {
-				traffic += s.traffic
-			}
-		}
+// keyOf is the hash by which a caller's key is remembered; zero for no key.
+func keyOf(service, key string) uint64 {
+	if key == "" {
+		return 0
 	}
-	return traffic, extra
+	return mark.Score(service, key) | 1
 }
 
-func (b *Budget) now() int64 { return int64(time.Since(b.began)/slot) + slots + 1 }
-
-// Traffic counts a request that comes for the first time.
-func (b *Budget) Traffic(service string) {
+// Seen remembers that a request under this key is handed over, as a first one
+// of the service or as a repeat.
+func (b *Budget) Seen(service string, bounds Bounds, key uint64, isRepeat bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).at(b.now()).traffic++
+	if !isRepeat {
+		l := b.of(service, bounds)
+		l.tries = min(l.tries+float64(bounds.Percent)/100, max(1, float64(bounds.Base)/2/float64(b.proxies())))
+	}
+	if key == 0 {
+		return
+	}
+	old := b.keys[key]
+	old.at = time.Now()
+	if !isRepeat {
+		old.service = service
+	}
+	b.keys[key] = old
+	b.sweep()
 }
 
-// Extra takes one extra try out of the budget, or says no.
-func (b *Budget) Extra(service string, percent int, base float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	no := b.now()
-	l := b.of(service)
-	if time.Since(b.began) < window {
-		base = 0
+func (b *Budget) sweep() {
+	now := time.Now()
+	if now.Sub(b.swept) < window {
+		return
 	}
-	traffic, extra := l.sum(no)
-	if float64(extra+1) > float64(traffic)*float64(percent)/100+base {
-		return false
+	b.swept = now
+	for k, seen := range b.keys {
+		if now.Sub(seen.at) > 3*window {
+			delete(b.keys, k)
+		}
 	}
-	l.at(no).extra++
-	return true
 }
 
-// IsRepeat tells whether a caller's key was seen for the service of late.
-func (b *Budget) IsRepeat(service, key string) bool {
-	if key == "" {
-		return false
+// Told marks a key as one that this proxy told the others of.
+func (b *Budget) Told(key uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if seen, ok := b.keys[key]; ok {
+		seen.isTold = true
+		b.keys[key] = seen
 	}
+}
+
+// Heard takes keys that another proxy tells of. One that was taken for a first
+// request here, because the repeat was faster than the word of it, is counted
+// as the extra try that it was.
+func (b *Budget) Heard(keys []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	if now.Sub(b.swept) > window {
-		b.swept = now
-		for k, at := range b.keys {
-			if now.Sub(at) > 3*window {
-				delete(b.keys, k)
+	for _, key := range keys {
+		seen := b.keys[key]
+		if seen.service != "" && !seen.isTold {
+			if l := b.services[seen.service]; l != nil {
+				l.tries = max(l.tries-1, debtMax)
 			}
 		}
+		seen.at, seen.service = time.Now(), ""
+		b.keys[key] = seen
 	}
-	word := service + "\n" + key
-	at, ok := b.keys[word]
-	b.keys[word] = now
-	return ok && now.Sub(at) <= 3*window
+	b.sweep()
+}
+
+// IsRepeat tells whether a request under this key was handed over of late, by
+// this proxy or by one that told of it. A request that was refused as not run
+// left no key, so coming back as told is no repeat.
+func (b *Budget) IsRepeat(key uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen, ok := b.keys[key]
+	return key != 0 && ok && time.Since(seen.at) <= 3*window
 }
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -25,7 +25,8 @@
 	targets      []wire.Target
 	deadline     time.Time
 	isRepeatable bool
-	key          string
+	key          uint64
+	isRepeat     bool
 }
 
 // table finds mappings by path, and knows the targets of the epoch.
@@ -131,7 +132,7 @@
 	if !ok {
 		return nil, fault.New(fault.NoTarget, "service of %s", m.Name)
 	}
-	c := &course{id: mark.NewID(), chart: t.chart, mapping: m, service: service, isRepeatable: m.Repeatable, key: r.Header.Get(HeaderOnce)}
+	c := &course{id: mark.NewID(), chart: t.chart, mapping: m, service: service, isRepeatable: m.Repeatable, key: keyOf(service.Name, r.Header.Get(HeaderOnce))}
 	c.deadline = time.Now().Add(g.r.Props.GateDeadline)
 	if m.Deadline > 0 {
 		c.deadline = time.Now().Add(time.Duration(m.Deadline) * time.Millisecond)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,12 +20,20 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-const smallBody = 64 << 10
+const (
+	smallBody = 64 << 10
+
+	// A little under the fifth and the sixty of the rule, for the repeats that
+	// come to another proxy before it was told of the first.
+	extraPercent = 19
+	extraBase    = 50
+)
 
 // Gate is one proxy's.
 type Gate struct {
@@ -37,14 +45,17 @@
 	counters sync.Map
 	inflight atomic.Int64
 	isGoing  atomic.Bool
+	gossip   *gossip
 	Outcomes sync.Map
 }
 
-func New(r *realm.Realm, f *flow.Client) *Gate {
+func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin) *Gate {
 	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget()}
+	g.gossip = newGossip(r, w, k, g.budget)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := newTable(chart, g.table.Load())
 		g.table.Store(t)
+		g.budget.Fleet(len(chart.Shares))
 		g.pool.prune(func(at string) bool { return t.places[at] })
 		g.counters.Range(func(key, n any) bool {
 			if at := key.(string); n.(*atomic.Int64).Load() == 0 && !t.places[at] {
@@ -94,6 +105,10 @@
 	defer done()
 	got, err := g.carry(c, r)
 	if err != nil {
+		if c.key != 0 && fault.Of(err).Code.Outcome == "unknown" {
+			g.budget.Told(c.key)
+			g.gossip.tell(c.key)
+		}
 		g.refuse(w, err)
 		return
 	}
@@ -111,13 +126,9 @@
 			return nil, fault.New(fault.Overload, "%s: the share of this proxy is %d", c.service.Name, share)
 		}
 	}
-	if g.budget.IsRepeat(c.service.Name, c.key) {
-		if !g.extra(c) {
-			done()
-			return nil, fault.New(fault.BudgetSpent, "%s: a repeat of a request", c.service.Name)
-		}
-	} else {
-		g.budget.Traffic(c.service.Name)
+	if c.isRepeat = g.budget.IsRepeat(c.key); c.isRepeat && !g.extra(c) {
+		done()
+		return nil, fault.New(fault.BudgetSpent, "%s: a repeat of a request", c.service.Name)
 	}
 	return done, nil
 }
@@ -135,18 +146,20 @@
 	return max(1, int64(whole)*int64(mine)/int64(total))
 }
 
-func (g *Gate) extra(c *course) bool {
-	percent, base := 20, 60
+func bounds(c *course) Bounds {
+	b := Bounds{Percent: extraPercent, Base: extraBase}
 	limit := c.chart.Limits[c.service.Name]
 	if limit.ExtraPercent != nil {
-		percent = *limit.ExtraPercent
+		b.Percent = min(b.Percent, *limit.ExtraPercent)
 	}
 	if limit.ExtraBase != nil {
-		base = *limit.ExtraBase
+		b.Base = min(b.Base, *limit.ExtraBase)
 	}
-	return g.budget.Extra(c.service.Name, percent, float64(base)/float64(max(1, len(c.chart.Shares))))
+	return b
 }
 
+func (g *Gate) extra(c *course) bool { return g.budget.Extra(c.service.Name, bounds(c)) }
+
 // carry tries the targets in order. A try that wrote nothing may be followed by
 // another; one that wrote may only if the request may be repeated.
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
@@ -238,6 +251,7 @@
 		}
 	}
 	p.conn.SetDeadline(c.deadline)
+	g.budget.Seen(c.service.Name, bounds(c), c.key, c.isRepeat || no > 0)
 	counted := &counted{to: p.conn}
 	if err := request.Write(counted); err != nil {
 		p.kill()
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -55,6 +55,7 @@
 	Digest     string        `json:"digest,omitempty"`
 	Repeatable bool          `json:"repeatable,omitempty"`
 	Repeat     bool          `json:"repeat,omitempty"`
+	Invalid    bool          `json:"invalid,omitempty"`
 	Note       string        `json:"note,omitempty"`
 	Names      []string      `json:"names,omitempty"`
 	Op         string        `json:"op,omitempty"`
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -102,6 +102,7 @@
 		faults []Record
 	}{
 		"a refused change in force":       {"racing-changes", []Record{{Kind: InForce, At: 26 * s, Names: []string{"c2"}}}},
+		"an invalid change accepted":      {"racing-changes", []Record{{Kind: Changed, At: 8 * s, Name: "c8", Base: 5, Epoch: 6, Outcome: "accepted", Invalid: true}}},
 		"absent, then accepted":           {"racing-changes", []Record{{Kind: Asked, Start: 25 * s, At: 25*s + 9, Name: "c9", Outcome: "absent"}, {Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c9", Outcome: "accepted", Epoch: 9}}},
 		"a fence that shrinks":            {"locks", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "acquire", Name: "l", Holder: "h4", Fence: 3, Ttl: s, Outcome: "done"}}},
 		"a count that goes backward":      {"counters", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "add", Name: "n", Count: 0, Outcome: "done"}}},
--- a/internal/judge/state.go
+++ b/internal/judge/state.go
@@ -52,6 +52,11 @@
 			delete(refused, r.Name)
 		}
 	}
+	for _, r := range of(all, Changed) {
+		if r.Invalid && r.Outcome == "accepted" {
+			fail(r.At, "%s is invalid and was accepted", r.Name)
+		}
+	}
 	for _, r := range of(all, InForce) {
 		for _, name := range r.Names {
 			if refused[name] {
--- a/internal/pact/group.go
+++ b/internal/pact/group.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
@@ -51,6 +52,9 @@
 			continue
 		}
 		isBack := lost != nil && lost.Name == m.Name
+		if lost != nil && !isBack && !isGone(view, *lost, t.p.r.Props.PactGone) {
+			continue
+		}
 		if spare == nil || isBack || zones[m.Zone] < fewest {
 			spare, fewest = &peer, zones[m.Zone]
 		}
@@ -99,6 +103,12 @@
 	}
 }
 
+// isGone tells whether a name has not been live, under any birth, for long.
+func isGone(view map[mark.Name]kin.Standing, peer wire.Peer, long time.Duration) bool {
+	m, ok := view[peer.Name]
+	return !ok || m.State != kin.Alive && m.State != kin.Suspect && time.Since(m.Since) > long
+}
+
 func (t *Part) servedAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -73,7 +73,7 @@
 	}
 	if p.GateAddress != "" {
 		n.Flow = flow.NewClient(r, n.Wire, n.Kin)
-		n.Gate = gate.New(r, n.Flow)
+		n.Gate = gate.New(r, n.Flow, n.Wire, n.Kin)
 	}
 	n.Wire.Handle("seat.pass", n.passed)
 	if err := n.Wire.Open(); err != nil {
--- a/internal/sham/caller.go
+++ b/internal/sham/caller.go
@@ -48,15 +48,13 @@
 // Repeat sends a request under a call number given.
 func (c *Caller) Repeat(ctx context.Context, proxy, method, path, service string, body []byte, call string, isRepeat bool) judge.Record {
 	r := judge.Record{Kind: judge.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Digest: Digest(body)}
-	var reader io.Reader
-	if body != nil {
-		reader = bytes.NewReader(body)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+proxy+path, reader)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+proxy+path, nil)
 	if err != nil {
 		return r
 	}
-	request.GetBody = nil
+	// A body that can't be had again keeps the library from repeating a request
+	// by itself, which would hide from the history what was really sent.
+	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	request.Header.Set(CallHeader, call)
 	if method != http.MethodGet {
 		request.Header.Set(gate.HeaderOnce, call)
--- a/internal/sham/operator.go
+++ b/internal/sham/operator.go
@@ -11,6 +11,10 @@
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 )
 
+// Nowhere is a service that is never there; a change set that names it is
+// invalid.
+const Nowhere = "nowhere"
+
 // Operator submits change sets through one node.
 type Operator struct {
 	H      *judge.History
@@ -38,6 +42,9 @@
 	r := judge.Record{Kind: judge.Changed, Start: o.H.Now(), Name: change.ID, Base: change.Base}
 	for _, m := range change.Put.Value.Mappings {
 		r.Names = append(r.Names, m.Name)
+		for _, split := range m.To {
+			r.Invalid = r.Invalid || split.Service == Nowhere
+		}
 	}
 	limited, end := context.WithTimeout(ctx, 8*time.Second)
 	defer end()
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -436,3 +436,8 @@
 	Targets  map[string][]Target `json:"targets"`
 	Shares   map[mark.Name]int   `json:"shares"`
 }
+
+// SeenAsk tells other proxies of orders that were handed over and got no answer, by the hash of service and caller's key.
+type SeenAsk struct {
+	Keys []uint64 `json:"keys"`
+}
