--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -8,7 +8,6 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/pact"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -28,6 +27,10 @@
 	{Name: "stalls", Shape: Small, Length: 25 * time.Second, Faults: stalls},
 	{Name: "servers", Shape: Small, Length: 25 * time.Second, Faults: servers},
 	{Name: "stops", Shape: Small, Length: 25 * time.Second, Faults: stops, IsHarmless: true},
+	{Name: "servers-cut", Shape: Small, Length: 30 * time.Second, Faults: serversAnd(slowWays)},
+	{Name: "servers-kill", Shape: Small, Length: 30 * time.Second, Faults: serversAnd(killOwner)},
+	{Name: "amnesia", Shape: Small, Length: 30 * time.Second, Faults: amnesia},
+	{Name: "folds", Shape: folding, Length: 25 * time.Second, Faults: kills},
 	{Name: "storm", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(12) }, Faults: storm},
 	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
 }
@@ -210,95 +213,34 @@
 	}
 }
 
-// servers come and go: drained, signed off, crashed, wrong in their answers;
-// and another service takes over an address two seconds after it was left.
-func servers(f *Fleet) {
-	f.nap(200*time.Millisecond, 1500*time.Millisecond)
-	names := []string{"bookings", "rates"}
-	service := names[f.Rand.IntN(2)]
-	list := f.Servers(service)
-	if len(list) < 2 {
-		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
-		return
-	}
-	s := list[f.Rand.IntN(len(list))]
-	switch f.Rand.IntN(6) {
-	case 0:
-		f.Say("%s %s drains and leaves", service, s.Instance)
-		f.Forget(s)
-		s.Say(f.ctx, "draining")
-		time.Sleep(2500 * time.Millisecond)
-		s.Say(f.ctx, "leaving")
-		s.Close()
-		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
-	case 1:
-		f.Say("%s %s crashes", service, s.Instance)
-		f.Forget(s)
-		s.Vanish()
-		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
-	case 2, 3:
-		other := names[f.Rand.IntN(2)]
-		f.Say("%s %s crashes, %s takes %s after two seconds", service, s.Instance, other, s.Address)
-		f.Forget(s)
-		s.Vanish()
-		time.Sleep(2 * time.Second)
-		f.Serve(other, host(s.Address), f.Rand.IntN(f.Shape.Zones))
-	case 4:
-		f.Say("%s %s falls silent and goes on serving", service, s.Instance)
-		f.Forget(s)
-		s.Mute()
-		time.Sleep(4 * time.Second)
-		s.Close()
-		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
-	case 5:
-		ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
-		way := ways[f.Rand.IntN(len(ways))]
-		f.Say("a new server of %s does %q now and then", service, way)
-		f.replace(s, func(n int64) string {
-			if n%3 == 0 {
-				return way
-			}
-			return sham.Fine
-		})
-	}
-}
-
-// replace puts a server that misbehaves in the place of one that leaves.
-func (f *Fleet) replace(s *sham.Server, misdo func(int64) string) {
-	f.Forget(s)
-	s.Say(f.ctx, "leaving")
-	time.Sleep(2500 * time.Millisecond)
-	s.Close()
-	bad := &sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo}
-	if err := bad.Start(f.ctx); err != nil {
-		panic(err)
-	}
-	f.mu.Lock()
-	f.servers = append(f.servers, bad)
-	f.mu.Unlock()
+// folding makes snapshots all the time, so that restarts come from them.
+func folding() Shape {
+	s := Small()
+	s.Settings["pact.snapshot"] = "20"
+	return s
 }
 
-// storm has servers that lose many answers, while callers repeat at once; now
-// and then a proxy is killed and comes back with an empty memory.
-func storm(f *Fleet) {
-	for _, s := range f.Servers("bookings") {
-		if s.Misdo == nil {
-			f.Say("%s %s gives way to one that loses answers", s.Service, s.Instance)
-			f.replace(s, func(n int64) string {
-				if n%2 == 0 {
-					return sham.LoseIt
-				}
-				return sham.Fine
-			})
-		}
-	}
-	f.nap(2*time.Second, 6*time.Second)
-	if f.Rand.IntN(2) == 0 {
-		m := f.pick(f.Proxies())
-		f.Say("kill %s", m.Name)
-		m.Kill(false)
-		f.up(m)
-	}
+// amnesia wipes one core node while another is cut off, so that the one that
+// knows is alone with one that knows nothing.
+func amnesia(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	cores := f.Cores()
+	i := f.Rand.IntN(len(cores))
+	away, lost := cores[i], cores[(i+1)%len(cores)]
+	f.Say("cut %s off", away.Name)
+	f.isolate([]*Machine{away})
+	f.nap(2*time.Second, 4*time.Second)
+	f.Say("%s is lost with its disk and comes back; %s is heard again, the third is cut off", lost.Name, away.Name)
+	lost.Kill(true)
+	f.W.Disk(lost.IP).Wipe()
+	third := cores[(i+2)%len(cores)]
+	f.W.Heal()
+	f.isolate([]*Machine{third})
+	f.up(lost)
+	f.nap(2*time.Second, 4*time.Second)
+	f.Say("heal")
+	f.W.Heal()
+	f.Until(30*time.Second, f.isMended)
 }
 
 func stops(f *Fleet) {
--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -206,8 +206,10 @@
 func (f *Fleet) Cores() []*Machine   { return f.some(func(m *Machine) bool { return m.IsCore }) }
 func (f *Fleet) Proxies() []*Machine { return f.some(func(m *Machine) bool { return m.IsProxy }) }
 
+// apis is where servers send their beats: any node will do, and the proxies
+// stay where they are when core machines move.
 func (f *Fleet) apis() (list []string) {
-	for _, m := range f.Cores() {
+	for _, m := range f.Machines {
 		list = append(list, m.Api())
 	}
 	return list
--- /dev/null
+++ b/internal/dream/servers.go
@@ -0,0 +1,168 @@
+// Faults of the stand-in servers: drained, signed off, crashed, replaced, wrong
+// in their answers, and all that while the fleet itself is hurt.
+package dream
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// servers come and go: drained, signed off, crashed, wrong in their answers;
+// and another service takes over an address two seconds after it was left.
+func servers(f *Fleet) {
+	f.nap(200*time.Millisecond, 1500*time.Millisecond)
+	names := []string{"bookings", "rates"}
+	service := names[f.Rand.IntN(2)]
+	list := f.Servers(service)
+	if len(list) < 2 {
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+		return
+	}
+	s := list[f.Rand.IntN(len(list))]
+	switch f.Rand.IntN(6) {
+	case 0:
+		f.Say("%s %s drains and leaves", service, s.Instance)
+		f.Forget(s)
+		s.Say(f.ctx, "draining")
+		time.Sleep(2500 * time.Millisecond)
+		s.Say(f.ctx, "leaving")
+		s.Close()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 1:
+		f.Say("%s %s crashes", service, s.Instance)
+		f.Forget(s)
+		s.Vanish()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 2, 3:
+		other := names[f.Rand.IntN(2)]
+		f.Say("%s %s crashes, %s takes %s after two seconds", service, s.Instance, other, s.Address)
+		f.Forget(s)
+		s.Vanish()
+		time.Sleep(2 * time.Second)
+		f.Serve(other, host(s.Address), f.Rand.IntN(f.Shape.Zones))
+	case 4:
+		f.Say("%s %s falls silent and goes on serving", service, s.Instance)
+		f.Forget(s)
+		s.Mute()
+		time.Sleep(4 * time.Second)
+		s.Close()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+	case 5:
+		ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
+		way := ways[f.Rand.IntN(len(ways))]
+		f.Say("a new server of %s does %q now and then", service, way)
+		f.replace(s, func(n int64) string {
+			if n%3 == 0 {
+				return way
+			}
+			return sham.Fine
+		})
+	}
+}
+
+// replace puts a server that misbehaves in the place of one that leaves.
+func (f *Fleet) replace(s *sham.Server, misdo func(int64) string) {
+	f.Forget(s)
+	s.Say(f.ctx, "leaving")
+	time.Sleep(2500 * time.Millisecond)
+	s.Close()
+	bad := &sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo}
+	if err := bad.Start(f.ctx); err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	f.servers = append(f.servers, bad)
+	f.mu.Unlock()
+}
+
+// storm has servers that lose many answers, while callers repeat at once; now
+// and then a proxy is killed and comes back with an empty memory.
+func storm(f *Fleet) {
+	for _, s := range f.Servers("bookings") {
+		if s.Misdo == nil {
+			f.Say("%s %s gives way to one that loses answers", s.Service, s.Instance)
+			f.replace(s, func(n int64) string {
+				if n%2 == 0 {
+					return sham.LoseIt
+				}
+				return sham.Fine
+			})
+		}
+	}
+	f.nap(2*time.Second, 6*time.Second)
+	if f.Rand.IntN(2) == 0 {
+		m := f.pick(f.Proxies())
+		f.Say("kill %s", m.Name)
+		m.Kill(false)
+		f.up(m)
+	}
+}
+
+// serversAnd lets a server drain and go on serving, with a fault right after
+// its drain was acknowledged.
+func serversAnd(fault func(f *Fleet) func()) func(*Fleet) {
+	return func(f *Fleet) {
+		f.nap(500*time.Millisecond, 1500*time.Millisecond)
+		names := []string{"bookings", "rates"}
+		service := names[f.Rand.IntN(2)]
+		list := f.Servers(service)
+		s := list[f.Rand.IntN(len(list))]
+		f.Forget(s)
+		mend := func() {}
+		isFirst := f.Rand.IntN(2) == 0
+		if isFirst {
+			mend = fault(f)
+		}
+		f.Say("%s %s drains", service, s.Instance)
+		ctx, end := context.WithTimeout(f.ctx, 8*time.Second)
+		s.Say(ctx, "draining")
+		end()
+		if !isFirst {
+			mend = fault(f)
+		}
+		f.nap(2500*time.Millisecond, 4*time.Second)
+		mend()
+		s.Close()
+		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
+		f.nap(time.Second, 2*time.Second)
+	}
+}
+
+// slowWays holds one machine still for a moment, again and again, so that what
+// it asked for comes late.
+func slowWays(f *Fleet) func() {
+	m := f.pick(f.Machines)
+	f.Say("hold %s still again and again", m.Name)
+	isOver := make(chan struct{})
+	go func() {
+		for {
+			f.W.Hold(m.IP)
+			time.Sleep(700 * time.Millisecond)
+			f.W.Release(m.IP)
+			select {
+			case <-isOver:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return func() { close(isOver); time.Sleep(time.Second) }
+}
+
+// killOwner kills all core nodes or one, and brings them back at once.
+func killOwner(f *Fleet) func() {
+	victims := []*Machine{f.pick(f.Cores())}
+	if f.Rand.IntN(2) == 0 {
+		victims = f.Cores()
+	}
+	for _, m := range victims {
+		f.Say("kill %s", m.Name)
+		m.Kill(false)
+	}
+	for _, m := range victims {
+		f.up(m)
+	}
+	return func() {}
+}
--- /dev/null
+++ b/tools/blight/main.go
@@ -0,0 +1,109 @@
+// Blight shows that the runs can fail: it copies the tree, takes one safeguard
+// out at a time as proof/mutants.yaml says, and demands that the run named
+// breaks the rule named. A mutant that is said to survive must do so for the
+// reason given there; if it is caught after all, that is told too.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+type graft struct {
+	File, Old, New string
+	Last           bool
+}
+
+type mutant struct {
+	Name  string
+	graft `yaml:",inline"`
+	More  []graft
+
+	Scenario, Rule, Survives string
+}
+
+func main() {
+	only := flag.String("only", "", "part of the name of the mutants to try")
+	seeds := flag.String("seeds", "1:16", "first and last seed")
+	flag.Parse()
+	raw, err := os.ReadFile("proof/mutants.yaml")
+	check(err)
+	var mutants []mutant
+	check(yaml.Unmarshal(raw, &mutants))
+	folder, err := os.MkdirTemp("", "blight-")
+	check(err)
+	defer os.RemoveAll(folder)
+	failures := 0
+	for _, m := range mutants {
+		if !strings.Contains(m.Name, *only) {
+			continue
+		}
+		verdict, isFine := try(m, folder, *seeds)
+		if !isFine {
+			failures++
+		}
+		fmt.Printf("%-60s %-14s %s\n", m.Name, m.Scenario, verdict)
+	}
+	if failures > 0 {
+		fmt.Printf("%d mutants were not caught\n", failures)
+		os.RemoveAll(folder)
+		os.Exit(1)
+	}
+}
+
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "blight:", err)
+		os.Exit(1)
+	}
+}
+
+func try(m mutant, folder, seeds string) (string, bool) {
+	tree := filepath.Join(folder, "tree")
+	check(os.RemoveAll(tree))
+	check(os.MkdirAll(tree, 0o755))
+	for _, name := range []string{"go.mod", "go.sum", "internal", "cmd"} {
+		check(exec.Command("cp", "-r", name, tree).Run())
+	}
+	for _, g := range append([]graft{m.graft}, m.More...) {
+		path := filepath.Join(tree, g.File)
+		text, err := os.ReadFile(path)
+		check(err)
+		n := strings.Count(string(text), g.Old)
+		if n == 0 || n > 1 && !g.Last {
+			return fmt.Sprintf("can't be made: %q stands %d times in %s", g.Old, n, g.File), false
+		}
+		at := strings.LastIndex(string(text), g.Old)
+		check(os.WriteFile(path, []byte(string(text[:at])+g.New+string(text[at+len(g.Old):])), 0o644))
+	}
+	run := exec.Command("go", "test", "./internal/dream", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario)
+	run.Dir = tree
+	out, err := run.CombinedOutput()
+	broken := regexp.MustCompile(`BROKEN (\S+)`).FindAllStringSubmatch(string(out), -1)
+	rules := map[string]int{}
+	for _, b := range broken {
+		rules[b[1]]++
+	}
+	isCaught := false
+	wanted := regexp.MustCompile("^(" + m.Rule + ")$")
+	for rule := range rules {
+		isCaught = isCaught || wanted.MatchString(rule)
+	}
+	switch {
+	case err != nil && len(broken) == 0:
+		lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+		return "failed otherwise: " + strings.Join(lines[:min(3, len(lines))], " | "), false
+	case isCaught:
+		return fmt.Sprintf("caught %v", rules), true
+	case m.Survives != "":
+		return fmt.Sprintf("survives, as said: %s (broken otherwise: %v)", m.Survives, rules), true
+	}
+	return fmt.Sprintf("SURVIVES; rules broken: %v", rules), false
+}
