A data folder in use is never taken for a damaged one

Cause: every error at opening counted as damage, so a second process on one folder would have set the first one's live data aside; and the store's own lock was not given back at a planned end. Found by the first test of damage. Now only corruption is set aside, anything else refuses the start.

--- /dev/null
+++ b/internal/flow/cache_test.go
@@ -0,0 +1,71 @@
+// The cache replaces only by newer, swaps whole epochs only, and only upward.
+package flow
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func group(data string, stamp mark.Stamp) wire.Group {
+	return wire.Group{Digest: plan.Digest([]byte(data)), Stamp: stamp, Data: json.RawMessage(data)}
+}
+
+func manifest(groups map[string]wire.Group) map[string]wire.Held {
+	m := map[string]wire.Held{}
+	for name, g := range groups {
+		m[name] = wire.Held{Digest: g.Digest, Stamp: g.Stamp}
+	}
+	return m
+}
+
+func swap(t *testing.T, c *Cache, epoch mark.Epoch, groups map[string]wire.Group, want bool) {
+	t.Helper()
+	got, err := c.Swap(epoch, manifest(groups))
+	if err != nil || got != want {
+		t.Fatalf("epoch %d: swapped %v, want %v (%v)", epoch, got, want, err)
+	}
+}
+
+func TestOnlyWholeAndNewerEpochsAreSwappedIn(t *testing.T) {
+	c := NewCache(sign.New(io.Discard, "info", "n"))
+	var told []mark.Epoch
+	c.Subscribe(func(chart *Chart) { told = append(told, chart.Epoch) })
+	one := map[string]wire.Group{"services": group(`[{"name":"a"}]`, 3), "targets/a": group(`[]`, 3)}
+	swap(t, c, 3, one, false)
+	c.Stage(map[string]wire.Group{"services": one["services"]})
+	swap(t, c, 3, one, false)
+	c.Stage(map[string]wire.Group{"targets/a": one["targets/a"]})
+	swap(t, c, 3, one, true)
+	two := map[string]wire.Group{"services": one["services"], "targets/a": group(`[{"instance":"i","address":"x","zone":"","weight":1}]`, 5)}
+	c.Stage(two)
+	swap(t, c, 5, two, true)
+	c.Stage(one)
+	swap(t, c, 3, one, false)
+	swap(t, c, 4, one, false)
+	if len(c.Chart().Targets["a"]) != 1 || c.Chart().Epoch != 5 {
+		t.Fatalf("%+v", c.Chart())
+	}
+	if len(told) != 2 || told[0] != 3 || told[1] != 5 {
+		t.Fatalf("subscribers were told %v", told)
+	}
+}
+
+func TestAGroupThatIsNotItsDigestIsLeftOut(t *testing.T) {
+	c := NewCache(sign.New(io.Discard, "info", "n"))
+	g := group(`[]`, 2)
+	g.Data = json.RawMessage(`[{"name":"forged"}]`)
+	if c.Stage(map[string]wire.Group{"services": g}) {
+		t.Fatal("a forged group was staged")
+	}
+	old := group(`[{"name":"old"}]`, 1)
+	c.Stage(map[string]wire.Group{"services": group(`[]`, 2)})
+	if c.Stage(map[string]wire.Group{"services": old}) {
+		t.Fatal("an older group replaced a newer one")
+	}
+}
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -26,6 +28,7 @@
 type Lore struct {
 	r     *realm.Realm
 	db    *leveldb.DB
+	stor  storage.Storage
 	mu    sync.Mutex
 	queue []*Writing
 	wake  chan struct{}
@@ -70,9 +73,9 @@
 	l := &Lore{r: r, wake: make(chan struct{}, 1), start: time.Now(), Failed: make(chan struct{})}
 	problem := l.load()
 	if problem != nil {
-		if l.db != nil {
-			l.db.Close()
-			l.db = nil
+		l.close()
+		if !isDamage(problem) {
+			return nil, fault.New(fault.StorageBroken, "%s: %v", r.Props.DataFolder, problem)
 		}
 		folder := r.Props.DataFolder
 		aside := folder + ".damaged-" + time.Now().Format("20060102-150405")
@@ -91,15 +94,32 @@
 	return l, nil
 }
 
+// isDamage tells damaged data from a folder that can't be had now, such as one
+// that another process holds: only the former is ever set aside.
+func isDamage(err error) bool {
+	return errors.IsCorrupted(err) || fault.Is(err, fault.StorageBroken)
+}
+
+func (l *Lore) close() {
+	if l.db != nil {
+		l.db.Close()
+		l.db = nil
+	}
+	if l.stor != nil {
+		l.stor.Close()
+		l.stor = nil
+	}
+}
+
 func (l *Lore) load() error {
 	stor, err := l.r.Net.Store(filepath.Join(l.r.Props.DataFolder, "lore"))
 	if err != nil {
 		return err
 	}
+	l.stor = stor
 	options := &opt.Options{Strict: opt.StrictManifest | opt.StrictBlockChecksum | opt.StrictReader | opt.StrictCompaction, WriteBuffer: 2 << 20, BlockCacheCapacity: 1 << 20}
 	l.db, err = leveldb.Open(stor, options)
 	if err != nil {
-		stor.Close()
 		return err
 	}
 	var first, last, count uint64
@@ -146,7 +166,7 @@
 }
 
 func (l *Lore) write() {
-	defer l.db.Close()
+	defer l.close()
 	for {
 		select {
 		case <-l.r.Done():
--- /dev/null
+++ b/internal/lore/lore_test.go
@@ -0,0 +1,132 @@
+// The data folder under damage: nothing damaged is ever served from, what was
+// synced survives, and a torn end is no damage.
+package lore
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+func open(t *testing.T, folder string) (*Lore, *realm.Realm, *bytes.Buffer) {
+	t.Helper()
+	var log bytes.Buffer
+	p := &props.Props{Name: "n", DataFolder: folder, LogLevel: "info"}
+	r := realm.New(context.Background(), p, sign.New(&log, "info", "n"), realm.Host())
+	l, err := Open(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, r, &log
+}
+
+func put(t *testing.T, l *Lore, n int) {
+	t.Helper()
+	w := l.Begin()
+	w.Put(fmt.Sprintf("k/%04d", n), bytes.Repeat([]byte{byte(n)}, 100))
+	l.Hand(w)
+	if err := w.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func count(t *testing.T, l *Lore) (n int) {
+	t.Helper()
+	if err := l.Walk("k/", func(string, []byte) error { n++; return nil }); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// journal is the newest journal file of a folder.
+func journal(t *testing.T, folder string) string {
+	t.Helper()
+	names, _ := filepath.Glob(filepath.Join(folder, "lore", "*.log"))
+	if len(names) == 0 {
+		t.Fatal("no journal")
+	}
+	return names[len(names)-1]
+}
+
+func TestSyncedBatchesSurvive(t *testing.T) {
+	folder := t.TempDir()
+	l, r, _ := open(t, folder)
+	for i := range 50 {
+		put(t, l, i)
+	}
+	r.End()
+	l, r, log := open(t, folder)
+	defer r.End()
+	if n := count(t, l); n != 50 || l.IsAfterDamage() {
+		t.Fatalf("%d of 50 are there, %s", n, log)
+	}
+}
+
+func TestTornEndIsDropped(t *testing.T) {
+	folder := t.TempDir()
+	l, r, _ := open(t, folder)
+	for i := range 50 {
+		put(t, l, i)
+	}
+	r.End()
+	name := journal(t, folder)
+	raw, _ := os.ReadFile(name)
+	os.WriteFile(name, raw[:len(raw)-60], 0o644)
+	l, r, log := open(t, folder)
+	defer r.End()
+	if n := count(t, l); n != 49 || l.IsAfterDamage() {
+		t.Fatalf("%d of 49 are there, %s", n, log)
+	}
+}
+
+func TestDamageInTheMiddleIsRefusedAndSetAside(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	os.MkdirAll(folder, 0o755)
+	l, r, _ := open(t, folder)
+	for i := range 2000 {
+		put(t, l, i)
+	}
+	r.End()
+	name := journal(t, folder)
+	raw, _ := os.ReadFile(name)
+	raw[len(raw)/2] ^= 0xff
+	os.WriteFile(name, raw, 0o644)
+	l, r, log := open(t, folder)
+	defer r.End()
+	if n := count(t, l); n != 0 {
+		t.Fatalf("%d keys are served from a damaged folder", n)
+	}
+	if !strings.Contains(log.String(), `"event":306`) || !l.IsAfterDamage() {
+		t.Fatalf("the damage is not reported: %s", log)
+	}
+	if aside, _ := filepath.Glob(folder + ".damaged-*"); len(aside) != 1 {
+		t.Fatalf("set aside: %v", aside)
+	}
+	put(t, l, 1)
+}
+
+func TestAFolderInUseIsLeftAlone(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	os.MkdirAll(folder, 0o755)
+	l, r, _ := open(t, folder)
+	defer r.End()
+	put(t, l, 1)
+	var log bytes.Buffer
+	second := realm.New(context.Background(), r.Props, sign.New(&log, "info", "n"), realm.Host())
+	defer second.End()
+	if _, err := Open(second); err == nil {
+		t.Fatal("two processes have one folder")
+	}
+	if aside, _ := filepath.Glob(folder + ".damaged-*"); len(aside) != 0 {
+		t.Fatalf("a folder in use was set aside: %v", aside)
+	}
+	put(t, l, 2)
+}
--- /dev/null
+++ b/internal/props/props_test.go
@@ -0,0 +1,59 @@
+// Faulty settings are all named by their keys, unknown ones too.
+package props
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+func TestEveryFaultIsNamed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "props.yaml")
+	os.WriteFile(path, []byte(`
+name: "a b"
+seeds: ["10.0.0.1:7000", "core.example:7000"]
+wire: {address: "10.0.0.1"}
+gate: {address: "10.0.0.1:70", inflight: 0, colour: red}
+flow: {fresh: 2s}
+log: {level: loud}
+pact: {snapshot: many}
+`), 0o644)
+	_, err := Load(path, map[string]string{"strength": "0"})
+	if !fault.Is(err, fault.BadProps) {
+		t.Fatal(err)
+	}
+	want := []string{
+		`api.address: is missing`,
+		`flow.fresh: 2s is outside 100ms to 900ms`,
+		`gate.colour: no such setting`,
+		`gate.inflight: 0 is outside 1 to 100000`,
+		`log.level: "loud" is none of debug, info, warn, error`,
+		`name: holds a space or a slash`,
+		`pact.snapshot: "many" is not a whole number`,
+		`seeds.1: "core.example:7000" is not an IP number with a port`,
+		`strength: 0 is outside 1 to 100000`,
+		`wire.address: "10.0.0.1" is not an IP number with a port`,
+		`wire.address: is missing`,
+	}
+	if diff := cmp.Diff(want, fault.Of(err).Paths); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestFlagsWinOverVariablesOverFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "props.json")
+	os.WriteFile(path, []byte(`{"name":"n","zone":"file","wire":{"address":"127.0.0.1:1"},"api":{"address":"127.0.0.1:2"},"gate":{"address":"127.0.0.1:3"},"strength":7,"gate.inflight":9}`), 0o644)
+	t.Setenv("SUMAC_ZONE", "variable")
+	t.Setenv("SUMAC_STRENGTH", "8")
+	p, err := Load(path, map[string]string{"strength": "9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Zone != "variable" || p.Strength != 9 || p.Name != "n" || p.GateInflight != 9 {
+		t.Fatalf("%+v", p)
+	}
+}
