Orders with a caller's key can be claimed, so that no repeat runs them again

For mappings with once, the key is claimed in the replicated state of the service's part before hand-over; a repeat through any proxy is told ran, unknown or under way. Price: one replicated write before the hand-over, and one gathered with others after it. Off by default.

--- a/internal/bond/book.go
+++ b/internal/bond/book.go
@@ -22,6 +22,7 @@
 	Lock  = "lock"
 	Count = "count"
 	Mark  = "mark"
+	Claim = "claim"
 
 	seenKept   = 8192
 	eventsKept = 60 * time.Second
@@ -113,6 +114,8 @@
 		}
 		b.remove(index, old)
 		return &wire.BondReceipt{Stamp: index}
+	case "claim", "unclaim", "settle", "sweep":
+		return b.claim(index, op, refuse)
 	case "mark":
 		old, ok := b.records[slot(Mark, op.Name)]
 		if ok && (old.Seq > op.Seq || old.Holder == "leaving") {
@@ -131,6 +134,40 @@
 	return &wire.BondReceipt{Code: fault.BadCall.No, Note: op.Op}
 }
 
+// claim folds the calls on orders that must not run twice: a key is claimed for
+// one request before that is handed over, given back if nothing was written, or
+// settled as what became of it. Claims are swept when they are old.
+func (b *Book) claim(index mark.Stamp, op *wire.BondOp, refuse func(fault.Code, wire.BondRecord) *wire.BondReceipt) *wire.BondReceipt {
+	switch op.Op {
+	case "claim":
+		old, ok := b.records[slot(Claim, op.Name)]
+		if ok && old.Holder != op.Holder {
+			receipt := refuse(fault.Held, old)
+			receipt.Value = old.Value
+			return receipt
+		}
+		b.records[slot(Claim, op.Name)] = wire.BondRecord{Name: op.Name, Kind: Claim, Holder: op.Holder, Stamp: index}
+	case "unclaim":
+		if old, ok := b.records[slot(Claim, op.Name)]; ok && old.Holder == op.Holder && old.Value == nil {
+			delete(b.records, slot(Claim, op.Name))
+		}
+	case "settle":
+		for _, r := range op.Records {
+			if old, ok := b.records[slot(Claim, r.Name)]; ok && old.Holder == r.Holder {
+				old.Value = r.Value
+				b.records[slot(Claim, r.Name)] = old
+			}
+		}
+	case "sweep":
+		for key, record := range b.records {
+			if record.Kind == Claim && record.Stamp <= op.Fence {
+				delete(b.records, key)
+			}
+		}
+	}
+	return &wire.BondReceipt{Stamp: index}
+}
+
 func (b *Book) set(record wire.BondRecord) {
 	b.records[slot(record.Kind, record.Name)] = record
 	value := record.Value
--- a/internal/bond/desk.go
+++ b/internal/bond/desk.go
@@ -24,6 +24,7 @@
 
 // Desk is one core node's.
 type Desk struct {
+	past  [mark.Parts][]moment
 	r     *realm.Realm
 	p     *pact.Pact
 	books []*Book
@@ -40,14 +41,51 @@
 // Open starts to watch over the grants.
 func (d *Desk) Open() {
 	d.r.Go(func() {
-		for d.r.Pause(100 * time.Millisecond) {
+		for i := 0; d.r.Pause(100 * time.Millisecond); i++ {
 			for no := range d.books {
 				d.expire(mark.Part(no))
+				if i%100 == 0 {
+					d.sweep(mark.Part(no))
+				}
 			}
 		}
 	})
 }
 
+// moment is how far a part had come at a time.
+type moment struct {
+	at    time.Time
+	stamp mark.Stamp
+}
+
+// ClaimsKept is how long the claim on an order's key stands, at least.
+const ClaimsKept = 10 * time.Minute
+
+// sweep takes out claims that are older than that.
+func (d *Desk) sweep(no mark.Part) {
+	if !d.p.Part(no).IsServing() {
+		d.past[no] = nil
+		return
+	}
+	claims, stamp := d.books[no].All(Claim, "")
+	d.past[no] = append(d.past[no], moment{time.Now(), stamp})
+	old := mark.Stamp(0)
+	for len(d.past[no]) > 0 && time.Since(d.past[no][0].at) > ClaimsKept {
+		old = d.past[no][0].stamp
+		d.past[no] = d.past[no][1:]
+	}
+	for _, claim := range claims {
+		if claim.Stamp <= old {
+			d.r.Go(func() {
+				ctx, end := context.WithTimeout(d.r, 5*time.Second)
+				defer end()
+				d.p.Part(no).Propose(ctx, &wire.BondOp{Op: "sweep", Name: "claims", Fence: old})
+			})
+			return
+		}
+	}
+}
+
 // Do carries out one call on a part owned here.
 func (d *Desk) Do(ctx context.Context, op *wire.BondOp) (*wire.BondReceipt, error) {
 	if problem := check(op); problem != nil {
@@ -99,7 +137,7 @@
 		paths = append(paths, "value: is larger than 64 KiB")
 	}
 	switch op.Op {
-	case "get", "list", "watch", "put", "drop", "mark", "unmark", "expire":
+	case "get", "list", "watch", "put", "drop", "mark", "unmark", "expire", "claim", "unclaim", "settle":
 	case "add":
 	case "acquire":
 		if op.Holder == "" {
--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -34,6 +34,7 @@
 	{Name: "flash", Shape: Small, Length: 25 * time.Second, Faults: flash},
 	{Name: "laggard", Shape: Small, Length: 25 * time.Second, Faults: laggard},
 	{Name: "storm", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(12) }, Faults: storm},
+	{Name: "once", Shape: once, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(8) }, Faults: func(f *Fleet) { storm(f); kills(f) }},
 	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
 }
 
@@ -222,6 +223,12 @@
 	return s
 }
 
+func once() Shape {
+	s := Small()
+	s.Once = true
+	return s
+}
+
 // amnesia wipes one core node while another is cut off, so that the one that
 // knows is alone with one that knows nothing.
 func amnesia(f *Fleet) {
--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -25,6 +25,7 @@
 	Cores, Proxies, Zones int
 	Servers               map[string]int
 	Repeatable            map[string]bool
+	Once                  bool
 	Settings              map[string]string
 }
 
--- a/internal/dream/load.go
+++ b/internal/dream/load.go
@@ -61,12 +61,13 @@
 func (f *Fleet) Stormers(n int) {
 	for range n {
 		caller := sham.NewCaller(f.W.Net(f.outside(30)), f.H)
+		caller.Once = f.Shape.Once
 		proxies := f.Proxies()
 		f.task(func(r *rand.Rand) {
 			call, body := mark.NewID(), []byte(`{"storm":1}`)
 			for try := range 30 {
 				got := caller.Repeat(f.ctx, proxies[r.IntN(len(proxies))].Gate(), "POST", "/bookings", "bookings", body, call, try > 0)
-				if got.Outcome == "ran" || !f.isLoad.Load() {
+				if got.Outcome == "ran" || got.Code == 1017 || !f.isLoad.Load() {
 					break
 				}
 				time.Sleep(time.Millisecond)
@@ -90,7 +91,7 @@
 	config := api.Config{}
 	for name := range f.Shape.Servers {
 		config.Services = append(config.Services, api.Service{Name: name, Key: api.NewOptString("key-" + name)})
-		config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: name, Weight: 1}}, Repeatable: api.NewOptBool(f.Shape.Repeatable[name]), Deadline: api.NewOptInt64(3000)})
+		config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: name, Weight: 1}}, Repeatable: api.NewOptBool(f.Shape.Repeatable[name]), Once: api.NewOptBool(f.Shape.Once && !f.Shape.Repeatable[name]), Deadline: api.NewOptInt64(3000)})
 	}
 	operator := sham.NewOperator(f.W.Net(f.outside(40)), f.H, f.Cores()[0].Api())
 	_, err := operator.Submit(f.ctx, &api.Change{ID: "first", Whole: api.NewOptBool(true), Put: api.NewOptConfig(config)})
--- a/internal/fault/codes_gen.go
+++ b/internal/fault/codes_gen.go
@@ -43,6 +43,9 @@
 	UnknownKind     = Code{No: 4005, Name: "UnknownKind", Status: 400, Outcome: "", Text: "no such kind of message"}
 	BadProps        = Code{No: 5001, Name: "BadProps", Status: 400, Outcome: "", Text: "the settings are faulty"}
 	Internal        = Code{No: 5002, Name: "Internal", Status: 500, Outcome: "unknown", Text: "a fault of the program"}
+	OrderRan        = Code{No: 1016, Name: "OrderRan", Status: 409, Outcome: "ran", Text: "an order under this key ran already"}
+	OrderUnknown    = Code{No: 1017, Name: "OrderUnknown", Status: 409, Outcome: "unknown", Text: "an order under this key was handed over, and it is not known how it ended"}
+	OrderUnderWay   = Code{No: 1018, Name: "OrderUnderWay", Status: 409, Outcome: "unknown", Text: "an order under this key is under way"}
 )
 
 // Codes holds every code by its number.
@@ -87,4 +90,7 @@
 	4005: UnknownKind,
 	5001: BadProps,
 	5002: Internal,
+	1016: OrderRan,
+	1017: OrderUnknown,
+	1018: OrderUnderWay,
 }
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -27,6 +27,7 @@
 	isRepeatable bool
 	key          uint64
 	isRepeat     bool
+	claim        string
 }
 
 // table finds mappings by path, and knows the targets of the epoch.
@@ -133,6 +134,9 @@
 		return nil, fault.New(fault.NoTarget, "service of %s", m.Name)
 	}
 	c := &course{id: mark.NewID(), chart: t.chart, mapping: m, service: service, isRepeatable: m.Repeatable, key: keyOf(service.Name, r.Header.Get(HeaderOnce))}
+	if key := r.Header.Get(HeaderOnce); m.Once && key != "" {
+		c.claim = claimName(service.Name, key)
+	}
 	c.deadline = time.Now().Add(g.r.Props.GateDeadline)
 	if m.Deadline > 0 {
 		c.deadline = time.Now().Add(time.Duration(m.Deadline) * time.Millisecond)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -46,11 +46,14 @@
 	inflight atomic.Int64
 	isGoing  atomic.Bool
 	gossip   *gossip
+	settles  chan settled
+	bond     func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)
 	Outcomes sync.Map
 }
 
-func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin) *Gate {
-	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget()}
+func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), bond: bond, settles: make(chan settled, 4096)}
+	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := newTable(chart, g.table.Load())
@@ -103,7 +106,12 @@
 		return
 	}
 	defer done()
+	if err := g.claim(c); err != nil {
+		g.refuse(w, err)
+		return
+	}
 	got, err := g.carry(c, r)
+	g.settle(c, err)
 	if err != nil {
 		if c.key != 0 && fault.Of(err).Code.Outcome == "unknown" {
 			g.budget.Told(c.key)
@@ -396,7 +404,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderCode, strconv.Itoa(p.Code.No))
 	h.Set(HeaderOutcome, p.Code.Outcome)
-	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests {
+	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests || p.Code.No == fault.OrderUnderWay.No {
 		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(3)))
 	}
 	status := p.Code.Status
--- /dev/null
+++ b/internal/gate/once.go
@@ -0,0 +1,142 @@
+// Orders that must not run twice even if their callers repeat them: for mappings
+// that ask for it, an order with a caller's key is claimed in the replicated
+// state of its service's part before it is handed over. A repeat, through
+// whatever proxy, finds the claim and is told what became of the first. A claim
+// whose request was never written is given back; one whose proxy died stands,
+// and its order is told as unknown. It costs one replicated write before the
+// hand-over, and one, gathered with others, after it.
+package gate
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	claimTime   = 2 * time.Second
+	settlePause = 50 * time.Millisecond
+	settleMost  = 256
+)
+
+type settled struct {
+	name, request, state string
+}
+
+func claimName(service, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return service + "/once/" + hex.EncodeToString(sum[:16])
+}
+
+// claim asks for the order's key; without it nothing may be handed over.
+func (g *Gate) claim(c *course) error {
+	if c.claim == "" {
+		return nil
+	}
+	limit := time.Now().Add(claimTime)
+	if c.deadline.Before(limit) {
+		limit = c.deadline
+	}
+	ctx, end := context.WithDeadline(g.r, limit)
+	defer end()
+	receipt, err := g.bond(ctx, &wire.BondOp{Op: "claim", Name: c.claim, Holder: c.id, Id: "claim " + c.id})
+	if err != nil {
+		g.r.Go(func() { g.giveBack(c) })
+		return fault.New(fault.NoOwner, "the order can't be claimed: %v", err)
+	}
+	if receipt.Code == 0 {
+		return nil
+	}
+	var state string
+	json.Unmarshal(receipt.Value, &state)
+	switch state {
+	case "ran":
+		return fault.New(fault.OrderRan, "request %s", receipt.Holder)
+	case "unknown":
+		return fault.New(fault.OrderUnknown, "request %s", receipt.Holder)
+	}
+	return fault.New(fault.OrderUnderWay, "request %s", receipt.Holder)
+}
+
+// giveBack frees the key of an order of which nothing was written.
+func (g *Gate) giveBack(c *course) {
+	ctx, end := context.WithTimeout(g.r, 5*claimTime)
+	defer end()
+	for ctx.Err() == nil {
+		if _, err := g.bond(ctx, &wire.BondOp{Op: "unclaim", Name: c.claim, Holder: c.id}); err == nil {
+			return
+		}
+		g.r.Pause(100 * time.Millisecond)
+	}
+}
+
+// settle notes what became of a claimed order.
+func (g *Gate) settle(c *course, err error) {
+	if c.claim == "" {
+		return
+	}
+	state := "ran"
+	switch {
+	case err == nil:
+	case fault.Of(err).Code.Outcome == "not run":
+		g.r.Go(func() { g.giveBack(c) })
+		return
+	default:
+		state = "unknown"
+	}
+	select {
+	case g.settles <- settled{c.claim, c.id, state}:
+	default:
+	}
+}
+
+// settleAll writes what was settled, gathered by part.
+func (g *Gate) settleAll() {
+	for {
+		var batch []settled
+		select {
+		case <-g.r.Done():
+			return
+		case s := <-g.settles:
+			batch = append(batch, s)
+		}
+		if !g.r.Pause(settlePause) {
+			return
+		}
+		for isMore := true; isMore && len(batch) < settleMost; {
+			select {
+			case s := <-g.settles:
+				batch = append(batch, s)
+			default:
+				isMore = false
+			}
+		}
+		byPart := map[mark.Part]*wire.BondOp{}
+		for _, s := range batch {
+			no := mark.PartOf(s.name)
+			if byPart[no] == nil {
+				byPart[no] = &wire.BondOp{Op: "settle", Name: s.name}
+			}
+			value, _ := json.Marshal(s.state)
+			byPart[no].Records = append(byPart[no].Records, wire.BondRecord{Name: s.name, Holder: s.request, Value: value})
+		}
+		for _, op := range byPart {
+			g.r.Go(func() {
+				ctx, end := context.WithTimeout(g.r, 5*claimTime)
+				defer end()
+				for ctx.Err() == nil {
+					if _, err := g.bond(ctx, op); err == nil {
+						return
+					}
+					g.r.Pause(100 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -56,6 +56,7 @@
 	Repeatable bool          `json:"repeatable,omitempty"`
 	Repeat     bool          `json:"repeat,omitempty"`
 	Invalid    bool          `json:"invalid,omitempty"`
+	Once       bool          `json:"once,omitempty"`
 	Note       string        `json:"note,omitempty"`
 	Names      []string      `json:"names,omitempty"`
 	Op         string        `json:"op,omitempty"`
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -132,7 +132,7 @@
 func runsTwice(all []Record, fail func(time.Duration, string, ...any)) {
 	repeats := map[string]bool{}
 	for _, r := range of(all, Called) {
-		repeats[r.Call] = repeats[r.Call] || r.Repeat
+		repeats[r.Call] = repeats[r.Call] || r.Repeat && !r.Once
 	}
 	runs, requests := map[string]Record{}, map[string]Record{}
 	for _, r := range of(all, Ran) {
@@ -143,7 +143,7 @@
 			fail(r.At, "request %s of call %s ran at %s and at %s", r.Request, r.Call, first.Instance, r.Instance)
 		}
 		requests[r.Request] = r
-		if first, ok := runs[r.Call]; ok && (!repeats[r.Call] || r.Note == "once") {
+		if first, ok := runs[r.Call]; ok && !repeats[r.Call] {
 			fail(r.At, "call %s ran at %s and at %s", r.Call, first.Instance, r.Instance)
 		}
 		runs[r.Call] = r
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -101,17 +101,18 @@
 		rule   string
 		faults []Record
 	}{
-		"a refused change in force":       {"racing-changes", []Record{{Kind: InForce, At: 26 * s, Names: []string{"c2"}}}},
-		"an invalid change accepted":      {"racing-changes", []Record{{Kind: Changed, At: 8 * s, Name: "c8", Base: 5, Epoch: 6, Outcome: "accepted", Invalid: true}}},
-		"absent, then accepted":           {"racing-changes", []Record{{Kind: Asked, Start: 25 * s, At: 25*s + 9, Name: "c9", Outcome: "absent"}, {Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c9", Outcome: "accepted", Epoch: 9}}},
-		"a fence that shrinks":            {"locks", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "acquire", Name: "l", Holder: "h4", Fence: 3, Ttl: s, Outcome: "done"}}},
-		"a count that goes backward":      {"counters", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "add", Name: "n", Count: 0, Outcome: "done"}}},
-		"a young event told too old":      {"watch-gap", []Record{{Kind: Watched, Start: 20 * s, At: 20*s + 9, Name: "k", From: 15, Outcome: "too old"}}},
-		"never usable":                    {"too-long", []Record{{Kind: Rescue, Start: 20 * s, At: 21 * s, Outcome: "not usable"}}},
-		"a request by a silent server":    {"late-hand-over", []Record{{Kind: Silent, At: 3 * s, Service: "bookings", Instance: "i7"}, {Kind: Ran, At: 6*s + s, Call: "c", Request: "rc", Service: "bookings", Owner: "bookings", Instance: "i7", Epoch: 9}}},
-		"one request handed over again":   {"runs-twice", []Record{{Kind: Ran, At: 2 * s, Call: "q", Request: "ra", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3}}},
-		"a success of another's body":     {"wrong-answer", []Record{{Kind: Called, At: 3 * s, Call: "a", Status: 200, Outcome: "ran", Digest: "d", Note: "wrong answer"}}},
-		"a broken call in a planned stop": {"dropped", []Record{{Kind: Harmless, At: 2}, {Kind: Called, At: 3 * s, Call: "a", Outcome: "broken"}}},
+		"a refused change in force":             {"racing-changes", []Record{{Kind: InForce, At: 26 * s, Names: []string{"c2"}}}},
+		"a repeated order that was to run once": {"runs-twice", []Record{{Kind: Called, At: 3 * s, Call: "a", Repeat: true, Once: true, Status: 409, Code: 1016, Outcome: "ran"}, {Kind: Ran, At: 3 * s, Call: "a", Request: "rx", Proxy: "p", Service: "bookings", Owner: "bookings", Instance: "i1", Epoch: 3}}},
+		"an invalid change accepted":            {"racing-changes", []Record{{Kind: Changed, At: 8 * s, Name: "c8", Base: 5, Epoch: 6, Outcome: "accepted", Invalid: true}}},
+		"absent, then accepted":                 {"racing-changes", []Record{{Kind: Asked, Start: 25 * s, At: 25*s + 9, Name: "c9", Outcome: "absent"}, {Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c9", Outcome: "accepted", Epoch: 9}}},
+		"a fence that shrinks":                  {"locks", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "acquire", Name: "l", Holder: "h4", Fence: 3, Ttl: s, Outcome: "done"}}},
+		"a count that goes backward":            {"counters", []Record{{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "add", Name: "n", Count: 0, Outcome: "done"}}},
+		"a young event told too old":            {"watch-gap", []Record{{Kind: Watched, Start: 20 * s, At: 20*s + 9, Name: "k", From: 15, Outcome: "too old"}}},
+		"never usable":                          {"too-long", []Record{{Kind: Rescue, Start: 20 * s, At: 21 * s, Outcome: "not usable"}}},
+		"a request by a silent server":          {"late-hand-over", []Record{{Kind: Silent, At: 3 * s, Service: "bookings", Instance: "i7"}, {Kind: Ran, At: 6*s + s, Call: "c", Request: "rc", Service: "bookings", Owner: "bookings", Instance: "i7", Epoch: 9}}},
+		"one request handed over again":         {"runs-twice", []Record{{Kind: Ran, At: 2 * s, Call: "q", Request: "ra", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3}}},
+		"a success of another's body":           {"wrong-answer", []Record{{Kind: Called, At: 3 * s, Call: "a", Status: 200, Outcome: "ran", Digest: "d", Note: "wrong answer"}}},
+		"a broken call in a planned stop":       {"dropped", []Record{{Kind: Harmless, At: 2}, {Kind: Called, At: 3 * s, Call: "a", Outcome: "broken"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := Judge(append(sound(), c.faults...))
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -76,7 +76,11 @@
 	}
 	if p.GateAddress != "" {
 		n.Flow = flow.NewClient(r, n.Wire, n.Kin)
-		n.Gate = gate.New(r, n.Flow, n.Wire, n.Kin)
+		n.Gate = gate.New(r, n.Flow, n.Wire, n.Kin, func(ctx context.Context, call *wire.BondOp) (*wire.BondReceipt, error) {
+			var receipt wire.BondReceipt
+			err := n.pass(ctx, op{mark.PartOf(call.Name), "bond", call}, 0, &receipt)
+			return &receipt, err
+		})
 	}
 	n.Wire.Handle("seat.pass", n.passed)
 	if err := n.Wire.Open(); err != nil {
--- a/internal/sham/caller.go
+++ b/internal/sham/caller.go
@@ -29,6 +29,7 @@
 // Caller sends requests to proxies.
 type Caller struct {
 	H      *judge.History
+	Once   bool // its orders go to mappings that never run one twice
 	client *http.Client
 }
 
@@ -47,7 +48,7 @@
 
 // Repeat sends a request under a call number given.
 func (c *Caller) Repeat(ctx context.Context, proxy, method, path, service string, body []byte, call string, isRepeat bool) judge.Record {
-	r := judge.Record{Kind: judge.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Digest: Digest(body)}
+	r := judge.Record{Kind: judge.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Once: c.Once, Digest: Digest(body)}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+proxy+path, nil)
 	if err != nil {
 		return r
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -282,18 +282,19 @@
 
 // BondOp is one call on the coordination state.
 type BondOp struct {
-	Id     string          `json:"id,omitempty"`
-	Op     string          `json:"op"`
-	Name   string          `json:"name"`
-	Value  json.RawMessage `json:"value,omitempty"`
-	If     *mark.Stamp     `json:"if,omitempty"`
-	Delta  int64           `json:"delta,omitempty"`
-	Holder string          `json:"holder,omitempty"`
-	Ttl    int64           `json:"ttl,omitempty"`
-	Fence  mark.Stamp      `json:"fence,omitempty"`
-	From   mark.Stamp      `json:"from,omitempty"`
-	Hold   int64           `json:"hold,omitempty"`
-	Seq    uint64          `json:"seq,omitempty"`
+	Id      string          `json:"id,omitempty"`
+	Op      string          `json:"op"`
+	Name    string          `json:"name"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	If      *mark.Stamp     `json:"if,omitempty"`
+	Delta   int64           `json:"delta,omitempty"`
+	Holder  string          `json:"holder,omitempty"`
+	Ttl     int64           `json:"ttl,omitempty"`
+	Fence   mark.Stamp      `json:"fence,omitempty"`
+	From    mark.Stamp      `json:"from,omitempty"`
+	Hold    int64           `json:"hold,omitempty"`
+	Seq     uint64          `json:"seq,omitempty"`
+	Records []BondRecord    `json:"records,omitempty"`
 }
 
 // BondReceipt is the receipt of such a call; the code is zero when it was done.
