Pulses tell the age of the last round instead of asking for one each

The age of the last round is just as true. Also: receipts are counted by zone (connections go out from the node's own address), a harness run of both deployments with costs, and profiles.

--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -91,7 +91,7 @@
 			return fault.New(fault.BadProps, "data.folder: %v", err)
 		}
 	}
-	r := realm.New(ctx, p, sign.New(out, p.LogLevel, p.Name), realm.Host())
+	r := realm.New(ctx, p, sign.New(out, p.LogLevel, p.Name), realm.Host(p.WireAddress))
 	node, err := seat.Start(r)
 	if err != nil {
 		r.End()
--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -29,6 +29,15 @@
 					return fleet.Smoke(ctx, cmd.String("sumac"), folder, os.Stdout)
 				})
 			}},
+			{Name: "run", Usage: "run a whole deployment under load, with faults drawn from a seed", Flags: []cli.Flag{binary, folder,
+				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
+				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
+				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
+				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the faults are drawn from"},
+				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, stop, server or all"},
+				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
+				&cli.StringFlag{Name: "history", Usage: "file to record the history in, for sumac judge"},
+			}, Action: deployment},
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
@@ -37,6 +46,28 @@
 	}
 }
 
+func deployment(ctx context.Context, cmd *cli.Command) error {
+	shape, err := fleet.ShapeOf(cmd.String("shape"))
+	if err != nil {
+		return err
+	}
+	run := &fleet.Run{Factor: cmd.Float("factor"), Seconds: cmd.Int("seconds"), Seed: cmd.Uint64("seed"), Fault: cmd.String("faults"), Mapped: cmd.Int("mappings")}
+	if run.Factor <= 0 || run.Factor > 1 || run.Seconds < 1 || run.Seconds > 3600 {
+		return fmt.Errorf("the factor must be above 0 and at most 1, the seconds 1 to 3600")
+	}
+	if path := cmd.String("history"); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		run.History = file
+	}
+	return inFolder(cmd, func(folder string) error {
+		return run.Go(ctx, cmd.String("sumac"), folder, shape, os.Stdout)
+	})
+}
+
 // inFolder keeps the folder only when the run failed, or when it was named.
 func inFolder(cmd *cli.Command, run func(folder string) error) error {
 	folder := cmd.String("folder")
--- a/internal/dream/load.go
+++ b/internal/dream/load.go
@@ -176,6 +176,11 @@
 	for k := range 3 {
 		from := uint64(0)
 		f.task(func(r *rand.Rand) { f.watchOnce(r, clients[r.IntN(len(clients))], fmt.Sprint("key", k), &from) })
+		lazily := uint64(0)
+		f.task(func(r *rand.Rand) {
+			f.watchOnce(r, clients[r.IntN(len(clients))], fmt.Sprint("key", k), &lazily)
+			pause(r, 5*time.Second)
+		})
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,383 @@
+// A run of a whole deployment as real processes: load at the shape's rates
+// times a factor, faults drawn from a seed, a history judged at the end, and
+// the costs: processor time by role, bytes between zones by cause, syncs.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// Run is one.
+type Run struct {
+	Factor  float64
+	Seconds int
+	Seed    uint64
+	Fault   string
+	Mapped  int
+	History io.Writer
+
+	f       *Fleet
+	shape   Shape
+	ctx     context.Context
+	h       *judge.History
+	out     io.Writer
+	began   time.Time
+	mu      sync.Mutex
+	servers []*sham.Server
+	calls   atomic.Int64
+	bonds   atomic.Int64
+	spent   map[string]time.Duration
+	lives   map[string]int
+}
+
+func (r *Run) say(format string, args ...any) {
+	fmt.Fprintf(r.out, "%7.2fs %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (r *Run) nap(rnd *rand.Rand, least, most int) {
+	time.Sleep(time.Duration(least+rnd.IntN(most-least)) * time.Millisecond)
+}
+
+func (r *Run) start(m *Machine) {
+	if err := m.Start(); err != nil {
+		r.say("%s can't start: %v", m.Name, err)
+	}
+}
+
+func (r *Run) serve(service, address, zone string) {
+	nodes := r.f.Apis()
+	for _, m := range r.f.ProxyMachines() {
+		nodes = append(nodes, m.Api())
+	}
+	s := &sham.Server{Net: realm.Host(""), H: r.h, Service: service, Zone: zone, Address: address, Key: "key-" + service, Nodes: nodes}
+	if err := s.Start(r.ctx); err != nil {
+		r.say("%s at %s: %v", service, address, err)
+		return
+	}
+	r.mu.Lock()
+	r.servers = append(r.servers, s)
+	r.mu.Unlock()
+}
+
+func (r *Run) takeServer(rnd *rand.Rand) *sham.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := rnd.IntN(len(r.servers))
+	s := r.servers[i]
+	r.servers = append(r.servers[:i], r.servers[i+1:]...)
+	return s
+}
+
+// Go carries the run out.
+func (r *Run) Go(ctx context.Context, binary, folder string, shape Shape, out io.Writer) error {
+	hurt, ok := Faults[r.Fault]
+	if !ok {
+		return fault.New(fault.BadCall, "no fault %q", r.Fault)
+	}
+	port, err := FreePort()
+	if err != nil {
+		return err
+	}
+	r.shape, r.ctx, r.out, r.began = shape, ctx, out, time.Now()
+	r.f = New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
+	r.h = judge.New(r.History)
+	r.spent = map[string]time.Duration{}
+	r.say("shape %s, rates times %.2f, %d s, seed %d, faults %s", shape.Name, r.Factor, r.Seconds, r.Seed, r.Fault)
+	r.h.Add(judge.Record{Kind: judge.Began, Note: shape.Name})
+	defer r.f.KillAll()
+	if err := r.f.StartAll(); err != nil {
+		return err
+	}
+	services := map[string]bool{}
+	for _, l := range shape.Loads {
+		services[l.Service] = l.IsRepeatable
+		for i := range l.Servers {
+			zone := i % shape.Zones
+			r.serve(l.Service, fmt.Sprintf("127.8.%d.%d:%d", len(services), i+1, port), fmt.Sprintf("zone%d", zone+1))
+		}
+	}
+	defer func() {
+		for _, s := range r.servers {
+			s.Close()
+		}
+	}()
+	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
+	first := FirstChange("first", services)
+	for i := range r.Mapped {
+		first.Put.Value.Mappings = append(first.Put.Value.Mappings, api.Mapping{Name: fmt.Sprint("more", i), Path: fmt.Sprint("/more/", i), To: []api.Split{{Service: shape.Loads[0].Service, Weight: 1}}})
+	}
+	if err := Until(ctx, 30*time.Second, func() bool { _, err := operator.Submit(ctx, first); return err == nil }); err != nil {
+		return fault.New(fault.Internal, "the first change set was not accepted")
+	}
+	wait, end := context.WithTimeout(ctx, 30*time.Second)
+	err = r.f.AwaitReady(wait)
+	end()
+	if err != nil {
+		return err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	r.say("the fleet is ready")
+	before, traffic := r.cpu(), r.traffic()
+	loading, stop := context.WithCancel(ctx)
+	var loads sync.WaitGroup
+	r.load(loading, &loads)
+	rnd := rand.New(rand.NewPCG(r.Seed, 5))
+	began := time.Now()
+	for time.Since(began) < time.Duration(r.Seconds)*time.Second && ctx.Err() == nil {
+		hurt(r, rnd)
+	}
+	took := time.Since(began)
+	after, later := r.cpu(), r.traffic()
+	stop()
+	loads.Wait()
+	if r.Fault != "none" {
+		r.rescue()
+	}
+	r.ask(operator)
+	r.h.Add(judge.Record{Kind: judge.Ended})
+	verdict := judge.Judge(r.h.Records())
+	fmt.Fprint(out, verdict)
+	if r.Fault == "none" {
+		r.costs(took, before, after, traffic, later)
+	}
+	if !verdict.IsClean() {
+		return fault.New(fault.Internal, "the history breaks a rule")
+	}
+	return nil
+}
+
+// load starts callers at the shape's rates, spread over the proxies, and
+// applications over all nodes. Every loop is bounded by the run.
+func (r *Run) load(ctx context.Context, loads *sync.WaitGroup) {
+	proxies := r.f.ProxyMachines()
+	for _, l := range r.shape.Loads {
+		tasks := 1 + int(l.PerSecond*r.Factor/20)
+		pause := time.Duration(float64(tasks) / (l.PerSecond * r.Factor) * float64(time.Second))
+		body := []byte(strings.Repeat("x", l.Bytes))
+		for range tasks {
+			loads.Add(1)
+			go func() {
+				defer loads.Done()
+				caller := sham.NewCaller(realm.Host(""), r.h)
+				defer caller.Close()
+				tick := time.NewTicker(pause)
+				defer tick.Stop()
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-tick.C:
+					}
+					r.calls.Add(1)
+					proxy := proxies[rand.IntN(len(proxies))].Gate()
+					if l.IsRepeatable {
+						caller.Call(context.Background(), proxy, "GET", "/"+l.Service+"/x", l.Service, nil)
+						continue
+					}
+					call := mark.NewID()
+					got := caller.Repeat(context.Background(), proxy, "POST", "/"+l.Service, l.Service, body, call, false)
+					for try := 0; try < 5 && got.Outcome != "ran" && rand.Float64() < r.shape.Impatient; try++ {
+						got = caller.Repeat(context.Background(), proxies[rand.IntN(len(proxies))].Gate(), "POST", "/"+l.Service, l.Service, body, call, true)
+					}
+				}
+			}()
+		}
+	}
+	rate := r.shape.CallsPerSecond * r.Factor
+	tasks := 1 + int(rate/10)
+	for i := range tasks {
+		loads.Add(1)
+		go func() {
+			defer loads.Done()
+			tick := time.NewTicker(time.Duration(float64(tasks) / rate * float64(time.Second)))
+			defer tick.Stop()
+			var clients []*api.Client
+			for _, m := range r.f.Machines {
+				clients = append(clients, sham.Client(realm.Host(""), m.Api()))
+			}
+			for n := 0; ; n++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+				r.bonds.Add(1)
+				r.bondOnce(clients[rand.IntN(len(clients))], fmt.Sprint("app", i), n)
+			}
+		}()
+	}
+}
+
+// bondOnce is one coordination call, recorded for the judge.
+func (r *Run) bondOnce(client *api.Client, app string, n int) {
+	ctx, end := context.WithTimeout(context.Background(), 4*time.Second)
+	defer end()
+	rec := judge.Record{Kind: judge.Bonded, Start: r.h.Now(), Outcome: "done"}
+	var receipt *api.Receipt
+	var err error
+	switch n % 3 {
+	case 0:
+		rec.Op, rec.Name = "add", "count/"+app
+		receipt, err = client.AddCounter(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(mark.NewID())})
+	case 1:
+		rec.Op, rec.Name = "put", fmt.Sprint("key", n%5)
+		receipt, err = client.PutKey(ctx, &api.Call{Name: rec.Name, Value: jx.Raw("1"), ID: api.NewOptString(mark.NewID())})
+	default:
+		rec.Op, rec.Name = "get", fmt.Sprint("key", n%5)
+		receipt, err = client.GetKey(ctx, api.GetKeyParams{Name: rec.Name})
+	}
+	rec.Code = sham.CodeOf(err)
+	switch {
+	case err == nil:
+		rec.Stamp, rec.Count = receipt.Stamp, receipt.Count.Or(0)
+	case rec.Op == "get" && rec.Code == fault.NoKey.No:
+	default:
+		rec.Outcome = "unknown"
+	}
+	r.h.Add(rec)
+}
+
+// rescue brings all machines back and takes the time until all serve.
+func (r *Run) rescue() {
+	for _, m := range r.f.Machines {
+		m.Thaw()
+		if !m.IsUp() {
+			r.start(m)
+		}
+	}
+	back := r.h.Now()
+	caller := sham.NewCaller(realm.Host(""), r.h)
+	defer caller.Close()
+	rec := judge.Record{Kind: judge.Rescue, Start: back, Outcome: "usable"}
+	for _, m := range r.f.ProxyMachines() {
+		for _, l := range r.shape.Loads {
+			if Until(r.ctx, 30*time.Second, func() bool {
+				return caller.Call(r.ctx, m.Gate(), "GET", "/"+l.Service+"/x", l.Service, nil).Outcome == "ran"
+			}) != nil {
+				rec.Outcome = "not usable"
+			}
+		}
+	}
+	r.h.Add(rec)
+	r.say("usable again %s after the last machine was back", (r.h.Now() - back).Round(10*time.Millisecond))
+}
+
+func (r *Run) ask(operator *sham.Operator) {
+	Until(r.ctx, 10*time.Second, func() bool { _, err := operator.Ask(r.ctx, "first"); return err == nil })
+	if view, err := operator.Epoch(r.ctx); err == nil {
+		rec := judge.Record{Kind: judge.InForce, Epoch: view.Epoch}
+		for _, m := range view.Config.Mappings {
+			rec.Names = append(rec.Names, m.Name)
+		}
+		r.h.Add(rec)
+	}
+}
+
+// cpu is the processor time spent so far, by role.
+func (r *Run) cpu() map[string]time.Duration {
+	sum := map[string]time.Duration{}
+	for _, m := range r.f.Machines {
+		if !m.IsUp() {
+			continue
+		}
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.Pid()))
+		if err != nil {
+			continue
+		}
+		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+		user, _ := strconv.Atoi(fields[11])
+		system, _ := strconv.Atoi(fields[12])
+		role := "proxy"
+		if m.IsCore {
+			role = "core"
+		}
+		sum[role] += time.Duration(user+system) * 10 * time.Millisecond
+	}
+	return sum
+}
+
+// traffic is messages and bytes sent so far, by kind, and syncs.
+func (r *Run) traffic() map[string][2]int64 {
+	sum := map[string][2]int64{}
+	for _, m := range r.f.Machines {
+		client, err := api.NewClient("http://" + m.Api())
+		if err != nil {
+			continue
+		}
+		ctx, end := context.WithTimeout(r.ctx, 2*time.Second)
+		for _, what := range []api.ShowWhat{api.ShowWhatTraffic, api.ShowWhatCounts} {
+			rows, err := client.Show(ctx, api.ShowParams{What: what})
+			if err != nil {
+				continue
+			}
+			for _, row := range rows.Rows {
+				if what == api.ShowWhatCounts && row[0] != "syncs" {
+					continue
+				}
+				n, _ := strconv.ParseInt(row[1], 10, 64)
+				bytes := int64(0)
+				if len(row) > 2 {
+					bytes, _ = strconv.ParseInt(row[2], 10, 64)
+				}
+				old := sum[row[0]]
+				sum[row[0]] = [2]int64{old[0] + n, old[1] + bytes}
+			}
+		}
+		end()
+	}
+	return sum
+}
+
+func (r *Run) costs(took time.Duration, before, after map[string]time.Duration, traffic, later map[string][2]int64) {
+	calls, bonds := float64(r.calls.Load()), float64(r.bonds.Load())
+	seconds := took.Seconds()
+	fmt.Fprintf(r.out, "\nover %.1f s: %.0f requests (%.1f/s), %.0f coordination calls (%.1f/s)\n", seconds, calls, calls/seconds, bonds, bonds/seconds)
+	for _, role := range []string{"proxy", "core"} {
+		spent := after[role] - before[role]
+		fmt.Fprintf(r.out, "processor time, %s nodes: %s, %.1f ms/s in all, %.3f ms per request\n", role, spent, float64(spent.Milliseconds())/seconds, float64(spent.Microseconds())/1000/calls)
+	}
+	type row struct {
+		kind  string
+		n, by int64
+	}
+	var rows []row
+	total, between := int64(0), int64(0)
+	for kind, now := range later {
+		was := traffic[kind]
+		if kind == "syncs" {
+			fmt.Fprintf(r.out, "syncs: %.1f/s over all core nodes\n", float64(now[0]-was[0])/seconds)
+			continue
+		}
+		rows = append(rows, row{kind, now[0] - was[0], now[1] - was[1]})
+		total += now[1] - was[1]
+		if strings.HasSuffix(kind, " between") {
+			between += now[1] - was[1]
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].by > rows[j].by })
+	fmt.Fprintf(r.out, "bytes between processes: %.0f/s, between zones: %.0f/s\n", float64(total)/seconds, float64(between)/seconds)
+	for _, w := range rows {
+		if w.n > 0 {
+			fmt.Fprintf(r.out, "  %-32s %9.1f messages/s %12.0f bytes/s\n", w.kind, float64(w.n)/seconds, float64(w.by)/seconds)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/shape.go
@@ -0,0 +1,151 @@
+// The two deployments, as shapes: machines, zones, servers and rates of today.
+// A run scales the rates by a factor that it prints.
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+// Load is one service with its servers and its callers.
+type Load struct {
+	Service      string
+	Servers      int
+	PerSecond    float64
+	IsRepeatable bool
+	Bytes        int
+}
+
+// Shape is a deployment.
+type Shape struct {
+	Name                  string
+	Cores, Proxies, Zones int
+	Loads                 []Load
+	CallsPerSecond        float64
+	// Impatient is the share of callers that repeat a refused order at once.
+	Impatient float64
+}
+
+// Shapes is both deployments, and a small one.
+var Shapes = map[string]Shape{
+	"quoteline": {Name: "quoteline", Cores: 5, Proxies: 9, Zones: 3, CallsPerSecond: 40, Loads: []Load{
+		{"rates", 12, 200, true, 0}, {"bookings", 6, 65, false, 400}, {"slots", 10, 70, true, 0}}},
+	"municipality": {Name: "municipality", Cores: 3, Proxies: 12, Zones: 3, CallsPerSecond: 110, Impatient: 0.2, Loads: []Load{
+		{"status", 21, 570, true, 0}, {"signing", 12, 260, false, 600}, {"uploads", 6, 60, false, 256 << 10}}},
+	"small": {Name: "small", Cores: 3, Proxies: 2, Zones: 3, CallsPerSecond: 20, Loads: []Load{
+		{"rates", 3, 50, true, 0}, {"bookings", 3, 20, false, 400}}},
+}
+
+// ShapeOf finds a shape, or refuses.
+func ShapeOf(name string) (Shape, error) {
+	s, ok := Shapes[name]
+	if !ok {
+		var names []string
+		for name := range Shapes {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		return s, fault.New(fault.BadCall, "no shape %q; there are %v", name, names)
+	}
+	return s, nil
+}
+
+// Faults is what can be done to a fleet of real processes while it works.
+var Faults = map[string]func(r *Run, rnd *rand.Rand){
+	"none":   func(r *Run, rnd *rand.Rand) { r.nap(rnd, 1000, 1001) },
+	"kill":   killOne,
+	"herd":   killHerd,
+	"wipe":   wipeOne,
+	"freeze": freezeOne,
+	"stop":   stopOne,
+	"server": serverGoes,
+	"all": func(r *Run, rnd *rand.Rand) {
+		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, freezeOne, stopOne, serverGoes, serverGoes}
+		all[rnd.IntN(len(all))](r, rnd)
+	},
+}
+
+func (r *Run) pick(rnd *rand.Rand, list []*Machine) *Machine { return list[rnd.IntN(len(list))] }
+
+func killOne(r *Run, rnd *rand.Rand) {
+	m := r.pick(rnd, r.f.Machines)
+	r.say("kill %s", m.Name)
+	m.Kill()
+	r.nap(rnd, 0, 3000)
+	r.start(m)
+	r.nap(rnd, 1000, 4000)
+}
+
+func killHerd(r *Run, rnd *rand.Rand) {
+	herd := r.f.CoreMachines()
+	if rnd.IntN(2) == 0 {
+		herd = r.f.ProxyMachines()
+	}
+	for _, m := range herd {
+		r.say("kill %s", m.Name)
+		m.Kill()
+	}
+	r.nap(rnd, 0, 2000)
+	for _, m := range herd {
+		r.start(m)
+	}
+	r.nap(rnd, 3000, 6000)
+}
+
+// wipeOne waits long enough for the copies to be mended before the next fault.
+func wipeOne(r *Run, rnd *rand.Rand) {
+	m := r.pick(rnd, r.f.CoreMachines())
+	r.say("%s is lost with its disk", m.Name)
+	m.Kill()
+	if err := m.Wipe(); err != nil {
+		r.say("wipe: %v", err)
+	}
+	r.nap(rnd, 0, 2000)
+	r.start(m)
+	r.nap(rnd, 6000, 8000)
+}
+
+func freezeOne(r *Run, rnd *rand.Rand) {
+	m := r.pick(rnd, r.f.Machines)
+	r.say("freeze %s", m.Name)
+	m.Freeze()
+	r.nap(rnd, 300, 5000)
+	m.Thaw()
+	r.say("thaw %s", m.Name)
+	r.nap(rnd, 1000, 4000)
+}
+
+func stopOne(r *Run, rnd *rand.Rand) {
+	m := r.pick(rnd, r.f.Machines)
+	r.say("stop %s as planned", m.Name)
+	if !m.Stop() {
+		r.say("%s did not stop in time", m.Name)
+	}
+	r.start(m)
+	r.nap(rnd, 1000, 4000)
+}
+
+// serverGoes drains a server, or crashes it and gives its address to another
+// service two seconds later.
+func serverGoes(r *Run, rnd *rand.Rand) {
+	s := r.takeServer(rnd)
+	if rnd.IntN(2) == 0 {
+		r.say("%s %s drains", s.Service, s.Instance)
+		if s.Say(r.ctx, "draining") {
+			r.nap(rnd, 2500, 2501)
+			s.Say(r.ctx, "leaving")
+		}
+		s.Close()
+		r.serve(s.Service, s.Address, s.Zone)
+		return
+	}
+	other := r.shape.Loads[rnd.IntN(len(r.shape.Loads))].Service
+	r.say("%s %s crashes; %s takes %s after two seconds", s.Service, s.Instance, other, s.Address)
+	s.Vanish()
+	r.nap(rnd, 2000, 2001)
+	r.serve(other, s.Address, s.Zone)
+	r.serve(s.Service, fmt.Sprintf("127.9.%d.%d:%d", rnd.IntN(200), 1+rnd.IntN(200), r.f.Port), s.Zone)
+}
--- a/internal/fleet/smoke.go
+++ b/internal/fleet/smoke.go
@@ -46,7 +46,7 @@
 	}
 	h := judge.New(nil)
 	h.Add(judge.Record{Kind: judge.Began, Note: "smoke"})
-	host := realm.Host()
+	host := realm.Host("")
 	services := map[string]bool{"rates": true, "bookings": false}
 	for name := range services {
 		for i := range 3 {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -118,7 +118,7 @@
 // the time that passed since this node asked.
 func (s *Server) pulse(ctx context.Context) (*wire.PulseReceipt, error) {
 	if s.p.Part(mark.Config).IsServing() {
-		return s.planner.Pulse(ctx)
+		return s.planner.Pulse()
 	}
 	s.mu.Lock()
 	mine := s.waiting
@@ -186,5 +186,5 @@
 
 // HandleOwner answers other control nodes, at the owner only.
 func (s *Server) HandleOwner() {
-	s.w.Handle("flow.owner", func(c *wire.Call) (any, error) { return s.planner.Pulse(c) })
+	s.w.Handle("flow.owner", func(c *wire.Call) (any, error) { return s.planner.Pulse() })
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -46,13 +46,14 @@
 	inflight atomic.Int64
 	isGoing  atomic.Bool
 	gossip   *gossip
+	wire     *wire.Wire
 	settles  chan settled
 	bond     func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)
 	Outcomes sync.Map
 }
 
 func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
-	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), bond: bond, settles: make(chan settled, 4096)}
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
@@ -284,6 +285,7 @@
 			p.kill()
 			return nil, true, err
 		}
+		g.count(target, counted.n+len(got.body))
 		p.conn.SetDeadline(time.Time{})
 		g.pool.put(at, p)
 		return &got, true, nil
@@ -293,6 +295,15 @@
 	}
 }
 
+// count notes the bytes of a try, without the answer's head.
+func (g *Gate) count(target wire.Target, bytes int) {
+	kind := "gate.try"
+	if target.Zone != g.r.Props.Zone {
+		kind += " between"
+	}
+	g.wire.Count(kind, "", bytes)
+}
+
 // counted knows whether a first byte was written.
 type counted struct {
 	to io.Writer
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -48,6 +48,7 @@
 	acks    map[uint64]chan struct{}
 	order   []mark.Name
 	view    atomic.Pointer[map[mark.Name]Standing]
+	zones   atomic.Pointer[map[string]string]
 }
 
 // Standing is a member and since when it stands as it does.
@@ -85,6 +86,20 @@
 	return nil
 }
 
+func hostOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
+// IsNear tells whether an address belongs to a machine of the own zone; one
+// that belongs to no member does.
+func (k *Kin) IsNear(address string) bool {
+	zone, ok := (*k.zones.Load())[hostOf(address)]
+	return !ok || zone == k.r.Props.Zone
+}
+
 // Me is how this node shows itself.
 func (k *Kin) Me() wire.Member {
 	k.mu.Lock()
@@ -156,6 +171,11 @@
 	}
 	view[k.me.Name] = Standing{k.me, time.Time{}}
 	k.view.Store(&view)
+	zones := make(map[string]string, len(view))
+	for _, m := range view {
+		zones[hostOf(m.Wire)] = m.Zone
+	}
+	k.zones.Store(&zones)
 }
 
 func rank(state string) int {
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return
 	}
-	k.w.Count("kin.probe", len(raw)+1)
+	k.w.Count("kin.probe", address, len(raw)+1)
 	k.conn.WriteTo(append(raw, '\n'), net.UDPAddrFromAddrPort(to))
 }
 
--- a/internal/lore/lore_test.go
+++ b/internal/lore/lore_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	var log bytes.Buffer
 	p := &props.Props{Name: "n", DataFolder: folder, LogLevel: "info"}
-	r := realm.New(context.Background(), p, sign.New(&log, "info", "n"), realm.Host())
+	r := realm.New(context.Background(), p, sign.New(&log, "info", "n"), realm.Host(""))
 	l, err := Open(r)
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +120,7 @@
 	defer r.End()
 	put(t, l, 1)
 	var log bytes.Buffer
-	second := realm.New(context.Background(), r.Props, sign.New(&log, "info", "n"), realm.Host())
+	second := realm.New(context.Background(), r.Props, sign.New(&log, "info", "n"), realm.Host(""))
 	defer second.End()
 	if _, err := Open(second); err == nil {
 		t.Fatal("two processes have one folder")
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -350,12 +350,14 @@
 	return l.ledger.Sheet().View(), nil
 }
 
-// Pulse tells the epoch in force and the ages of what it reflects.
-func (l *Planner) Pulse(ctx context.Context) (*wire.PulseReceipt, error) {
-	began := time.Now()
-	if err := l.part.Confirm(ctx, began); err != nil {
-		return nil, err
+// Pulse tells the epoch in force and the ages of what it reflects. It asks for
+// no round of its own: the age of the last one is told, and is what counts.
+func (l *Planner) Pulse() (*wire.PulseReceipt, error) {
+	age, isServing := l.part.Age()
+	if !isServing {
+		return nil, fault.New(fault.NotOwner, "configuration part")
 	}
+	began := time.Now()
 	term, _, _ := l.part.Serving()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -367,6 +369,6 @@
 		}
 	}
 	receipt.Epoch = l.ledger.Sheet().Epoch
-	receipt.Age = time.Since(began).Microseconds() + 1
+	receipt.Age = (age + time.Since(began)).Microseconds() + 1
 	return receipt, nil
 }
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -40,6 +40,7 @@
 	GateConnect  time.Duration // time for a connection to a target
 	WireLine     int           // longest message between processes, in bytes
 	StopGrace    time.Duration // time for a planned stop
+	DebugAddress string        // address for profiles (pprof); none if empty; keep it inside
 }
 
 var table = []entry{
@@ -77,4 +78,5 @@
 	{key: "gate.connect", kind: "duration", fallback: "500ms", low: "10ms", high: "10s", doc: "time for a connection to a target", set: func(p *Props, v any) { p.GateConnect = v.(time.Duration) }},
 	{key: "wire.line", kind: "int", fallback: "33554432", low: "65536", high: "1073741824", doc: "longest message between processes, in bytes", set: func(p *Props, v any) { p.WireLine = v.(int) }},
 	{key: "stop.grace", kind: "duration", fallback: "5s", low: "100ms", high: "60s", doc: "time for a planned stop", set: func(p *Props, v any) { p.StopGrace = v.(time.Duration) }},
+	{key: "debug.address", kind: "address", fallback: "", low: "", high: "", doc: "address for profiles (pprof); none if empty; keep it inside", set: func(p *Props, v any) { p.DebugAddress = v.(string) }},
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -79,9 +80,13 @@
 	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
 }
 
-// Host is the real network and disk.
-func Host() Net {
+// Host is the real network and disk; connections go out from the IP number of
+// the address given, if there is one.
+func Host(from string) Net {
 	var dialer net.Dialer
+	if ap, err := netip.ParseAddrPort(from); err == nil && !ap.Addr().IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
+	}
 	return Net{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,7 @@
 		}
 	}
 	n.Kin = kin.New(r, n.Wire, me)
+	n.Wire.IsNear = n.Kin.IsNear
 	if me.Core {
 		if err := n.openCore(); err != nil {
 			return nil, err
@@ -97,6 +99,14 @@
 	if err := n.serveApi(); err != nil {
 		return nil, err
 	}
+	if p.DebugAddress != "" {
+		profiles := http.NewServeMux()
+		profiles.HandleFunc("/debug/pprof/", pprof.Index)
+		profiles.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		if err := n.serve(p.DebugAddress, "debug.address", profiles); err != nil {
+			return nil, err
+		}
+	}
 	if n.Gate != nil {
 		n.Flow.Open()
 		if err := n.serve(p.GateAddress, "gate.address", n.Gate); err != nil {
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -135,7 +135,7 @@
 		return nil, fault.New(fault.Internal, "%v", err)
 	}
 	sent := time.Now()
-	p.w.count(frame.Kind, len(raw)+1)
+	p.w.count(frame.Kind, p.address, len(raw)+1)
 	p.writing.Lock()
 	p.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	_, err = p.conn.Write(append(raw, '\n'))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,6 +51,8 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	counts   sync.Map
+	// IsNear tells whether an address is in this node's zone.
+	IsNear func(address string) bool
 }
 
 func New(r *realm.Realm) *Wire {
@@ -111,7 +113,10 @@
 	w.mu.Unlock()
 }
 
-func (w *Wire) count(kind string, bytes int) {
+func (w *Wire) count(kind, address string, bytes int) {
+	if w.IsNear != nil && !w.IsNear(address) {
+		kind += " between"
+	}
 	found, ok := w.counts.Load(kind)
 	if !ok {
 		found, _ = w.counts.LoadOrStore(kind, &Counts{})
@@ -120,7 +125,8 @@
 	found.(*Counts).Bytes.Add(int64(bytes))
 }
 
-// Traffic is messages and bytes sent, by kind.
+// Traffic is messages and bytes sent, by kind; " between" marks what went to
+// another zone.
 func (w *Wire) Traffic() map[string][2]int64 {
 	view := map[string][2]int64{}
 	w.counts.Range(func(kind, c any) bool {
@@ -131,7 +137,7 @@
 }
 
 // Count adds what other packages send themselves.
-func (w *Wire) Count(kind string, bytes int) { w.count(kind, bytes) }
+func (w *Wire) Count(kind, address string, bytes int) { w.count(kind, address, bytes) }
 
 // serve reads asks from one incoming pipe and answers each in a task.
 func (w *Wire) serve(conn net.Conn) {
@@ -159,7 +165,7 @@
 			if err != nil {
 				return
 			}
-			w.count(ask.Kind+".receipt", len(raw)+1)
+			w.count(ask.Kind+".receipt", conn.RemoteAddr().String(), len(raw)+1)
 			writing.Lock()
 			defer writing.Unlock()
 			conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
