Repair: copies are compared by digests over ranges and mended

A spoilt range on a data part and on the configuration part is found and mended, and a restart does not bring it back (seen failing before: nothing compared them).

--- /dev/null
+++ b/internal/bond/ranges.go
@@ -0,0 +1,102 @@
+// A book's state cut into ranges by the hash of the name, and the receipts as
+// one range of their own, so that copies can be compared and mended.
+package bond
+
+import (
+	"crypto/md5"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	ranges   = 16
+	receipts = "receipts"
+)
+
+func rangeOf(name string) string { return fmt.Sprint("names/", mark.Score("range", name)%ranges) }
+
+// cut is the records of each range, in order.
+func (b *Book) cut() map[string][]wire.BondRecord {
+	cut := map[string][]wire.BondRecord{}
+	for _, record := range b.records {
+		name := rangeOf(record.Name)
+		cut[name] = append(cut[name], record)
+	}
+	for _, list := range cut {
+		sort.Slice(list, func(i, j int) bool {
+			return slot(list[i].Kind, list[i].Name) < slot(list[j].Kind, list[j].Name)
+		})
+	}
+	return cut
+}
+
+func (b *Book) receipts() []wire.BondSeen {
+	list := make([]wire.BondSeen, 0, len(b.order))
+	for _, id := range b.order {
+		list = append(list, wire.BondSeen{Id: id, Receipt: b.seen[id]})
+	}
+	return list
+}
+
+func digest(value any) string {
+	raw, _ := json.Marshal(value)
+	sum := md5.Sum(raw)
+	return hex.EncodeToString(sum[:])
+}
+
+// Digests is one digest for each range that holds anything.
+func (b *Book) Digests() map[string]string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	digests := map[string]string{receipts: digest(b.receipts())}
+	for name, list := range b.cut() {
+		digests[name] = digest(list)
+	}
+	return digests
+}
+
+// Range is one range as it is.
+func (b *Book) Range(name string) (json.RawMessage, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if name == receipts {
+		return json.Marshal(b.receipts())
+	}
+	return json.Marshal(b.cut()[name])
+}
+
+// Mend replaces one range.
+func (b *Book) Mend(name string, data json.RawMessage) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if name == receipts {
+		var list []wire.BondSeen
+		if err := json.Unmarshal(data, &list); err != nil {
+			return err
+		}
+		b.seen, b.order = map[string]wire.BondReceipt{}, nil
+		for _, s := range list {
+			b.seen[s.Id] = s.Receipt
+			b.order = append(b.order, s.Id)
+		}
+		return nil
+	}
+	var list []wire.BondRecord
+	if err := json.Unmarshal(data, &list); err != nil {
+		return err
+	}
+	for key, record := range b.records {
+		if rangeOf(record.Name) == name {
+			delete(b.records, key)
+		}
+	}
+	for _, record := range list {
+		b.records[slot(record.Kind, record.Name)] = record
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dream/repair_test.go
@@ -0,0 +1,83 @@
+// A copy that differs is found by its digests and mended, on the configuration
+// part and on a data part, and a restart does not bring the fault back.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// follower is a core node that does not own a part.
+func follower(f *Fleet, no mark.Part) *Machine {
+	for _, m := range f.Cores() {
+		if !m.Node().Pact.Part(no).IsServing() {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestACopyThatDiffersIsMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, Small(), io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		client := sham.Client(f.W.Net(f.outside(1)), f.Cores()[0].Api())
+		put := func(value string) {
+			if _, err := client.PutKey(context.Background(), &api.Call{Name: "app/a", Value: jx.Raw(value)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put(`"right"`)
+		no := mark.PartOf("app/a")
+		time.Sleep(time.Second)
+		m := follower(f, no)
+		book := m.Node().Books[no]
+		for name := range book.Digests() {
+			if name != "receipts" {
+				if err := book.Mend(name, json.RawMessage(`[{"name":"app/forged","kind":"key","stamp":1}]`)); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		c := follower(f, mark.Config)
+		if err := c.Node().Ledger.Mend("group/"+plan.Routes, json.RawMessage(`{"digest":"x","stamp":1,"data":[]}`)); err != nil {
+			t.Fatal(err)
+		}
+		isMended := func() bool {
+			record, ok := m.Node().Books[no].Get("key", "app/a")
+			_, isForged := m.Node().Books[no].Get("key", "app/forged")
+			return ok && !isForged && string(record.Value) == `"right"` && len(c.Node().Ledger.Sheet().Config().Mappings) == 2
+		}
+		if isMended() {
+			t.Fatal("nothing was spoilt")
+		}
+		if !f.Until(30*time.Second, isMended) {
+			t.Fatal("the copies are not mended")
+		}
+		if m.Node().R.Sign.Counts()["PartMended"] == 0 {
+			t.Fatal("nobody was told")
+		}
+		m.Kill(true)
+		f.up(m)
+		if !f.Until(10*time.Second, func() bool {
+			record, ok := m.Node().Books[no].Get("key", "app/a")
+			return ok && string(record.Value) == `"right"`
+		}) {
+			t.Fatal("the restart brought the fault back")
+		}
+	})
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -104,6 +104,7 @@
 		p.r.Go(func() { part.stand(true) })
 		return struct{}{}, nil
 	})
+	p.openRepair()
 	handle(w, "pact.found", func(c *wire.Call, ask *wire.FoundAsk) (any, error) { return p.found(ask) })
 	handle(w, "pact.charter", func(c *wire.Call, ask *struct{}) (any, error) {
 		if charter := p.Charter(); charter != nil {
@@ -172,6 +173,7 @@
 // Open starts the tasks; kin and wire are open already.
 func (p *Pact) Open() {
 	p.r.Go(p.tend)
+	p.r.Go(p.repair)
 }
 
 // Charter is the open charter, or nil.
--- a/internal/pact/part.go
+++ b/internal/pact/part.go
@@ -271,7 +271,14 @@
 
 // fold makes a snapshot when the log has grown long.
 func (t *Part) fold() {
-	if int(t.applied-t.base.Index) < t.p.r.Props.PactSnapshot || t.groupAt > t.applied {
+	if int(t.applied-t.base.Index) >= t.p.r.Props.PactSnapshot {
+		t.snap()
+	}
+}
+
+// snap makes a snapshot of what is folded now.
+func (t *Part) snap() {
+	if t.groupAt > t.applied {
 		return
 	}
 	state, err := t.machine.Dump()
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -442,3 +442,26 @@
 type SeenAsk struct {
 	Keys []uint64 `json:"keys"`
 }
+
+// CompareAsk names the digests of a part's ranges at a stamp.
+type CompareAsk struct {
+	Part    mark.Part         `json:"part"`
+	Term    mark.Term         `json:"term"`
+	Stamp   mark.Stamp        `json:"stamp"`
+	Digests map[string]string `json:"digests"`
+}
+
+// CompareReceipt names the ranges that differ; none is said when the member is not at that stamp.
+type CompareReceipt struct {
+	From    Peer     `json:"from"`
+	IsThere bool     `json:"is_there"`
+	Differ  []string `json:"differ,omitempty"`
+}
+
+// MendAsk carries whole ranges as they are at a stamp.
+type MendAsk struct {
+	Part   mark.Part                  `json:"part"`
+	Term   mark.Term                  `json:"term"`
+	Stamp  mark.Stamp                 `json:"stamp"`
+	Ranges map[string]json.RawMessage `json:"ranges"`
+}
