Looking through marks and locks no longer costs what the keys weigh

Cause: one table held all kinds, and the owner looks through its marks four times and its locks ten times a second for every part.

--- a/internal/bond/book.go
+++ b/internal/bond/book.go
@@ -31,7 +31,7 @@
 // Book is one data part's state.
 type Book struct {
 	mu      sync.RWMutex
-	records map[string]wire.BondRecord
+	records map[string]map[string]wire.BondRecord
 	seen    map[string]wire.BondReceipt
 	order   []string
 	events  []wire.BondEvent
@@ -41,10 +41,24 @@
 }
 
 func NewBook() *Book {
-	return &Book{records: map[string]wire.BondRecord{}, seen: map[string]wire.BondReceipt{}}
+	return &Book{records: map[string]map[string]wire.BondRecord{}, seen: map[string]wire.BondReceipt{}}
 }
 
-func slot(kind, name string) string { return kind + " " + name }
+// of is the records of one kind, so that looking through one kind does not cost
+// what the others weigh.
+func (b *Book) of(kind string) map[string]wire.BondRecord {
+	if b.records[kind] == nil {
+		b.records[kind] = map[string]wire.BondRecord{}
+	}
+	return b.records[kind]
+}
+
+func less(a, z wire.BondRecord) bool {
+	if a.Kind != z.Kind {
+		return a.Kind < z.Kind
+	}
+	return a.Name < z.Name
+}
 
 // Apply folds one entry.
 func (b *Book) Apply(index mark.Stamp, body json.RawMessage) any {
@@ -79,7 +93,7 @@
 	}
 	switch op.Op {
 	case "put", "drop":
-		old, ok := b.records[slot(Key, op.Name)]
+		old, ok := b.of(Key)[op.Name]
 		if op.If != nil && *op.If != old.Stamp {
 			return refuse(fault.StampDiffers, old)
 		}
@@ -93,12 +107,12 @@
 		b.set(wire.BondRecord{Name: op.Name, Kind: Key, Value: op.Value, Stamp: index})
 		return &wire.BondReceipt{Stamp: index, Value: op.Value}
 	case "add":
-		old := b.records[slot(Count, op.Name)]
+		old := b.of(Count)[op.Name]
 		count := old.Count + op.Delta
 		b.set(wire.BondRecord{Name: op.Name, Kind: Count, Count: count, Stamp: index})
 		return &wire.BondReceipt{Stamp: index, Count: count}
 	case "acquire":
-		old, ok := b.records[slot(Lock, op.Name)]
+		old, ok := b.of(Lock)[op.Name]
 		if ok && old.Holder != op.Holder {
 			return refuse(fault.Held, old)
 		}
@@ -108,7 +122,7 @@
 		b.set(wire.BondRecord{Name: op.Name, Kind: Lock, Holder: op.Holder, Fence: index, Ttl: op.Ttl, Value: op.Value, Stamp: index})
 		return &wire.BondReceipt{Stamp: index, Holder: op.Holder, Fence: index, Ttl: op.Ttl, Value: op.Value}
 	case "release", "expire":
-		old, ok := b.records[slot(Lock, op.Name)]
+		old, ok := b.of(Lock)[op.Name]
 		if !ok || old.Fence != op.Fence || op.Op == "release" && old.Holder != op.Holder {
 			return refuse(fault.NotHeld, old)
 		}
@@ -117,18 +131,18 @@
 	case "claim", "unclaim", "settle", "sweep":
 		return b.claim(index, op, refuse)
 	case "mark":
-		old, ok := b.records[slot(Mark, op.Name)]
+		old, ok := b.of(Mark)[op.Name]
 		if ok && (old.Seq > op.Seq || old.Holder == "leaving") {
 			return refuse(fault.StampDiffers, old)
 		}
-		b.records[slot(Mark, op.Name)] = wire.BondRecord{Name: op.Name, Kind: Mark, Holder: op.Holder, Seq: op.Seq, Stamp: index}
+		b.of(Mark)[op.Name] = wire.BondRecord{Name: op.Name, Kind: Mark, Holder: op.Holder, Seq: op.Seq, Stamp: index}
 		return &wire.BondReceipt{Stamp: index, Holder: op.Holder}
 	case "unmark":
-		old, ok := b.records[slot(Mark, op.Name)]
+		old, ok := b.of(Mark)[op.Name]
 		if !ok || old.Seq > op.Seq {
 			return refuse(fault.NoKey, old)
 		}
-		delete(b.records, slot(Mark, op.Name))
+		delete(b.of(Mark), op.Name)
 		return &wire.BondReceipt{Stamp: index}
 	}
 	return &wire.BondReceipt{Code: fault.BadCall.No, Note: op.Op}
@@ -140,28 +154,28 @@
 func (b *Book) claim(index mark.Stamp, op *wire.BondOp, refuse func(fault.Code, wire.BondRecord) *wire.BondReceipt) *wire.BondReceipt {
 	switch op.Op {
 	case "claim":
-		old, ok := b.records[slot(Claim, op.Name)]
+		old, ok := b.of(Claim)[op.Name]
 		if ok && old.Holder != op.Holder {
 			receipt := refuse(fault.Held, old)
 			receipt.Value = old.Value
 			return receipt
 		}
-		b.records[slot(Claim, op.Name)] = wire.BondRecord{Name: op.Name, Kind: Claim, Holder: op.Holder, Stamp: index}
+		b.of(Claim)[op.Name] = wire.BondRecord{Name: op.Name, Kind: Claim, Holder: op.Holder, Stamp: index}
 	case "unclaim":
-		if old, ok := b.records[slot(Claim, op.Name)]; ok && old.Holder == op.Holder && old.Value == nil {
-			delete(b.records, slot(Claim, op.Name))
+		if old, ok := b.of(Claim)[op.Name]; ok && old.Holder == op.Holder && old.Value == nil {
+			delete(b.of(Claim), op.Name)
 		}
 	case "settle":
 		for _, r := range op.Records {
-			if old, ok := b.records[slot(Claim, r.Name)]; ok && old.Holder == r.Holder {
+			if old, ok := b.of(Claim)[r.Name]; ok && old.Holder == r.Holder {
 				old.Value = r.Value
-				b.records[slot(Claim, r.Name)] = old
+				b.of(Claim)[r.Name] = old
 			}
 		}
 	case "sweep":
-		for key, record := range b.records {
-			if record.Kind == Claim && record.Stamp <= op.Fence {
-				delete(b.records, key)
+		for name, record := range b.of(Claim) {
+			if record.Stamp <= op.Fence {
+				delete(b.of(Claim), name)
 			}
 		}
 	}
@@ -169,7 +183,7 @@
 }
 
 func (b *Book) set(record wire.BondRecord) {
-	b.records[slot(record.Kind, record.Name)] = record
+	b.of(record.Kind)[record.Name] = record
 	value := record.Value
 	if record.Kind == Count {
 		value, _ = json.Marshal(record.Count)
@@ -178,7 +192,7 @@
 }
 
 func (b *Book) remove(index mark.Stamp, record wire.BondRecord) {
-	delete(b.records, slot(record.Kind, record.Name))
+	delete(b.of(record.Kind), record.Name)
 	b.tell(wire.BondEvent{Stamp: index, Name: record.Name, Kind: record.Kind, Gone: true})
 }
 
@@ -204,7 +218,7 @@
 func (b *Book) Get(kind, name string) (wire.BondRecord, bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	record, ok := b.records[slot(kind, name)]
+	record, ok := b.records[kind][name]
 	return record, ok
 }
 
@@ -222,8 +236,8 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	var list []wire.BondRecord
-	for _, record := range b.records {
-		if record.Kind == kind && strings.HasPrefix(record.Name, prefix) {
+	for _, record := range b.records[kind] {
+		if strings.HasPrefix(record.Name, prefix) {
 			list = append(list, record)
 		}
 	}
@@ -255,13 +269,12 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	state := wire.BondState{Events: b.events, Start: b.start, Applied: b.applied}
-	for _, record := range b.records {
-		state.Records = append(state.Records, record)
+	for _, kind := range b.records {
+		for _, record := range kind {
+			state.Records = append(state.Records, record)
+		}
 	}
-	sort.Slice(state.Records, func(i, j int) bool {
-		a, z := state.Records[i], state.Records[j]
-		return slot(a.Kind, a.Name) < slot(z.Kind, z.Name)
-	})
+	sort.Slice(state.Records, func(i, j int) bool { return less(state.Records[i], state.Records[j]) })
 	for _, id := range b.order {
 		state.Seen = append(state.Seen, wire.BondSeen{Id: id, Receipt: b.seen[id]})
 	}
@@ -276,9 +289,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.records, b.seen, b.order = map[string]wire.BondRecord{}, map[string]wire.BondReceipt{}, nil
+	b.records, b.seen, b.order = map[string]map[string]wire.BondRecord{}, map[string]wire.BondReceipt{}, nil
 	for _, record := range state.Records {
-		b.records[slot(record.Kind, record.Name)] = record
+		b.of(record.Kind)[record.Name] = record
 	}
 	for _, s := range state.Seen {
 		b.seen[s.Id] = s.Receipt
--- /dev/null
+++ b/internal/bond/book_test.go
@@ -0,0 +1,99 @@
+// What a book costs and keeps: looking through marks and locks, which happens
+// many times a second, does not cost what the keys weigh; a repeat gets the
+// first receipt; events that are a minute old go, younger ones stay.
+package bond
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func apply(b *Book, index mark.Stamp, op wire.BondOp) *wire.BondReceipt {
+	raw, _ := json.Marshal(op)
+	return b.Apply(index, raw).(*wire.BondReceipt)
+}
+
+func BenchmarkMarksAmongManyKeys(b *testing.B) {
+	book := NewBook()
+	for i := range 20000 {
+		apply(book, mark.Stamp(i+1), wire.BondOp{Op: "put", Name: fmt.Sprint("k/", i), Value: json.RawMessage("1")})
+	}
+	apply(book, 20001, wire.BondOp{Op: "mark", Name: "rates/i1", Holder: "draining", Seq: 1})
+	b.ResetTimer()
+	for b.Loop() {
+		if list, _ := book.All(Mark, ""); len(list) != 1 {
+			b.Fatal(list)
+		}
+	}
+}
+
+func TestARepeatGetsTheFirstReceipt(t *testing.T) {
+	book := NewBook()
+	first := apply(book, 1, wire.BondOp{Op: "add", Id: "r", Name: "n", Delta: 2})
+	again := apply(book, 2, wire.BondOp{Op: "add", Id: "r", Name: "n", Delta: 2})
+	if first.Count != 2 || again.Count != 2 || again.Stamp != 1 {
+		t.Fatal(first, again)
+	}
+	raw, err := book.Dump()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := NewBook()
+	if err := other.Load(raw); err != nil {
+		t.Fatal(err)
+	}
+	if again := apply(other, 3, wire.BondOp{Op: "add", Id: "r", Name: "n", Delta: 2}); again.Count != 2 {
+		t.Fatal("a loaded state forgot the receipt", again)
+	}
+	if next := apply(other, 4, wire.BondOp{Op: "add", Name: "n", Delta: 2}); next.Count != 4 {
+		t.Fatal(next)
+	}
+}
+
+func TestEventsAreKeptForAMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := NewBook()
+		put := func(index mark.Stamp) {
+			apply(book, index, wire.BondOp{Op: "put", Name: "a/x", Value: json.RawMessage("1")})
+		}
+		put(1)
+		time.Sleep(40 * time.Second)
+		put(2)
+		if list, next, ok := book.Since("a/", 0, 10); !ok || len(list) != 2 || next != 2 {
+			t.Fatal(list, next, ok)
+		}
+		time.Sleep(30 * time.Second)
+		put(3)
+		if _, _, ok := book.Since("a/", 0, 10); ok {
+			t.Fatal("a watch from before the kept events was not told")
+		}
+		if list, _, ok := book.Since("a/", 1, 10); !ok || len(list) != 2 {
+			t.Fatal(list, ok)
+		}
+	})
+}
+
+func TestFencesGrowAndOnlyTheHolderReleases(t *testing.T) {
+	book := NewBook()
+	one := apply(book, 5, wire.BondOp{Op: "acquire", Name: "l", Holder: "a", Ttl: 1000})
+	if held := apply(book, 6, wire.BondOp{Op: "acquire", Name: "l", Holder: "b", Ttl: 1000}); held.Code != fault.Held.No || held.Holder != "a" {
+		t.Fatal(held)
+	}
+	if no := apply(book, 7, wire.BondOp{Op: "release", Name: "l", Holder: "b", Fence: one.Fence}); no.Code != fault.NotHeld.No {
+		t.Fatal(no)
+	}
+	if no := apply(book, 8, wire.BondOp{Op: "expire", Name: "l", Fence: one.Fence - 1}); no.Code != fault.NotHeld.No {
+		t.Fatal("an old grant's end took the new one", no)
+	}
+	apply(book, 9, wire.BondOp{Op: "release", Name: "l", Holder: "a", Fence: one.Fence})
+	if two := apply(book, 10, wire.BondOp{Op: "acquire", Name: "l", Holder: "b", Ttl: 1000}); two.Fence <= one.Fence {
+		t.Fatal(one, two)
+	}
+}
--- a/internal/bond/ranges.go
+++ b/internal/bond/ranges.go
@@ -23,14 +23,14 @@
 // cut is the records of each range, in order.
 func (b *Book) cut() map[string][]wire.BondRecord {
 	cut := map[string][]wire.BondRecord{}
-	for _, record := range b.records {
-		name := rangeOf(record.Name)
-		cut[name] = append(cut[name], record)
+	for _, kind := range b.records {
+		for _, record := range kind {
+			name := rangeOf(record.Name)
+			cut[name] = append(cut[name], record)
+		}
 	}
 	for _, list := range cut {
-		sort.Slice(list, func(i, j int) bool {
-			return slot(list[i].Kind, list[i].Name) < slot(list[j].Kind, list[j].Name)
-		})
+		sort.Slice(list, func(i, j int) bool { return less(list[i], list[j]) })
 	}
 	return cut
 }
@@ -90,13 +90,15 @@
 	if err := json.Unmarshal(data, &list); err != nil {
 		return err
 	}
-	for key, record := range b.records {
-		if rangeOf(record.Name) == name {
-			delete(b.records, key)
+	for _, kind := range b.records {
+		for key, record := range kind {
+			if rangeOf(record.Name) == name {
+				delete(kind, key)
+			}
 		}
 	}
 	for _, record := range list {
-		b.records[slot(record.Kind, record.Name)] = record
+		b.of(record.Kind)[record.Name] = record
 	}
 	return nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Cores    int
 	Machines []*Machine
 	Settings map[string]string
+	// IsDebugged gives every node an address for profiles, three above its port.
+	IsDebugged bool
 }
 
 // New lays a fleet out: cores and proxies spread over zones.
@@ -90,6 +92,9 @@
 	if m.IsProxy {
 		set["gate.address"] = m.Gate()
 	}
+	if m.fleet.IsDebugged {
+		set["debug.address"] = fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+3)
+	}
 	for key, value := range m.fleet.Settings {
 		set[key] = value
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -8,9 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
-	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +31,7 @@
 	Fault   string
 	Mapped  int
 	History io.Writer
+	Profile string
 
 	f       *Fleet
 	shape   Shape
@@ -99,6 +97,7 @@
 	}
 	r.shape, r.ctx, r.out, r.began = shape, ctx, out, time.Now()
 	r.f = New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
+	r.f.IsDebugged = r.Profile != ""
 	r.h = judge.New(r.History)
 	r.spent = map[string]time.Duration{}
 	r.say("shape %s, rates times %.2f, %d s, seed %d, faults %s", shape.Name, r.Factor, r.Seconds, r.Seed, r.Fault)
@@ -140,6 +139,9 @@
 	loading, stop := context.WithCancel(ctx)
 	var loads sync.WaitGroup
 	r.load(loading, &loads)
+	if r.Profile != "" {
+		r.profile(loading)
+	}
 	rnd := rand.New(rand.NewPCG(r.Seed, 5))
 	began := time.Now()
 	for time.Since(began) < time.Duration(r.Seconds)*time.Second && ctx.Err() == nil {
@@ -291,93 +293,3 @@
 		r.h.Add(rec)
 	}
 }
-
-// cpu is the processor time spent so far, by role.
-func (r *Run) cpu() map[string]time.Duration {
-	sum := map[string]time.Duration{}
-	for _, m := range r.f.Machines {
-		if !m.IsUp() {
-			continue
-		}
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.Pid()))
-		if err != nil {
-			continue
-		}
-		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
-		user, _ := strconv.Atoi(fields[11])
-		system, _ := strconv.Atoi(fields[12])
-		role := "proxy"
-		if m.IsCore {
-			role = "core"
-		}
-		sum[role] += time.Duration(user+system) * 10 * time.Millisecond
-	}
-	return sum
-}
-
-// traffic is messages and bytes sent so far, by kind, and syncs.
-func (r *Run) traffic() map[string][2]int64 {
-	sum := map[string][2]int64{}
-	for _, m := range r.f.Machines {
-		client, err := api.NewClient("http://" + m.Api())
-		if err != nil {
-			continue
-		}
-		ctx, end := context.WithTimeout(r.ctx, 2*time.Second)
-		for _, what := range []api.ShowWhat{api.ShowWhatTraffic, api.ShowWhatCounts} {
-			rows, err := client.Show(ctx, api.ShowParams{What: what})
-			if err != nil {
-				continue
-			}
-			for _, row := range rows.Rows {
-				if what == api.ShowWhatCounts && row[0] != "syncs" {
-					continue
-				}
-				n, _ := strconv.ParseInt(row[1], 10, 64)
-				bytes := int64(0)
-				if len(row) > 2 {
-					bytes, _ = strconv.ParseInt(row[2], 10, 64)
-				}
-				old := sum[row[0]]
-				sum[row[0]] = [2]int64{old[0] + n, old[1] + bytes}
-			}
-		}
-		end()
-	}
-	return sum
-}
-
-func (r *Run) costs(took time.Duration, before, after map[string]time.Duration, traffic, later map[string][2]int64) {
-	calls, bonds := float64(r.calls.Load()), float64(r.bonds.Load())
-	seconds := took.Seconds()
-	fmt.Fprintf(r.out, "\nover %.1f s: %.0f requests (%.1f/s), %.0f coordination calls (%.1f/s)\n", seconds, calls, calls/seconds, bonds, bonds/seconds)
-	for _, role := range []string{"proxy", "core"} {
-		spent := after[role] - before[role]
-		fmt.Fprintf(r.out, "processor time, %s nodes: %s, %.1f ms/s in all, %.3f ms per request\n", role, spent, float64(spent.Milliseconds())/seconds, float64(spent.Microseconds())/1000/calls)
-	}
-	type row struct {
-		kind  string
-		n, by int64
-	}
-	var rows []row
-	total, between := int64(0), int64(0)
-	for kind, now := range later {
-		was := traffic[kind]
-		if kind == "syncs" {
-			fmt.Fprintf(r.out, "syncs: %.1f/s over all core nodes\n", float64(now[0]-was[0])/seconds)
-			continue
-		}
-		rows = append(rows, row{kind, now[0] - was[0], now[1] - was[1]})
-		total += now[1] - was[1]
-		if strings.HasSuffix(kind, " between") {
-			between += now[1] - was[1]
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].by > rows[j].by })
-	fmt.Fprintf(r.out, "bytes between processes: %.0f/s, between zones: %.0f/s\n", float64(total)/seconds, float64(between)/seconds)
-	for _, w := range rows {
-		if w.n > 0 {
-			fmt.Fprintf(r.out, "  %-32s %9.1f messages/s %12.0f bytes/s\n", w.kind, float64(w.n)/seconds, float64(w.by)/seconds)
-		}
-	}
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	problem := fault.New(fault.NotWritten, "%s", c.service.Name)
+	var problem error
 	isWritten := false
 	for i, target := range c.targets {
 		if i > 0 && (!g.extra(c) || time.Now().After(c.deadline)) {
@@ -197,6 +197,9 @@
 			break
 		}
 	}
+	if problem == nil {
+		problem = fault.New(fault.NotWritten, "%s", c.service.Name)
+	}
 	return nil, problem
 }
 
--- a/internal/pact/stand.go
+++ b/internal/pact/stand.go
@@ -26,6 +26,14 @@
 	if t.isOwner || !holds(t.group, t.p.me) {
 		return false
 	}
+	silence := t.p.r.Props.PactSilence
+	since := t.heard
+	if since.Before(t.since) {
+		since = t.since
+	}
+	if time.Since(since) <= silence {
+		return false
+	}
 	rank := 0
 	for _, peer := range Order(t.no, t.group) {
 		if peer == t.p.me {
@@ -35,11 +43,6 @@
 			rank++
 		}
 	}
-	silence := t.p.r.Props.PactSilence
-	since := t.heard
-	if since.Before(t.since) {
-		since = t.since
-	}
 	return time.Since(since) > silence+time.Duration(rank)*silence/2
 }
 
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
-	problem := fault.New(fault.NoOwner, "part %d", o.part)
+	var problem error
 	for try := 0; ctx.Err() == nil; try++ {
 		if n.Pact != nil && n.Pact.Part(o.part).IsServing() {
 			got, err := n.do(ctx, o.part, o.name, raw)
@@ -235,6 +235,9 @@
 			n.owners[o.part].Store(nil)
 			problem = err
 		}
+		if problem == nil {
+			problem = fault.New(fault.NoOwner, "part %d", o.part)
+		}
 		if hops > 0 || !isRetryable(problem) {
 			return problem
 		}
@@ -243,6 +246,9 @@
 		case <-time.After(min(time.Duration(try+1)*20*time.Millisecond, 150*time.Millisecond)):
 		}
 	}
+	if problem == nil {
+		problem = fault.New(fault.NoOwner, "part %d", o.part)
+	}
 	return problem
 }
 
