Routes lie in sixteen groups, and far listeners leave the fetch to near ones

Cause: the routes were one group, so each change moved all of it to every proxy and into every log, and whichever listener woke first fetched, often from another zone.

--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -34,7 +34,7 @@
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
 				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
 				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the faults are drawn from"},
-				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, stop, server or all"},
+				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, stop, server, change or all"},
 				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
 				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
 				&cli.StringFlag{Name: "history", Usage: "file to record the history in, for sumac judge"},
--- a/internal/dream/repair_test.go
+++ b/internal/dream/repair_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,7 +55,13 @@
 			}
 		}
 		c := follower(f, mark.Config)
-		if err := c.Node().Ledger.Mend("group/"+plan.Routes, json.RawMessage(`{"digest":"x","stamp":1,"data":[]}`)); err != nil {
+		routes := ""
+		for name := range c.Node().Ledger.Sheet().Groups {
+			if strings.HasPrefix(name, plan.Routes) {
+				routes = name
+			}
+		}
+		if err := c.Node().Ledger.Mend("group/"+routes, json.RawMessage(`{"digest":"x","stamp":1,"data":[]}`)); err != nil {
 			t.Fatal(err)
 		}
 		isMended := func() bool {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -43,6 +43,7 @@
 	servers []*sham.Server
 	calls   atomic.Int64
 	bonds   atomic.Int64
+	changes atomic.Int64
 	spent   map[string]time.Duration
 	lives   map[string]int
 }
@@ -151,14 +152,14 @@
 	after, later := r.cpu(), r.traffic()
 	stop()
 	loads.Wait()
-	if r.Fault != "none" {
+	if r.Fault != "none" && r.Fault != "change" {
 		r.rescue()
 	}
 	r.ask(operator)
 	r.h.Add(judge.Record{Kind: judge.Ended})
 	verdict := judge.Judge(r.h.Records())
 	fmt.Fprint(out, verdict)
-	if r.Fault == "none" {
+	if r.Fault == "none" || r.Fault == "change" {
 		r.costs(took, before, after, traffic, later)
 	}
 	if !verdict.IsClean() {
--- a/internal/fleet/shape.go
+++ b/internal/fleet/shape.go
@@ -7,7 +7,10 @@
 	"math/rand/v2"
 	"sort"
 
+	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
 )
 
 // Load is one service with its servers and its callers.
@@ -62,6 +65,7 @@
 	"freeze": freezeOne,
 	"stop":   stopOne,
 	"server": serverGoes,
+	"change": changeOne,
 	"all": func(r *Run, rnd *rand.Rand) {
 		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, freezeOne, stopOne, serverGoes, serverGoes}
 		all[rnd.IntN(len(all))](r, rnd)
@@ -70,6 +74,18 @@
 
 func (r *Run) pick(rnd *rand.Rand, list []*Machine) *Machine { return list[rnd.IntN(len(list))] }
 
+// changeOne adds one mapping, for what a small change to a large configuration
+// costs.
+func changeOne(r *Run, rnd *rand.Rand) {
+	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
+	if view, err := operator.Epoch(r.ctx); err == nil {
+		id := fmt.Sprint("small", r.changes.Add(1))
+		config := api.Config{Mappings: []api.Mapping{{Name: id, Path: "/" + id, To: []api.Split{{Service: r.shape.Loads[0].Service, Weight: 1}}}}}
+		operator.Submit(r.ctx, &api.Change{ID: id, Base: view.Epoch, Put: api.NewOptConfig(config)})
+	}
+	r.nap(rnd, 1000, 1001)
+}
+
 func killOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.Machines)
 	r.say("kill %s", m.Name)
--- a/internal/flow/cache.go
+++ b/internal/flow/cache.go
@@ -23,7 +23,7 @@
 type Chart struct {
 	Epoch    mark.Epoch
 	Manifest map[string]wire.Held
-	Mappings []wire.Mapping
+	Routes   map[string][]wire.Mapping
 	Services map[string]wire.Service
 	Limits   map[string]wire.Limit
 	Targets  map[string][]wire.Target
@@ -164,11 +164,20 @@
 		return nil
 	}
 	isSame := func(name string) bool { return old != nil && old.groups[name].Digest == groups[name].Digest }
-	if isSame(plan.Routes) {
-		chart.Mappings = old.Mappings
-	} else if err := read(plan.Routes, &chart.Mappings); err != nil {
-		return nil, err
+	routes := map[string][]wire.Mapping{}
+	for name := range groups {
+		if !strings.HasPrefix(name, plan.Routes) {
+			continue
+		}
+		var some []wire.Mapping
+		if isSame(name) {
+			some = old.Routes[name]
+		} else if err := read(name, &some); err != nil {
+			return nil, err
+		}
+		routes[name] = some
 	}
+	chart.Routes = routes
 	var services []wire.Service
 	var limits []wire.Limit
 	if err := read(plan.Services, &services); err != nil {
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -27,6 +27,8 @@
 // Vouched is the newest ages, and the last that vouch for the epoch before.
 type Vouched struct{ Newest, Before Ages }
 
+const nearPause = 40 * time.Millisecond
+
 // Client is one proxy's.
 type Client struct {
 	r     *realm.Realm
@@ -160,6 +162,11 @@
 		return true, nil
 	}
 	if missing := c.Cache.Missing(manifest); len(missing) > 0 {
+		if c.leavesToNear(address) {
+			if now, _ := c.Cache.Have(); receipt.Epoch <= now {
+				return true, nil
+			}
+		}
 		limited, stop := context.WithTimeout(c.r, 3*time.Second)
 		defer stop()
 		var fetched wire.FetchReceipt
@@ -172,6 +179,17 @@
 	return ok || isNewer, err
 }
 
+// leavesToNear gives the listener of a control node in the own zone a moment to
+// fetch first, if there is one, so that groups seldom come from another zone.
+func (c *Client) leavesToNear(address string) bool {
+	if cores := c.k.Cores(); c.k.IsNear(address) || len(cores) == 0 || !c.k.IsNear(cores[0].Wire) {
+		return false
+	}
+	c.fetching.Unlock()
+	defer c.fetching.Lock()
+	return c.r.Pause(nearPause)
+}
+
 // pulse renews freshness through one control node, the nearest that answers.
 func (c *Client) pulse() {
 	pick := 0
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -39,15 +39,15 @@
 
 func newTable(chart *flow.Chart, old *table) *table {
 	t := &table{chart: chart, places: map[string]bool{}}
-	isSame := old != nil && len(old.chart.Mappings) == len(chart.Mappings) && len(chart.Mappings) > 0 && &old.chart.Mappings[0] == &chart.Mappings[0]
-	if isSame {
+	if t.isSameRoutes(old) {
 		t.paths = old.paths
 	} else {
 		t.paths = map[string][]*wire.Mapping{}
-		for i := range chart.Mappings {
-			m := &chart.Mappings[i]
-			path := strings.TrimSuffix(m.Path, "/")
-			t.paths[path] = append(t.paths[path], m)
+		for _, some := range chart.Routes {
+			for i := range some {
+				path := strings.TrimSuffix(some[i].Path, "/")
+				t.paths[path] = append(t.paths[path], &some[i])
+			}
 		}
 	}
 	for service, list := range chart.Targets {
@@ -58,6 +58,19 @@
 	return t
 }
 
+// isSameRoutes tells whether the routes are those of the table before.
+func (t *table) isSameRoutes(old *table) bool {
+	if old == nil || len(old.chart.Routes) != len(t.chart.Routes) {
+		return false
+	}
+	for name := range t.chart.Routes {
+		if old.chart.Manifest[name].Digest != t.chart.Manifest[name].Digest {
+			return false
+		}
+	}
+	return true
+}
+
 // find takes the longest path that fits, one with a host before one without.
 func (t *table) find(r *http.Request) *wire.Mapping {
 	host := r.Host
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -8,6 +8,7 @@
 	"crypto/md5"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"sort"
 	"strings"
@@ -19,15 +20,22 @@
 
 // The groups by name; each service has a target list beside them.
 const (
-	Routes   = "routes"
+	Routes   = "routes/"
 	Services = "services"
 	Limits   = "limits"
 	Shares   = "shares"
 	Targets  = "targets/"
 
-	changesKept = 4096
+	routeBuckets = 16
+	changesKept  = 4096
 )
 
+// bucket is the group that a mapping lies in. Routes are cut into a few groups
+// by name, so that a small change to a large configuration moves a small group.
+func bucket(name string) string {
+	return fmt.Sprintf("%s%02d", Routes, mark.Score("mapping", name)%routeBuckets)
+}
+
 // Sheet is one epoch as it stands; it is never written to after it was made.
 type Sheet struct {
 	Epoch   mark.Epoch
@@ -133,7 +141,14 @@
 
 // Config is the operators' part of the epoch.
 func (s *Sheet) Config() (config wire.Config) {
-	json.Unmarshal(s.Groups[Routes].Data, &config.Mappings)
+	for name, group := range s.Groups {
+		if strings.HasPrefix(name, Routes) {
+			var some []wire.Mapping
+			json.Unmarshal(group.Data, &some)
+			config.Mappings = append(config.Mappings, some...)
+		}
+	}
+	sort.Slice(config.Mappings, func(i, j int) bool { return config.Mappings[i].Name < config.Mappings[j].Name })
 	json.Unmarshal(s.Groups[Services].Data, &config.Services)
 	json.Unmarshal(s.Groups[Limits].Data, &config.Limits)
 	return config
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -208,7 +208,13 @@
 func (l *Planner) want(sheet *Sheet, config *wire.Config) map[string]json.RawMessage {
 	want := map[string]json.RawMessage{}
 	put := func(name string, value any) { want[name], _ = json.Marshal(value) }
-	put(Routes, orEmpty(config.Mappings))
+	buckets := map[string][]wire.Mapping{}
+	for _, m := range config.Mappings {
+		buckets[bucket(m.Name)] = append(buckets[bucket(m.Name)], m)
+	}
+	for name, some := range buckets {
+		put(name, some)
+	}
 	put(Services, orEmpty(config.Services))
 	put(Limits, orEmpty(config.Limits))
 	shares := map[mark.Name]int{}
