--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -5,9 +5,11 @@
 package plan
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -154,10 +156,6 @@
 		return fault.New(fault.NotOwner, "configuration part")
 	}
 	sheet := l.ledger.Sheet()
-	now := sheet.Config()
-	if config == nil {
-		config = &now
-	}
 	l.mu.Lock()
 	if l.term != term {
 		l.reset(term)
@@ -170,7 +168,7 @@
 	l.mu.Unlock()
 	planned := &wire.Planned{Epoch: sheet.Epoch + 1, Change: change, Put: map[string]json.RawMessage{}}
 	for name, data := range want {
-		if old, ok := sheet.Groups[name]; !ok || old.Digest != Digest(data) {
+		if old, ok := sheet.Groups[name]; !ok || !bytes.Equal(old.Data, data) {
 			planned.Put[name] = data
 		}
 	}
@@ -204,19 +202,31 @@
 	return nil
 }
 
-// want is what every group of the next epoch should hold.
+// want is what every group of the next epoch should hold. Without a change set
+// the operators' groups are taken over as they are.
 func (l *Planner) want(sheet *Sheet, config *wire.Config) map[string]json.RawMessage {
 	want := map[string]json.RawMessage{}
 	put := func(name string, value any) { want[name], _ = json.Marshal(value) }
-	buckets := map[string][]wire.Mapping{}
-	for _, m := range config.Mappings {
-		buckets[bucket(m.Name)] = append(buckets[bucket(m.Name)], m)
-	}
-	for name, some := range buckets {
-		put(name, some)
+	var services []wire.Service
+	if config == nil {
+		for name, group := range sheet.Groups {
+			if name == Services || name == Limits || strings.HasPrefix(name, Routes) {
+				want[name] = group.Data
+			}
+		}
+		json.Unmarshal(want[Services], &services)
+	} else {
+		services = config.Services
+		put(Services, orEmpty(config.Services))
+		put(Limits, orEmpty(config.Limits))
+		buckets := map[string][]wire.Mapping{}
+		for _, m := range config.Mappings {
+			buckets[bucket(m.Name)] = append(buckets[bucket(m.Name)], m)
+		}
+		for name, some := range buckets {
+			put(name, some)
+		}
 	}
-	put(Services, orEmpty(config.Services))
-	put(Limits, orEmpty(config.Limits))
 	shares := map[mark.Name]int{}
 	for name, m := range l.k.View() {
 		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect) {
@@ -225,7 +235,7 @@
 	}
 	put(Shares, shares)
 	lists, owners := l.settleAddresses(sheet)
-	for _, s := range config.Services {
+	for _, s := range services {
 		no := mark.PartOf(s.Name)
 		list := lists[s.Name]
 		if l.news[no] == nil {
