--- a/cmd/sumac/calls.go
+++ b/cmd/sumac/calls.go
@@ -23,6 +23,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/guise"
 	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
@@ -54,7 +55,10 @@
 }
 
 // readChange takes a change set from YAML or JSON, by koanf, strictly.
-func readChange(path string) (*api.Change, error) {
+func readChange(path string, isObjects bool) (*api.Change, error) {
+	if isObjects {
+		return readObjects(path)
+	}
 	k := koanf.New("\x00")
 	var parser koanf.Parser = yaml.Parser()
 	if filepath.Ext(path) == ".json" {
@@ -81,6 +85,20 @@
 	return change, nil
 }
 
+// readObjects takes a change set from Kubernetes-style objects.
+func readObjects(path string) (*api.Change, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.New(fault.BadChange, "%v", err)
+	}
+	set, err := guise.Read(raw)
+	if err != nil {
+		return nil, err
+	}
+	change := &api.Change{}
+	return change, recast(set, change)
+}
+
 func runCheck(ctx context.Context, cmd *cli.Command) error {
 	if path := cmd.String("change"); path != "" {
 		return checkChange(ctx, cmd, path)
@@ -95,7 +113,7 @@
 
 // checkChange lays a change set over the fleet's configuration, or over none.
 func checkChange(ctx context.Context, cmd *cli.Command, path string) error {
-	change, err := readChange(path)
+	change, err := readChange(path, cmd.Bool("objects"))
 	if err != nil {
 		return err
 	}
@@ -143,7 +161,7 @@
 	if cmd.Args().Len() != 1 {
 		return fault.New(fault.BadCall, "name one file")
 	}
-	change, err := readChange(cmd.Args().First())
+	change, err := readChange(cmd.Args().First(), cmd.Bool("objects"))
 	if err != nil {
 		return err
 	}
@@ -160,12 +178,17 @@
 	if cmd.IsSet("base") {
 		change.Base = cmd.Uint64("base")
 	}
-	if cmd.Bool("amend") {
+	if cmd.Bool("amend") || cmd.Bool("objects") {
 		view, err := c.Epoch(ctx)
 		if err != nil {
 			return clear(err)
 		}
-		change.Base = view.Epoch
+		if cmd.Bool("amend") {
+			change.Base = view.Epoch
+		}
+		if cmd.Bool("objects") {
+			leaveKnown(change, view)
+		}
 	}
 	limited, end := context.WithTimeout(ctx, 10*time.Second)
 	defer end()
@@ -181,6 +204,22 @@
 	return nil
 }
 
+// leaveKnown takes services out of a change set that are there already: objects
+// only name them, and must not put them back without their key.
+func leaveKnown(change *api.Change, view *api.EpochView) {
+	known := map[string]bool{}
+	for _, s := range view.Config.Services {
+		known[s.Name] = true
+	}
+	var fresh []api.Service
+	for _, s := range change.Put.Value.Services {
+		if !known[s.Name] {
+			fresh = append(fresh, s)
+		}
+	}
+	change.Put.Value.Services = fresh
+}
+
 func runAsk(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
 		return fault.New(fault.BadCall, "name one id")
--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -39,8 +39,8 @@
 		ExitErrHandler:            func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			{Name: "node", DisableSliceFlagSeparator: true, Usage: "run a node", Flags: propsFlags(), Action: runNode},
-			{Name: "check", DisableSliceFlagSeparator: true, Usage: "check a node's settings, or a change set (--change)", Flags: append(propsFlags(), &cli.StringFlag{Name: "change", Usage: "file of a change set (YAML or JSON)"}, apiFlag(false)), Action: runCheck},
-			{Name: "submit", Usage: "submit a change set", ArgsUsage: "FILE", Flags: []cli.Flag{apiFlag(true), &cli.StringFlag{Name: "id", Usage: "id of the change set, if the file has none"}, &cli.Uint64Flag{Name: "base", Usage: "the epoch last seen, if the file names none"}, &cli.BoolFlag{Name: "amend", Usage: "take the epoch in force as the one last seen"}}, Action: runSubmit},
+			{Name: "check", DisableSliceFlagSeparator: true, Usage: "check a node's settings, or a change set (--change)", Flags: append(propsFlags(), &cli.StringFlag{Name: "change", Usage: "file of a change set (YAML or JSON)"}, apiFlag(false), objectsFlag()), Action: runCheck},
+			{Name: "submit", Usage: "submit a change set", ArgsUsage: "FILE", Flags: []cli.Flag{apiFlag(true), objectsFlag(), &cli.StringFlag{Name: "id", Usage: "id of the change set, if the file has none"}, &cli.Uint64Flag{Name: "base", Usage: "the epoch last seen, if the file names none"}, &cli.BoolFlag{Name: "amend", Usage: "take the epoch in force as the one last seen"}}, Action: runSubmit},
 			{Name: "ask", Usage: "ask what became of a change set", ArgsUsage: "ID", Flags: []cli.Flag{apiFlag(true)}, Action: runAsk},
 			{Name: "epoch", Usage: "print the epoch in force", Flags: []cli.Flag{apiFlag(true)}, Action: runEpoch},
 			{Name: "shell", Usage: "query the fleet's state", ArgsUsage: "[QUERY]", Flags: []cli.Flag{apiFlag(true)}, Action: runShell},
@@ -60,6 +60,10 @@
 	return &cli.StringFlag{Name: "api", Usage: "API address of any node", Sources: cli.EnvVars("SUMAC_API"), Required: isNeeded}
 }
 
+func objectsFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "objects", Usage: "the file holds Kubernetes-style objects (HTTPRoute)"}
+}
+
 func readProps(cmd *cli.Command) (*props.Props, error) {
 	flags := map[string]string{}
 	for _, pair := range cmd.StringSlice("set") {
--- /dev/null
+++ b/cmd/sumac/main_test.go
@@ -0,0 +1,66 @@
+// The commands as an operator gives them: what is wrong is named, and the exit
+// tells what was not done from what can't be read.
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func run(args ...string) error {
+	return app().Run(context.Background(), append([]string{"sumac"}, args...))
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestCommandsNameWhatIsWrong(t *testing.T) {
+	for name, c := range map[string]struct {
+		args []string
+		exit int
+		says []string
+	}{
+		"node with faulty settings": {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
+		"a setting without a value": {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
+		"check of a change set":     {[]string{"check", "--change", file(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
+		"a misspelt key":            {[]string{"check", "--change", file(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
+		"no node to ask":            {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
+		"no such query":             {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
+		"a history that is none":    {[]string{"judge", file(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
+		"a history without end":     {[]string{"judge", file(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := run(c.args...)
+			if err == nil {
+				t.Fatal("it was done")
+			}
+			if exit := exitCode(err); exit != c.exit {
+				t.Errorf("exit %d, want %d", exit, c.exit)
+			}
+			for _, word := range c.says {
+				if !strings.Contains(describe(err), word) {
+					t.Errorf("%q does not say %q", describe(err), word)
+				}
+			}
+		})
+	}
+}
+
+func TestChecksPass(t *testing.T) {
+	if err := run("check", "--set", "name=a", "--set", "wire.address=127.0.0.1:1", "--set", "api.address=127.0.0.1:2", "--set", "gate.address=127.0.0.1:3", "--set", "seeds=127.0.0.1:1,127.0.0.1:4"); err != nil {
+		t.Error(err)
+	}
+	good := file(t, "c.yaml", "id: a\nbase: 3\nput:\n  services: [{name: s}]\n  mappings: [{name: m, path: /x, to: [{service: s, weight: 1}]}]\n")
+	if err := run("check", "--change", good); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/guise/guise_test.go
@@ -0,0 +1,89 @@
+// Objects become mappings and services; what has no counterpart is named.
+package guise
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const good = `
+apiVersion: gateway.networking.k8s.io/v1
+kind: HTTPRoute
+metadata: {name: rates, annotations: {sumactrestle/repeatable: "true"}}
+spec:
+  hostnames: [rates.example]
+  rules:
+    - matches: [{path: {type: PathPrefix, value: /rates}, method: GET}]
+      timeouts: {request: 3s}
+      backendRefs: [{name: rates, weight: 9}, {name: rates2, weight: 1}]
+---
+apiVersion: gateway.networking.k8s.io/v1
+kind: HTTPRoute
+metadata: {name: orders, annotations: {sumactrestle/once: "true"}}
+spec:
+  rules: [{backendRefs: [{name: bookings}]}]
+`
+
+func TestRoutesBecomeMappings(t *testing.T) {
+	change, err := Read([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := wire.Config{
+		Mappings: []wire.Mapping{
+			{Name: "rates/0/0", Host: "rates.example", Path: "/rates", Methods: []string{"GET"}, To: []wire.Split{{Service: "rates", Weight: 9}, {Service: "rates2", Weight: 1}}, Repeatable: true, Deadline: 3000},
+			{Name: "orders/0/0", Path: "/", To: []wire.Split{{Service: "bookings", Weight: 1}}, Once: true},
+		},
+		Services: []wire.Service{{Name: "bookings"}, {Name: "rates"}, {Name: "rates2"}},
+	}
+	if diff := cmp.Diff(want, change.Put); diff != "" {
+		t.Fatal(diff)
+	}
+	change.Id = "x"
+	if _, paths := plan.Lay(wire.Config{}, change); len(paths) > 0 {
+		t.Fatal(paths)
+	}
+}
+
+func TestWhatHasNoCounterpartIsRefused(t *testing.T) {
+	_, err := Read([]byte(`
+apiVersion: gateway.networking.k8s.io/v1
+kind: HTTPRoute
+metadata: {name: a}
+spec:
+  hostnames: ["*.example"]
+  rules:
+    - matches: [{path: {type: Exact, value: /x}, headers: [{name: a, value: b}]}]
+      filters: [{type: RequestMirror}]
+      backendRefs: [{name: s, namespace: other}]
+---
+apiVersion: v1
+kind: HTTPRoute
+metadata: {name: b}
+---
+apiVersion: gateway.networking.k8s.io/v1
+kind: HTTPRoute
+metadata: {name: c}
+spec: {rulez: []}
+`))
+	want := []string{
+		`objects.0.spec.hostnames.0: wildcards are not taken`,
+		`objects.0.spec.rules.0.filters: are not taken`,
+		`objects.0.spec.rules.0.backendRefs.0: only a Service of the same space, without filters, is taken`,
+		`objects.0.spec.rules.0.matches.0.headers: are not taken`,
+		`objects.0.spec.rules.0.matches.0.path.type: Exact is not taken; PathPrefix is`,
+		`objects.1.kind: v1 HTTPRoute is not taken; HTTPRoute gateway.networking.k8s.io/v1 is`,
+		`objects.2: error unmarshaling JSON: while decoding JSON: json: unknown field "rulez"`,
+	}
+	if err == nil {
+		t.Fatal("taken")
+	}
+	if diff := cmp.Diff(want, fault.Of(err).Paths); diff != "" {
+		t.Fatal(diff)
+	}
+}
