--- a/cmd/sumac/main_test.go
+++ b/cmd/sumac/main_test.go
@@ -14,7 +14,7 @@
 	return app().Run(context.Background(), append([]string{"sumac"}, args...))
 }
 
-func file(t *testing.T, name, text string) string {
+func write(t *testing.T, name, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
@@ -31,12 +31,12 @@
 	}{
 		"node with faulty settings": {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
 		"a setting without a value": {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
-		"check of a change set":     {[]string{"check", "--change", file(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
-		"a misspelt key":            {[]string{"check", "--change", file(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
+		"check of a change set":     {[]string{"check", "--change", write(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
+		"a misspelt key":            {[]string{"check", "--change", write(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
 		"no node to ask":            {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
 		"no such query":             {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
-		"a history that is none":    {[]string{"judge", file(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
-		"a history without end":     {[]string{"judge", file(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
+		"a history that is none":    {[]string{"judge", write(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
+		"a history without end":     {[]string{"judge", write(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := run(c.args...)
@@ -59,7 +59,7 @@
 	if err := run("check", "--set", "name=a", "--set", "wire.address=127.0.0.1:1", "--set", "api.address=127.0.0.1:2", "--set", "gate.address=127.0.0.1:3", "--set", "seeds=127.0.0.1:1,127.0.0.1:4"); err != nil {
 		t.Error(err)
 	}
-	good := file(t, "c.yaml", "id: a\nbase: 3\nput:\n  services: [{name: s}]\n  mappings: [{name: m, path: /x, to: [{service: s, weight: 1}]}]\n")
+	good := write(t, "c.yaml", "id: a\nbase: 3\nput:\n  services: [{name: s}]\n  mappings: [{name: m, path: /x, to: [{service: s, weight: 1}]}]\n")
 	if err := run("check", "--change", good); err != nil {
 		t.Error(err)
 	}
