--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -29,6 +29,17 @@
 					return fleet.Smoke(ctx, cmd.String("sumac"), folder, os.Stdout)
 				})
 			}},
+			{Name: "up", Usage: "keep a fleet with stand-in servers running, to look at and to hurt", Flags: []cli.Flag{binary, folder,
+				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
+			}, Action: func(ctx context.Context, cmd *cli.Command) error {
+				shape, err := fleet.ShapeOf(cmd.String("shape"))
+				if err != nil {
+					return err
+				}
+				return inFolder(cmd, func(folder string) error {
+					return fleet.Up(ctx, cmd.String("sumac"), folder, shape, os.Stdout)
+				})
+			}},
 			{Name: "run", Usage: "run a whole deployment under load, with faults drawn from a seed", Flags: []cli.Flag{binary, folder,
 				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
--- /dev/null
+++ b/internal/dream/gate_test.go
@@ -0,0 +1,121 @@
+// The gate under what callers do: uploads cut half-way, more requests than the
+// shares allow, and a server that answers before it has read everything.
+package dream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// inFleet runs a test against a booted fleet.
+func inFleet(t *testing.T, shape Shape, play func(t *testing.T, f *Fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, shape, io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		play(t, f)
+	})
+}
+
+func ranOf(f *Fleet, call string) (n int) {
+	for _, r := range f.H.Records() {
+		if r.Kind == judge.Ran && r.Call == call {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAnUploadCutHalfWayNeverRuns(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		for i, head := range []string{"Content-Length: 200000", "Transfer-Encoding: chunked"} {
+			conn, err := f.W.Net(f.outside(3)).Dial(f.ctx, f.Of("proxy1").Gate())
+			if err != nil {
+				t.Fatal(err)
+			}
+			call := fmt.Sprint("cut", i)
+			body := strings.Repeat("x", 100000)
+			if i == 1 {
+				body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+			}
+			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s\r\n\r\n%s", sham.CallHeader, call, head, body)
+			time.Sleep(100 * time.Millisecond)
+			conn.Close()
+			time.Sleep(4 * time.Second)
+			if n := ranOf(f, call); n != 0 {
+				t.Errorf("%s: a cut upload ran %d times", head, n)
+			}
+		}
+		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		defer caller.Close()
+		got := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte(strings.Repeat("y", 500000)), "whole", false)
+		if got.Outcome != "ran" || got.Note != "" || ranOf(f, "whole") != 1 {
+			t.Errorf("a whole upload: %+v", got)
+		}
+	})
+}
+
+func TestSharesFollowStrengthAndTheRestIsRefusedAtOnce(t *testing.T) {
+	shape := Small()
+	shape.Servers = map[string]int{"bookings": 2, "rates": 1}
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		client := sham.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
+		view, err := client.Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Submit(f.ctx, &api.Change{ID: "limit", Base: view.Epoch, Put: api.NewOptConfig(api.Config{Limits: []api.Limit{{Service: "bookings", Inflight: api.NewOptInt(8)}}})}); err != nil {
+			t.Fatal(err)
+		}
+		f.Of("proxy2").Kill(false)
+		f.Shape.Settings["strength"] = "300"
+		f.up(f.Of("proxy2"))
+		for _, s := range f.Servers("bookings") {
+			s.Work = time.Second
+		}
+		time.Sleep(3 * time.Second)
+		for name, share := range map[string]int{"proxy1": 2, "proxy2": 6} {
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			ran, refused := 0, 0
+			for range 20 {
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+					defer caller.Close()
+					began := time.Now()
+					got := caller.Call(context.Background(), f.Of(name).Gate(), "POST", "/bookings", "bookings", []byte("{}"))
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case got.Outcome == "ran":
+						ran++
+					case got.Code == fault.Overload.No && got.RetryAfter != "" && time.Since(began) < 50*time.Millisecond:
+						refused++
+					default:
+						t.Errorf("%+v after %s", got, time.Since(began))
+					}
+				}()
+			}
+			all.Wait()
+			if ran != share || refused != 20-share {
+				t.Errorf("%s: %d ran and %d were refused at once, its share is %d", name, ran, refused, share)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/dream/wire_test.go
@@ -0,0 +1,61 @@
+// What comes over the wire and can't be read is refused, logged and counted,
+// and the node goes on.
+package dream
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+func TestMessagesThatCantBeReadAreRefused(t *testing.T) {
+	shape := one()
+	shape.Settings["wire.line"] = "65536"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		m := f.Cores()[0]
+		send := func(line string) string {
+			conn, err := f.W.Net(f.outside(6)).Dial(f.ctx, m.Wire())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(time.Second))
+			fmt.Fprintf(conn, "%s\n", line)
+			answer, _ := bufio.NewReader(conn).ReadString('\n')
+			return answer
+		}
+		before := m.Node().R.Sign.Counts()["MessageRefused"]
+		for line, says := range map[string]string{
+			"what is this":                                        "",
+			`{"id":1,"kind":"pact.nothing"}`:                      fmt.Sprint(fault.UnknownKind.No),
+			`{"id":2,"kind":"pact.promise","body":{"part":"x"}}`:  fmt.Sprint(fault.BadMessage.No),
+			`{"id":3,"kind":"pact.promise","body":{"part":99}}`:   fmt.Sprint(fault.BadMessage.No),
+			`{"id":4,"kind":"pact.append","body":{"part":-1}}`:    fmt.Sprint(fault.BadMessage.No),
+			`{"id":5,"kind":"seat.pass","body":{"part":400}}`:     fmt.Sprint(fault.BadMessage.No),
+			`{"id":6,"kind":"pact.found","body":{"step":"open"}}`: fmt.Sprint(fault.BadMessage.No),
+			strings.Repeat("x", 100000):                           "",
+		} {
+			got := send(line)
+			if says == "" && got != "" || !strings.Contains(got, says) {
+				t.Errorf("%.60q was answered %q", line, got)
+			}
+		}
+		packet, err := f.W.Net(f.outside(6)).Packet(f.outside(6) + ":7000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer packet.Close()
+		packet.WriteTo([]byte("what"), addr(m.Wire()))
+		time.Sleep(100 * time.Millisecond)
+		if n := m.Node().R.Sign.Counts()["MessageRefused"] - before; n < 7 {
+			t.Errorf("%d refusals are counted", n)
+		}
+		if !f.IsUsable() {
+			t.Error("the fleet no longer works")
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/up.go
@@ -0,0 +1,59 @@
+// Up keeps a fleet with stand-in servers running, for whoever wants to look at
+// it, call it and hurt it by hand.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// Up starts a shape and prints how to reach it; it ends with the context.
+func Up(ctx context.Context, binary, folder string, shape Shape, out io.Writer) error {
+	port, err := FreePort()
+	if err != nil {
+		return err
+	}
+	f := New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
+	defer f.KillAll()
+	if err := f.StartAll(); err != nil {
+		return err
+	}
+	r := &Run{f: f, shape: shape, ctx: ctx, h: judge.New(io.Discard), out: out, began: time.Now()}
+	services := map[string]bool{}
+	for _, l := range shape.Loads {
+		services[l.Service] = l.IsRepeatable
+		for i := range l.Servers {
+			r.serve(l.Service, fmt.Sprintf("127.8.%d.%d:%d", len(services), i+1, port), fmt.Sprintf("zone%d", i%shape.Zones+1))
+		}
+	}
+	operator := sham.NewOperator(realm.Host(""), r.h, f.ProxyMachines()[0].Api())
+	if err := Until(ctx, 30*time.Second, func() bool { _, err := operator.Submit(ctx, FirstChange("first", services)); return err == nil }); err != nil {
+		return fault.New(fault.Internal, "the first change set was not accepted")
+	}
+	wait, end := context.WithTimeout(ctx, 30*time.Second)
+	err = f.AwaitReady(wait)
+	end()
+	if err != nil {
+		return err
+	}
+	for _, m := range f.Machines {
+		gate := ""
+		if m.IsProxy {
+			gate = "gate " + m.Gate()
+		}
+		fmt.Fprintf(out, "%-8s %-6s pid %-7d api %-18s %s\n", m.Name, m.Zone, m.Pid(), m.Api(), gate)
+	}
+	fmt.Fprintf(out, "\nlogs are in %s; try:\n  curl -i http://%s/%s/x\n  bin/sumac shell --api %s members\n  bin/sumac epoch --api %s\nend with an interrupt\n", folder, f.ProxyMachines()[0].Gate(), shape.Loads[0].Service, f.Machines[0].Api(), f.Machines[0].Api())
+	<-ctx.Done()
+	for _, s := range r.servers {
+		s.Close()
+	}
+	return nil
+}
