A part without servers is known to be empty, not unknown

Cause: an empty list was left out of the part's news, and the planner takes a missing list for one it knows already; so the part was never reflected and its services were refused as not fresh (1002) where they have no target (1003). Seen while trying the shell as a new operator would. Test: before, 8 of 8 services without servers answered 1002; after, 1003.

--- a/internal/dream/gate_test.go
+++ b/internal/dream/gate_test.go
@@ -119,3 +119,31 @@
 		}
 	})
 }
+
+// A part in which no server was ever heard is known to be empty, not unknown.
+func TestAServiceWithoutServersHasNoTarget(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		client := sham.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
+		view, err := client.Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		config := api.Config{}
+		for i := range 8 {
+			name := fmt.Sprint("lonely", i)
+			config.Services = append(config.Services, api.Service{Name: name})
+			config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: name, Weight: 1}}})
+		}
+		if _, err := client.Submit(f.ctx, &api.Change{ID: "lonely", Base: view.Epoch, Put: api.NewOptConfig(config)}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		defer caller.Close()
+		for i := range 8 {
+			if got := caller.Call(f.ctx, f.Of("proxy1").Gate(), "POST", fmt.Sprint("/lonely", i), "", nil); got.Code != fault.NoTarget.No {
+				t.Errorf("lonely%d: code %d", i, got.Code)
+			}
+		}
+	})
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -223,7 +223,7 @@
 	Term   mark.Term           `json:"term"`
 	Digest string              `json:"digest"`
 	Age    int64               `json:"age"`
-	Lists  map[string][]Listed `json:"lists,omitempty"`
+	Lists  map[string][]Listed `json:"lists"`
 }
 
 // NewsReceipt answers NewsAsk.
