--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -32,6 +32,7 @@
 	Mapped  int
 	History io.Writer
 	Profile string
+	Once    bool
 
 	f       *Fleet
 	shape   Shape
@@ -122,6 +123,9 @@
 	}()
 	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
 	first := FirstChange("first", services)
+	for i, m := range first.Put.Value.Mappings {
+		first.Put.Value.Mappings[i].Once = api.NewOptBool(r.Once && !m.Repeatable.Value)
+	}
 	for i := range r.Mapped {
 		first.Put.Value.Mappings = append(first.Put.Value.Mappings, api.Mapping{Name: fmt.Sprint("more", i), Path: fmt.Sprint("/more/", i), To: []api.Split{{Service: shape.Loads[0].Service, Weight: 1}}})
 	}
--- /dev/null
+++ b/internal/gate/try.go
@@ -0,0 +1,202 @@
+// A try is one write of a request to one target, at most. What it may end in is
+// told apart here: nothing written, an answer with a right seal, or something
+// else after the first byte, of which only "unknown" can be said.
+package gate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// body reads small bodies, so that they can be sent again; others stream.
+func (g *Gate) body(r *http.Request) (func() io.Reader, bool, error) {
+	if r.ContentLength == 0 {
+		return func() io.Reader { return nil }, true, nil
+	}
+	if r.ContentLength > 0 && r.ContentLength <= smallBody {
+		whole := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, whole); err != nil {
+			return nil, false, fault.New(fault.BadRequest, "the body ended early; nothing was handed over")
+		}
+		return func() io.Reader { return bytes.NewReader(whole) }, true, nil
+	}
+	stream := &streamed{from: r.Body, left: int64(g.r.Props.GateRequest)}
+	return func() io.Reader { return stream }, false, nil
+}
+
+// streamed is a caller's body on its way; it remembers how it ended.
+type streamed struct {
+	from io.Reader
+	left int64
+	err  error
+}
+
+func (s *streamed) Read(p []byte) (int, error) {
+	n, err := s.from.Read(p)
+	if s.left -= int64(n); s.left < 0 {
+		err = errors.New("the body is too large")
+	}
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
+// try is one write of the request to one target, at most.
+func (g *Gate) try(ctx context.Context, c *course, r *http.Request, target wire.Target, body func() io.Reader, no int) (*answer, bool, error) {
+	at := place(c.service.Name, target.Instance, target.Address)
+	under := g.counter(at)
+	under.Add(1)
+	defer under.Add(-1)
+	p, err := g.pool.get(ctx, at, target.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	request := g.request(c, r, target, body(), no)
+	out, ok := p.take(request, g.r.Props.GateBody)
+	if !ok {
+		return nil, false, fault.New(fault.NotWritten, "%s: the pipe died", target.Address)
+	}
+	if t := g.table.Load(); !t.places[at] || !g.flow.IsFresh(t.chart, c.service.Name) {
+		p.kill()
+		return nil, false, fault.New(fault.NotFresh, "epoch %d", t.chart.Epoch)
+	}
+	if t := g.table.Load(); t.chart != c.chart {
+		if m := t.find(r); m == nil || !reflect.DeepEqual(m, c.mapping) {
+			p.kill()
+			return nil, false, fault.New(fault.NotFresh, "the mapping changed in epoch %d", t.chart.Epoch)
+		}
+	}
+	p.conn.SetDeadline(c.deadline)
+	g.budget.Seen(c.service.Name, bounds(c), c.key, c.isRepeat || no > 0)
+	counted := &counted{to: p.conn}
+	if err := request.Write(counted); err != nil {
+		select {
+		case got := <-out:
+			// The server answered before it had read everything.
+			if got.err == nil && g.verify(c, target, &got) == nil {
+				p.kill()
+				return &got, true, nil
+			}
+		default:
+		}
+		p.kill()
+		return nil, counted.n > 0 || request.ContentLength != 0, broken(request, counted.n, err)
+	}
+	select {
+	case got := <-out:
+		if got.err != nil {
+			p.kill()
+			return nil, true, lost(&got, target.Instance)
+		}
+		if err := g.verify(c, target, &got); err != nil {
+			p.kill()
+			return nil, true, err
+		}
+		g.count(target, counted.n+len(got.body))
+		p.conn.SetDeadline(time.Time{})
+		g.pool.put(at, p)
+		return &got, true, nil
+	case <-ctx.Done():
+		p.kill()
+		return nil, true, fault.New(fault.DeadlinePassed, "%s", target.Instance)
+	}
+}
+
+// count notes the bytes of a try, without the answer's head.
+func (g *Gate) count(target wire.Target, bytes int) {
+	kind := "gate.try"
+	if target.Zone != g.r.Props.Zone {
+		kind += " between"
+	}
+	g.wire.Count(kind, "", bytes)
+}
+
+// counted knows whether a first byte was written.
+type counted struct {
+	to io.Writer
+	n  int
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.to.Write(p)
+	c.n += n
+	return n, err
+}
+
+// broken sorts out a write that failed.
+func broken(request *http.Request, n int, err error) error {
+	if s, ok := request.Body.(wrapped); ok {
+		if stream, ok := s.Reader.(*streamed); ok && stream.err != nil {
+			return fault.New(fault.BodyCut, "%v", stream.err)
+		}
+	}
+	if n == 0 && request.ContentLength == 0 {
+		return fault.New(fault.NotWritten, "%v", err)
+	}
+	return fault.New(fault.AnswerLost, "%v", err)
+}
+
+// wrapped is a body that a failed write may close without harm.
+type wrapped struct{ io.Reader }
+
+func (wrapped) Close() error { return nil }
+
+func lost(got *answer, instance string) error {
+	if errors.Is(got.err, errTooLarge) {
+		return fault.New(fault.AnswerTooLarge, "")
+	}
+	if timeout, ok := got.err.(interface{ Timeout() bool }); ok && timeout.Timeout() {
+		return fault.New(fault.DeadlinePassed, "%s", instance)
+	}
+	return fault.New(fault.AnswerLost, "%v", got.err)
+}
+
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Proxy-Authorization", "Proxy-Authenticate"}
+
+func (g *Gate) request(c *course, r *http.Request, target wire.Target, body io.Reader, no int) *http.Request {
+	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header.Clone(), ContentLength: r.ContentLength}
+	for _, word := range strings.Split(r.Header.Get("Connection"), ",") {
+		out.Header.Del(strings.TrimSpace(word))
+	}
+	for _, name := range hopByHop {
+		out.Header.Del(name)
+	}
+	for name := range out.Header {
+		if strings.HasPrefix(name, "Sumac-") {
+			out.Header.Del(name)
+		}
+	}
+	out.Header.Set(HeaderRequest, c.id)
+	out.Header.Set(HeaderTry, strconv.Itoa(no+1))
+	out.Header.Set(HeaderService, c.service.Name)
+	out.Header.Set(HeaderInstance, target.Instance)
+	out.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+	out.Header.Set(HeaderProxy, string(g.r.Name))
+	if body != nil {
+		out.Body = wrapped{body}
+	}
+	return out
+}
+
+// verify holds an answer against the server's seal.
+func (g *Gate) verify(c *course, target wire.Target, got *answer) error {
+	h := got.response.Header
+	if !IsSealed(h.Get(HeaderSeal), c.service.Key, c.id, c.service.Name, target.Instance, got.response.StatusCode, got.body) {
+		g.r.Sign.Say(sign.SealRefused, "request", c.id, "service", c.service.Name, "instance", target.Instance, "address", target.Address, "status", got.response.StatusCode)
+		return fault.New(fault.SealBroken, "%s", target.Instance)
+	}
+	return nil
+}
+
