--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -199,4 +199,3 @@
 	}
 	return nil
 }
-
