The harness cuts real processes apart through a relay of its own

A node may advertise another wire address than the one it listens at; the relay stands there for TCP and UDP, tells senders by IP number, and holds back or loses what is cut.

--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -45,7 +45,7 @@
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
 				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
 				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the faults are drawn from"},
-				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, stop, server, change or all"},
+				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change or all"},
 				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
 				&cli.BoolFlag{Name: "once", Usage: "orders are claimed, so that repeats never run them again"},
 				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Cores    int
 	Machines []*Machine
 	Settings map[string]string
+	// Relay stands before every node's wire address, if there is one.
+	Relay *Relay
 	// IsDebugged gives every node an address for profiles, three above its port.
 	IsDebugged bool
 }
@@ -64,6 +66,9 @@
 func (m *Machine) Api() string  { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+1) }
 func (m *Machine) Gate() string { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+2) }
 
+// behind is where the node listens when a relay stands before it.
+func (m *Machine) behind() string { return fmt.Sprintf("%s:%d", m.IP, m.fleet.Port+4) }
+
 // Data is the machine's data folder.
 func (m *Machine) Data() string { return filepath.Join(m.fleet.Folder, m.Name, "data") }
 
@@ -86,6 +91,9 @@
 		return err
 	}
 	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
+	if m.fleet.Relay != nil {
+		set["wire.address"], set["wire.advertise"] = m.behind(), m.Wire()
+	}
 	if m.IsCore {
 		set["data.folder"] = m.Data()
 	}
@@ -253,7 +261,7 @@
 	return nil
 }
 
-// FreePort finds a port with the two above it free on the loopback addresses.
+// FreePort finds a port with the four above it free on the loopback addresses.
 func FreePort() (int, error) {
 	for range 50 {
 		first, err := net.Listen("tcp", "127.1.1.1:0")
@@ -266,7 +274,7 @@
 			continue
 		}
 		isFree := true
-		for i := range 3 {
+		for i := range 5 {
 			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port+i))
 			if err != nil {
 				isFree = false
--- /dev/null
+++ b/internal/fleet/relay.go
@@ -0,0 +1,189 @@
+// The Relay stands before the wire address of every node of a run, for TCP and
+// UDP, and can cut ways between machines: it tells who sends by the sender's IP
+// number. What is cut is held back (TCP) or lost (UDP), as on a broken network;
+// nobody is told.
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Relay is a run's.
+type Relay struct {
+	ctx    context.Context
+	end    context.CancelFunc
+	f      *Fleet
+	mu     sync.Mutex
+	cuts   map[[2]string]bool
+	change chan struct{}
+	closes []func() error
+}
+
+// NewRelay listens for every machine of the fleet.
+func NewRelay(parent context.Context, f *Fleet) (*Relay, error) {
+	ctx, end := context.WithCancel(parent)
+	r := &Relay{ctx: ctx, end: end, f: f, cuts: map[[2]string]bool{}, change: make(chan struct{})}
+	for _, m := range f.Machines {
+		listener, err := net.Listen("tcp", m.Wire())
+		if err != nil {
+			r.Close()
+			return nil, err
+		}
+		r.closes = append(r.closes, listener.Close)
+		packet, err := net.ListenPacket("udp", m.Wire())
+		if err != nil {
+			r.Close()
+			return nil, err
+		}
+		r.closes = append(r.closes, packet.Close)
+		go r.accept(listener, m)
+		go r.datagrams(packet, m)
+	}
+	return r, nil
+}
+
+// Close ends the relay and what goes through it.
+func (r *Relay) Close() {
+	r.end()
+	for _, verb := range r.closes {
+		verb()
+	}
+}
+
+// Cut stops what goes from one machine to another.
+func (r *Relay) Cut(from, to *Machine) {
+	r.mu.Lock()
+	r.cuts[[2]string{from.IP, to.IP}] = true
+	r.mu.Unlock()
+}
+
+// Isolate cuts some machines off from all others.
+func (r *Relay) Isolate(isIn func(*Machine) bool) {
+	for _, a := range r.f.Machines {
+		for _, b := range r.f.Machines {
+			if isIn(a) && !isIn(b) {
+				r.Cut(a, b)
+				r.Cut(b, a)
+			}
+		}
+	}
+}
+
+// Heal ends all cuts.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	r.cuts = map[[2]string]bool{}
+	close(r.change)
+	r.change = make(chan struct{})
+	r.mu.Unlock()
+}
+
+func (r *Relay) isCut(from, to string) (bool, chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts[[2]string{from, to}], r.change
+}
+
+func (r *Relay) accept(listener net.Listener, m *Machine) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.carry(conn, m)
+	}
+}
+
+// carry joins two connections, each way by a task of its own.
+func (r *Relay) carry(near net.Conn, m *Machine) {
+	defer near.Close()
+	from := near.RemoteAddr().(*net.TCPAddr).IP.String()
+	far, err := net.DialTimeout("tcp", m.behind(), time.Second)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	stop := context.AfterFunc(r.ctx, func() { near.Close(); far.Close() })
+	defer stop()
+	done := make(chan struct{}, 2)
+	go func() { r.copy(far, near, from, m.IP); done <- struct{}{} }()
+	go func() { r.copy(near, far, m.IP, from); done <- struct{}{} }()
+	<-done
+}
+
+func (r *Relay) copy(to, from net.Conn, sender, getter string) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		for {
+			isCut, change := r.isCut(sender, getter)
+			if !isCut {
+				break
+			}
+			select {
+			case <-change:
+			case <-r.ctx.Done():
+				return
+			}
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// datagrams passes on what comes for a machine, through one socket for each
+// sender, so that what it answers finds its way back.
+func (r *Relay) datagrams(packet net.PacketConn, m *Machine) {
+	behind := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(m.behind()))
+	ways := map[string]*net.UDPConn{}
+	defer func() {
+		for _, way := range ways {
+			way.Close()
+		}
+	}()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, from, err := packet.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		sender := from.(*net.UDPAddr).IP.String()
+		if isCut, _ := r.isCut(sender, m.IP); isCut {
+			continue
+		}
+		way := ways[from.String()]
+		if way == nil {
+			if way, err = net.DialUDP("udp", nil, behind); err != nil {
+				continue
+			}
+			ways[from.String()] = way
+			go func() {
+				back := make([]byte, 64<<10)
+				for {
+					n, err := way.Read(back)
+					if err != nil {
+						if r.ctx.Err() != nil {
+							return
+						}
+						time.Sleep(10 * time.Millisecond)
+						continue
+					}
+					if isCut, _ := r.isCut(m.IP, sender); !isCut {
+						packet.WriteTo(back[:n], from)
+					}
+				}
+			}()
+		}
+		way.Write(buffer[:n])
+	}
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -105,6 +105,12 @@
 	r.say("shape %s, rates times %.2f, %d s, seed %d, faults %s", shape.Name, r.Factor, r.Seconds, r.Seed, r.Fault)
 	r.h.Add(judge.Record{Kind: judge.Began, Note: shape.Name})
 	defer r.f.KillAll()
+	if strings.HasPrefix(r.Fault, "cut") || r.Fault == "all" {
+		if r.f.Relay, err = NewRelay(ctx, r.f); err != nil {
+			return err
+		}
+		defer r.f.Relay.Close()
+	}
 	if err := r.f.StartAll(); err != nil {
 		return err
 	}
@@ -265,6 +271,9 @@
 
 // rescue brings all machines back and takes the time until all serve.
 func (r *Run) rescue() {
+	if r.f.Relay != nil {
+		r.f.Relay.Heal()
+	}
 	for _, m := range r.f.Machines {
 		m.Thaw()
 		if !m.IsUp() {
--- a/internal/fleet/shape.go
+++ b/internal/fleet/shape.go
@@ -66,8 +66,9 @@
 	"stop":   stopOne,
 	"server": serverGoes,
 	"change": changeOne,
+	"cut":    cutSome,
 	"all": func(r *Run, rnd *rand.Rand) {
-		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, freezeOne, stopOne, serverGoes, serverGoes}
+		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, cutSome, cutSome, freezeOne, stopOne, serverGoes, serverGoes}
 		all[rnd.IntN(len(all))](r, rnd)
 	},
 }
@@ -86,6 +87,32 @@
 	r.nap(rnd, 1000, 1001)
 }
 
+// cutSome cuts ways between processes: one way, a machine, a zone, or the whole
+// core apart.
+func cutSome(r *Run, rnd *rand.Rand) {
+	one, two := r.pick(rnd, r.f.Machines), r.pick(rnd, r.f.Machines)
+	switch rnd.IntN(4) {
+	case 0:
+		r.say("cut %s to %s one way", one.Name, two.Name)
+		r.f.Relay.Cut(one, two)
+	case 1:
+		r.say("cut %s off", one.Name)
+		r.f.Relay.Isolate(func(m *Machine) bool { return m == one })
+	case 2:
+		r.say("cut %s off", one.Zone)
+		r.f.Relay.Isolate(func(m *Machine) bool { return m.Zone == one.Zone })
+	case 3:
+		r.say("split the core apart")
+		for _, core := range r.f.CoreMachines() {
+			r.f.Relay.Isolate(func(m *Machine) bool { return m == core })
+		}
+	}
+	r.nap(rnd, 500, 6000)
+	r.f.Relay.Heal()
+	r.say("heal")
+	r.nap(rnd, 1000, 4000)
+}
+
 func killOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.Machines)
 	r.say("kill %s", m.Name)
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -302,7 +302,7 @@
 			}
 		}
 		for _, address := range addresses {
-			if address != k.r.Props.WireAddress && k.Sync(address) {
+			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
 				isIn = true
 			}
 		}
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -6,41 +6,42 @@
 
 // Props are the checked settings of one node.
 type Props struct {
-	Name         string        // the node's name, lasting and unique in the fleet
-	Zone         string        // the zone or room the machine stands in
-	Seeds        []string      // wire addresses of other processes, three at best
-	WireAddress  string        // address for the other processes, TCP and UDP
-	ApiAddress   string        // address for back ends, applications and operators (HTTP)
-	GateAddress  string        // address for callers (HTTP); a node that has one is a proxy
-	DataFolder   string        // folder for the state; a node that has one is a core node
-	FoundCores   int           // how many empty core nodes found a fleet
-	Strength     int           // the machine's strength; shares follow it
-	LogLevel     string        // debug, info, warn or error
-	LogFile      string        // file for the log; standard error if empty
-	KinProbe     time.Duration // pause between two probes
-	KinReply     time.Duration // how long a probe waits before third parties are asked
-	KinSuspect   time.Duration // how long a suspected member may refute
-	PactRound    time.Duration // pause between two confirmations of a term
-	PactSilence  time.Duration // silence of an owner after which the next in order stands
-	PactGone     time.Duration // how long a core node may be gone before a spare replaces it
-	PactSnapshot int           // entries between two snapshots of a part
-	PlanSilence  time.Duration // silence after which a target is taken out
-	PlanPoll     time.Duration // pause between two collections of the parts' news
-	FlowHold     time.Duration // how long a listener request is held
-	FlowPause    time.Duration // pause after a fetch that brought nothing newer
-	FlowRetry    time.Duration // pause between tries after an error
-	FlowTries    int           // tries before the long pause
-	FlowCool     time.Duration // the long pause
-	FlowPulse    time.Duration // pause between two renewals of freshness
-	FlowFresh    time.Duration // age above which a proxy hands nothing over
-	GateDeadline time.Duration // deadline of a request whose mapping names none
-	GateBody     int           // largest answer that is buffered, in bytes
-	GateRequest  int           // largest request body, in bytes
-	GateInflight int           // requests under way at once in this proxy
-	GateConnect  time.Duration // time for a connection to a target
-	WireLine     int           // longest message between processes, in bytes
-	StopGrace    time.Duration // time for a planned stop
-	DebugAddress string        // address for profiles (pprof); none if empty; keep it inside
+	Name          string        // the node's name, lasting and unique in the fleet
+	Zone          string        // the zone or room the machine stands in
+	Seeds         []string      // wire addresses of other processes, three at best
+	WireAddress   string        // address for the other processes, TCP and UDP
+	WireAdvertise string        // address that the others are told for this node, if it is not wire.address
+	ApiAddress    string        // address for back ends, applications and operators (HTTP)
+	GateAddress   string        // address for callers (HTTP); a node that has one is a proxy
+	DataFolder    string        // folder for the state; a node that has one is a core node
+	FoundCores    int           // how many empty core nodes found a fleet
+	Strength      int           // the machine's strength; shares follow it
+	LogLevel      string        // debug, info, warn or error
+	LogFile       string        // file for the log; standard error if empty
+	KinProbe      time.Duration // pause between two probes
+	KinReply      time.Duration // how long a probe waits before third parties are asked
+	KinSuspect    time.Duration // how long a suspected member may refute
+	PactRound     time.Duration // pause between two confirmations of a term
+	PactSilence   time.Duration // silence of an owner after which the next in order stands
+	PactGone      time.Duration // how long a core node may be gone before a spare replaces it
+	PactSnapshot  int           // entries between two snapshots of a part
+	PlanSilence   time.Duration // silence after which a target is taken out
+	PlanPoll      time.Duration // pause between two collections of the parts' news
+	FlowHold      time.Duration // how long a listener request is held
+	FlowPause     time.Duration // pause after a fetch that brought nothing newer
+	FlowRetry     time.Duration // pause between tries after an error
+	FlowTries     int           // tries before the long pause
+	FlowCool      time.Duration // the long pause
+	FlowPulse     time.Duration // pause between two renewals of freshness
+	FlowFresh     time.Duration // age above which a proxy hands nothing over
+	GateDeadline  time.Duration // deadline of a request whose mapping names none
+	GateBody      int           // largest answer that is buffered, in bytes
+	GateRequest   int           // largest request body, in bytes
+	GateInflight  int           // requests under way at once in this proxy
+	GateConnect   time.Duration // time for a connection to a target
+	WireLine      int           // longest message between processes, in bytes
+	StopGrace     time.Duration // time for a planned stop
+	DebugAddress  string        // address for profiles (pprof); none if empty; keep it inside
 }
 
 var table = []entry{
@@ -48,6 +49,7 @@
 	{key: "zone", kind: "string", fallback: "z1", low: "", high: "", doc: "the zone or room the machine stands in", set: func(p *Props, v any) { p.Zone = v.(string) }},
 	{key: "seeds", kind: "strings", fallback: "", low: "", high: "", doc: "wire addresses of other processes, three at best", set: func(p *Props, v any) { p.Seeds = v.([]string) }},
 	{key: "wire.address", kind: "address", fallback: "", low: "", high: "", doc: "address for the other processes, TCP and UDP", set: func(p *Props, v any) { p.WireAddress = v.(string) }},
+	{key: "wire.advertise", kind: "address", fallback: "", low: "", high: "", doc: "address that the others are told for this node, if it is not wire.address", set: func(p *Props, v any) { p.WireAdvertise = v.(string) }},
 	{key: "api.address", kind: "address", fallback: "", low: "", high: "", doc: "address for back ends, applications and operators (HTTP)", set: func(p *Props, v any) { p.ApiAddress = v.(string) }},
 	{key: "gate.address", kind: "address", fallback: "", low: "", high: "", doc: "address for callers (HTTP); a node that has one is a proxy", set: func(p *Props, v any) { p.GateAddress = v.(string) }},
 	{key: "data.folder", kind: "string", fallback: "", low: "", high: "", doc: "folder for the state; a node that has one is a core node", set: func(p *Props, v any) { p.DataFolder = v.(string) }},
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -56,6 +56,9 @@
 	n := &Node{R: r, Wire: wire.New(r)}
 	p := r.Props
 	me := wire.Member{Name: r.Name, Birth: mark.NewBirth(), Wire: p.WireAddress, Api: p.ApiAddress, Gate: p.GateAddress, Zone: p.Zone, Strength: p.Strength}
+	if p.WireAdvertise != "" {
+		me.Wire = p.WireAdvertise
+	}
 	if p.DataFolder != "" {
 		var err error
 		if n.Store, err = lore.Open(r); err != nil {
