Founding under kills, damage of a whole core, oversize answers; mutants for tests

Found by the mutants: the cache's test did not reach the check that keeps older epochs out (its older groups were refused before); it does now.

--- a/internal/dream/disk.go
+++ b/internal/dream/disk.go
@@ -63,19 +63,15 @@
 	d.mu.Unlock()
 }
 
-// Spoil flips a byte in the middle of what is on the disk.
-func (d *Disk) Spoil() {
+// SpoilAll cuts the index of the store short, so that it can't be read.
+func (d *Disk) SpoilAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var largest *file
 	for fd, f := range d.files {
-		if fd.Type == storage.TypeJournal && (largest == nil || len(f.data) > len(largest.data)) {
-			largest = f
+		if fd.Type == storage.TypeManifest {
+			f.data = append([]byte(nil), f.data[:len(f.data)/2]...)
 		}
 	}
-	if largest != nil && len(largest.data) > 64 {
-		largest.data[len(largest.data)/2] ^= 0x5a
-	}
 }
 
 func (d *Disk) detach(isPowerLost bool) {
--- a/internal/dream/gate_test.go
+++ b/internal/dream/gate_test.go
@@ -147,3 +147,18 @@
 		}
 	})
 }
+
+func TestAnAnswerLargerThanMayBeHeldIsUnknown(t *testing.T) {
+	shape := one()
+	shape.Settings["gate.body"] = "4096"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		f.replace(f.Servers("bookings")[0], func(int64) string { return sham.Huge })
+		time.Sleep(2 * time.Second)
+		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		defer caller.Close()
+		got := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte("{}"), "huge", false)
+		if got.Code != fault.AnswerTooLarge.No || got.Outcome != "unknown" || ranOf(f, "huge") != 1 {
+			t.Errorf("%+v, ran %d times", got, ranOf(f, "huge"))
+		}
+	})
+}
--- a/internal/flow/cache_test.go
+++ b/internal/flow/cache_test.go
@@ -48,6 +48,8 @@
 	c.Stage(one)
 	swap(t, c, 3, one, false)
 	swap(t, c, 4, one, false)
+	swap(t, c, 4, two, false)
+	swap(t, c, 5, two, false)
 	if len(c.Chart().Targets["a"]) != 1 || c.Chart().Epoch != 5 {
 		t.Fatalf("%+v", c.Chart())
 	}
--- a/internal/sham/server.go
+++ b/internal/sham/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	Unsealed = "unsealed" // runs it, leaves out the seal
 	Swapped  = "swapped"  // runs it, answers with the answer of another request
 	Slow     = "slow"     // runs it after a while
+	Huge     = "huge"     // runs it, answers with more than may be held
 )
 
 // Server is one stand-in back end.
@@ -172,7 +174,11 @@
 	epoch, _ := strconv.ParseUint(r.Header.Get(gate.HeaderEpoch), 10, 64)
 	call, request := r.Header.Get(CallHeader), r.Header.Get(gate.HeaderRequest)
 	s.H.Add(judge.Record{Kind: judge.Ran, Call: call, Request: request, Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Epoch: epoch, Repeatable: r.Method == http.MethodGet, Digest: Digest(body)})
-	answer, _ := json.Marshal(Answer{Call: call, Service: s.Service, Bytes: len(body), Digest: Digest(body)})
+	reply := Answer{Call: call, Service: s.Service, Bytes: len(body), Digest: Digest(body)}
+	if way == Huge {
+		reply.Pad = strings.Repeat("x", 64<<10)
+	}
+	answer, _ := json.Marshal(reply)
 	seal := gate.Seal(s.Key, request, s.Service, s.Instance, 200, answer)
 	hijack := func(text string) {
 		conn, _, err := w.(http.Hijacker).Hijack()
--- a/tools/blight/main.go
+++ b/tools/blight/main.go
@@ -27,6 +27,7 @@
 	More  []graft
 
 	Scenario, Rule, Survives string
+	Test                     string // a test that must fail, in place of a scenario
 }
 
 func main() {
@@ -83,6 +84,18 @@
 		at := strings.LastIndex(string(text), g.Old)
 		check(os.WriteFile(path, []byte(string(text[:at])+g.New+string(text[at+len(g.Old):])), 0o644))
 	}
+	if m.Test != "" {
+		run := exec.Command("go", "test", "./internal/...", "-run", m.Test, "-count=1", "-timeout", "240s")
+		run.Dir = tree
+		out, err := run.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), "--- FAIL: "+m.Test) {
+			if m.Survives != "" {
+				return "survives, as said: " + m.Survives, true
+			}
+			return "SURVIVES " + m.Test, false
+		}
+		return "caught by " + m.Test, true
+	}
 	run := exec.Command("go", "test", "./internal/dream", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario)
 	run.Dir = tree
 	out, err := run.CombinedOutput()
