A request that a cut held back no longer arrives when the way heals

Cause: the system goes on sending what was written, also after the pipe was closed. Ruled out: freshness (it was fresh at the write). Change: connections to servers are given up when sent bytes stay unacknowledged for a second, and killed pipes throw away what was not sent. The simulated network does the same.

--- a/internal/dream/conn.go
+++ b/internal/dream/conn.go
@@ -15,6 +15,7 @@
 
 type chunk struct {
 	due  time.Time
+	late time.Time // when the sender's system gives it up; zero for never
 	data []byte
 }
 
@@ -43,8 +44,16 @@
 	readBy        time.Time
 	writeBy       time.Time
 	deadline      chan struct{}
+	patience      time.Duration
+	isHasty       bool
 }
 
+// SetUserTimeout bounds how long what was sent may stay on its way.
+func (c *conn) SetUserTimeout(d time.Duration) { c.mu.Lock(); c.patience = d; c.mu.Unlock() }
+
+// SetLinger, as zero, throws away at the close what has not arrived.
+func (c *conn) SetLinger(int) error { c.mu.Lock(); c.isHasty = true; c.mu.Unlock(); return nil }
+
 func pair(w *World, here, there string) (*conn, *conn) {
 	one, two := &half{change: make(chan struct{})}, &half{change: make(chan struct{})}
 	a := &conn{w: w, local: host(here), remote: host(there), here: here, there: there, in: one, out: two, deadline: make(chan struct{})}
@@ -134,6 +143,12 @@
 		case isBlocked:
 		case len(h.chunks) > 0:
 			first := &h.chunks[0]
+			if !first.late.IsZero() && time.Now().After(first.late) {
+				h.isBroken = true
+				h.stir()
+				h.mu.Unlock()
+				return 0, syscall.ECONNRESET
+			}
 			if !time.Now().Before(first.due) {
 				n := copy(p, first.data)
 				if first.data = first.data[n:]; len(first.data) == 0 {
@@ -166,6 +181,9 @@
 		if !by.IsZero() && !time.Now().Before(by) {
 			return 0, os.ErrDeadlineExceeded
 		}
+		c.mu.Lock()
+		patience := c.patience
+		c.mu.Unlock()
 		c.w.mu.Lock()
 		delay := c.w.delay(c.local, c.remote)
 		c.w.count(c.local, c.remote, len(p)+40)
@@ -181,7 +199,11 @@
 			if n := len(h.chunks); n > 0 && due.Before(h.chunks[n-1].due) {
 				due = h.chunks[n-1].due
 			}
-			h.chunks = append(h.chunks, chunk{due, append([]byte(nil), p...)})
+			one := chunk{due: due, data: append([]byte(nil), p...)}
+			if patience > 0 {
+				one.late = due.Add(patience)
+			}
+			h.chunks = append(h.chunks, one)
 			h.size += len(p)
 			h.stir()
 			h.mu.Unlock()
@@ -203,10 +225,14 @@
 		return nil
 	}
 	c.isClosed = true
+	isHasty := c.isHasty
 	close(c.deadline)
 	c.deadline = make(chan struct{})
 	c.mu.Unlock()
 	c.out.mu.Lock()
+	if isHasty {
+		c.out.chunks, c.out.size, c.out.isBroken = nil, 0, true
+	}
 	c.out.isShut = true
 	c.out.shutDue = time.Now().Add(time.Millisecond)
 	if n := len(c.out.chunks); n > 0 && c.out.shutDue.Before(c.out.chunks[n-1].due) {
--- a/internal/dream/gate_test.go
+++ b/internal/dream/gate_test.go
@@ -162,3 +162,21 @@
 		}
 	})
 }
+
+// A request that was written into a way that is cut must not arrive when the
+// way heals: its plan is long past then, and its caller has been answered.
+func TestWhatACutHeldBackDoesNotArriveLater(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		proxy, server := f.Of("proxy1"), f.Servers("bookings")[0]
+		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		defer caller.Close()
+		warm := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", []byte("{}"), "warm", false)
+		f.W.Cut(proxy.IP, host(server.Address))
+		held := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", []byte("{}"), "held", false)
+		f.W.Heal()
+		time.Sleep(5 * time.Second)
+		if warm.Outcome != "ran" || held.Outcome != "unknown" || ranOf(f, "held") != 0 {
+			t.Errorf("%+v, ran %d times", held, ranOf(f, "held"))
+		}
+	})
+}
--- a/internal/dream/transcript_test.go
+++ b/internal/dream/transcript_test.go
@@ -204,6 +204,7 @@
 		s.say("beats that can't be taken")
 		s.send(api, "POST", "/v1/beats", `{"service":"rates","instance":"i","seq":1,"address":"host:80","state":"serving"}`)
 		s.send(api, "POST", "/v1/beats", `{"service":"rates"}`)
+		s.send(api, "POST", "/v1/beats", `{"service":"nobody","instance":"i","seq":1,"address":"10.0.0.1:80","state":"serving"}`)
 		s.send(api, "GET", "/v1/nothing", "")
 	})
 }
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -100,7 +100,7 @@
 	p.mu.Lock()
 	p.isDead = true
 	p.mu.Unlock()
-	p.conn.Close()
+	throwAway(p.conn)
 }
 
 // take claims an idle pipe for a request; false if it died meanwhile.
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -79,6 +79,11 @@
 		}
 	}
 	p.conn.SetDeadline(c.deadline)
+	patience := ackTime
+	if _, isStream := body().(*streamed); isStream {
+		patience = ackTimeStream
+	}
+	giveUpAfter(p.conn, patience)
 	g.budget.Seen(c.service.Name, bounds(c), c.key, c.isRepeat || no > 0)
 	counted := &counted{to: p.conn}
 	if err := request.Write(counted); err != nil {
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -130,6 +130,12 @@
 	return wire.ChangeReceipt{}, false
 }
 
+// Has tells whether there is a service of that name.
+func (s *Sheet) Has(service string) bool {
+	_, ok := s.Groups[Targets+service]
+	return ok
+}
+
 // Manifest names every group of the epoch with its digest and stamp.
 func (s *Sheet) Manifest() map[string]wire.Held {
 	manifest := make(map[string]wire.Held, len(s.Groups))
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -40,17 +40,18 @@
 
 // Roll is one core node's, over all parts.
 type Roll struct {
-	r     *realm.Realm
-	p     *pact.Pact
-	books []*bond.Book
+	r      *realm.Realm
+	p      *pact.Pact
+	books  []*bond.Book
+	ledger *Ledger
 
 	mu    sync.Mutex
 	beats map[string]map[string]*heard
 	terms map[mark.Part]mark.Term
 }
 
-func NewRoll(r *realm.Realm, p *pact.Pact, books []*bond.Book) *Roll {
-	return &Roll{r: r, p: p, books: books, beats: map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}}
+func NewRoll(r *realm.Realm, p *pact.Pact, books []*bond.Book, ledger *Ledger) *Roll {
+	return &Roll{r: r, p: p, books: books, ledger: ledger, beats: map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}}
 }
 
 // CheckBeat names what is wrong with a beat.
@@ -89,6 +90,10 @@
 	if !isServing {
 		return fault.New(fault.NotOwner, "part %d", no)
 	}
+	if sheet := l.ledger.Sheet(); sheet.Epoch > 0 && !sheet.Has(b.Service) {
+		l.r.Sign.Say(sign.BeatRefused, "service", b.Service, "instance", b.Instance, "cause", "no such service")
+		return fault.New(fault.UnknownService, "%q", b.Service)
+	}
 	name := b.Service + "/" + b.Instance
 	marked, isMarked := l.books[no].Get(bond.Mark, name)
 	l.mu.Lock()
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	n.Desk = bond.NewDesk(n.R, n.Pact, n.Books)
-	n.Roll = plan.NewRoll(n.R, n.Pact, n.Books)
+	n.Roll = plan.NewRoll(n.R, n.Pact, n.Books, n.Ledger)
 	n.Planner = plan.NewPlanner(n.R, n.Wire, n.Kin, n.Pact, n.Ledger)
 	flow.NewServer(n.R, n.Wire, n.Kin, n.Pact, n.Ledger, n.Planner).HandleOwner()
 	n.Wire.Handle("plan.news", func(c *wire.Call) (any, error) {
