A spare takes the place of a core node lost for good, also in a small fleet

Found by the new test: with a spare the configuration part grew to four members, so a lost one had nobody to follow it, and the next loss left no majority. Sizes are odd now: five with five core nodes, else three. Before: not replaced in 30 s; after: every part has three live members, and with another node lost what was acknowledged is still read.

--- /dev/null
+++ b/internal/dream/spare_test.go
@@ -0,0 +1,60 @@
+// A core node that is lost for good gives its places to a spare one, and
+// nothing that was acknowledged is lost.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+func TestASpareTakesThePlaceOfACoreNodeLostForGood(t *testing.T) {
+	shape := one()
+	shape.Settings["pact.gone"] = "3s"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		spare := f.Add("core4", 0, true, false)
+		f.up(spare)
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		if _, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"kept"`)}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		lost := f.Of("core1")
+		lost.Kill(true)
+		f.W.Disk(lost.IP).Wipe()
+		isReplaced := func() bool {
+			for no := range mark.Parts + 1 {
+				isWhole := false
+				for _, m := range f.Cores() {
+					if m.Node() == nil || !m.Node().Pact.Part(mark.Part(no)).IsServing() {
+						continue
+					}
+					o := m.Node().Pact.Part(mark.Part(no)).Outline()
+					isWhole = len(o.Group) == 3 && o.Last == o.Commit
+					for _, peer := range o.Group {
+						isWhole = isWhole && peer.Name != "core1"
+					}
+				}
+				if !isWhole {
+					return false
+				}
+			}
+			return true
+		}
+		if !f.Until(30*time.Second, isReplaced) {
+			t.Fatal("the spare did not take the places")
+		}
+		f.Of("core2").Kill(true)
+		if !f.Until(15*time.Second, func() bool {
+			got, err := client.GetKey(f.ctx, api.GetKeyParams{Name: "app/a"})
+			return err == nil && string(got.Value) == `"kept"`
+		}) {
+			t.Error("what was acknowledged is not there with the spare")
+		}
+	})
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -304,10 +304,12 @@
 	return group
 }
 
-// Size is how many members a part has in a fleet of so many core nodes.
+// Size is how many members a part has in a fleet of so many core nodes. It is
+// odd where it can be: a fourth member would have to be heard for a majority
+// and would leave nobody to take a lost one's place.
 func Size(no mark.Part, cores int) int {
 	size := 3
-	if no == mark.Config {
+	if no == mark.Config && cores >= 5 {
 		size = 5
 	}
 	if size > cores {
