Settings with nested and dotted keys in one file are read the same every time

Cause: the file's two forms of one key's head were kept side by side, and the order of a map decided which was found, so a setting could be lost. Keys are brought to one form first.

--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/knadh/koanf/maps"
 	"github.com/knadh/koanf/parsers/json"
 	"github.com/knadh/koanf/parsers/yaml"
 	"github.com/knadh/koanf/providers/confmap"
@@ -47,7 +48,14 @@
 		if filepath.Ext(path) == ".json" {
 			parser = json.Parser()
 		}
-		if err := k.Load(file.Provider(path), parser); err != nil {
+		// Keys may be nested or dotted, and both in one file; they are brought
+		// to one form first, for else which one is found is a matter of luck.
+		raw := koanf.New("\x00")
+		if err := raw.Load(file.Provider(path), parser); err != nil {
+			return nil, fault.New(fault.BadProps, "%s: %v", path, err)
+		}
+		flat, _ := maps.Flatten(raw.Raw(), nil, ".")
+		if err := k.Load(confmap.Provider(flat, "."), nil); err != nil {
 			return nil, fault.New(fault.BadProps, "%s: %v", path, err)
 		}
 	}
