What is said of a repeat is true of its order; every answer bears its request's id

Cause: the not-run checker skipped a call that had got another answer as well, and slid-back forgave two seconds, so neither could see what the rule forbids. A claim also hung on the service, so a change set that moved the mapping made a new order of a repeat.

Ruled out: telling the attempt from the order by a header of the caller's (few send one); asking the claim before every refusal (an answer must not wait for an owner).

Change: Sumac-Request on every answer; a proxy remembers the orders it handed over or was told of, and turns a refusal into ran, unknown or under way; two tries of a claimed order can't be under way in one proxy; an order is method, path and key. slid-back compares a request with those answered before it was called, over restarts.

The test of a moved mapping fails with the claim put back on the service.

--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if m.IsProxy {
+		m.f.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
+	}
 	r := realm.New(m.f.ctx, p, sign.New(m.f.Log, "debug", m.Name), m.f.W.Net(m.IP))
 	node, err := seat.Start(r)
 	if err != nil {
--- /dev/null
+++ b/internal/dream/order_test.go
@@ -0,0 +1,40 @@
+// Orders that callers repeat, while what leads to their service changes.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// The claim on an order must outlive a change set that leads its path to another
+// service: the repeat, which comes to another proxy, is the same order still.
+func TestARepeatAfterAMoveToAnotherServiceIsTheSameOrder(t *testing.T) {
+	shape := once()
+	shape.Servers = map[string]int{"bookings": 1, "rates": 1, "desk": 1}
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		defer caller.Close()
+		first := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte("{}"), "moved", false)
+		if first.Outcome != "ran" {
+			t.Fatalf("%+v", first)
+		}
+		operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
+		view, err := operator.Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		config := api.Config{Mappings: []api.Mapping{{Name: "bookings", Path: "/bookings", To: []api.Split{{Service: "desk", Weight: 1}}, Once: api.NewOptBool(true)}}}
+		if _, err := operator.Submit(f.ctx, &api.Change{ID: "move", Base: view.Epoch, Put: api.NewOptConfig(config)}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		again := caller.Repeat(f.ctx, f.Of("proxy2").Gate(), "POST", "/bookings", "desk", []byte("{}"), "moved", true)
+		if again.Code != fault.OrderRan.No || again.Outcome != "ran" || ranOf(f, "moved") != 1 {
+			t.Errorf("the order ran %d times, its repeat was answered %+v", ranOf(f, "moved"), again)
+		}
+	})
+}
--- a/internal/dream/transcript_test.go
+++ b/internal/dream/transcript_test.go
@@ -168,6 +168,25 @@
 	})
 }
 
+func TestTranscriptRepeats(t *testing.T) {
+	transcript(t, "repeats", one(), func(s *script) {
+		gate := s.f.Of("proxy1").Gate()
+		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { return sham.LoseIt })
+		time.Sleep(2 * time.Second)
+		s.say("an order whose answer is lost; its repeats are refused while the budget is empty")
+		s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1", "Idempotency-Key: k1")
+		for range 4 {
+			s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1", "Idempotency-Key: k1")
+		}
+		s.say("its repeat to a proxy that has no fresh word of its plan, beside a first order")
+		s.f.isolate([]*Machine{s.f.Of("proxy1")})
+		time.Sleep(1500 * time.Millisecond)
+		s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1", "Idempotency-Key: k1")
+		s.send(gate, "POST", "/bookings", `{"n":2}`, "X-Call: c2", "Idempotency-Key: k2")
+		s.f.W.Heal()
+	})
+}
+
 func TestTranscriptOnce(t *testing.T) {
 	shape := one()
 	shape.Once = true
--- a/internal/fault/codes_gen.go
+++ b/internal/fault/codes_gen.go
@@ -7,7 +7,7 @@
 	NotFresh        = Code{No: 1002, Name: "NotFresh", Status: 503, Outcome: "not run", Text: "the proxy's plan is not freshly confirmed"}
 	NoTarget        = Code{No: 1003, Name: "NoTarget", Status: 503, Outcome: "not run", Text: "the service has no live target"}
 	Overload        = Code{No: 1004, Name: "Overload", Status: 503, Outcome: "not run", Text: "the proxy's share is used up"}
-	BudgetSpent     = Code{No: 1005, Name: "BudgetSpent", Status: 429, Outcome: "not run", Text: "the service's budget of extra tries is spent"}
+	BudgetSpent     = Code{No: 1005, Name: "BudgetSpent", Status: 429, Outcome: "unknown", Text: "a repeat of an order that was handed over; the service's budget of extra tries is spent"}
 	NotWritten      = Code{No: 1006, Name: "NotWritten", Status: 503, Outcome: "not run", Text: "no target could be reached; nothing was written"}
 	AnswerLost      = Code{No: 1007, Name: "AnswerLost", Status: 502, Outcome: "unknown", Text: "the request was handed over and no whole answer came back"}
 	SealBroken      = Code{No: 1008, Name: "SealBroken", Status: 502, Outcome: "unknown", Text: "the answer does not bear the server's seal"}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 // Machine is one node's place.
@@ -42,6 +43,8 @@
 	Settings map[string]string
 	// Relay stands before every node's wire address, if there is one.
 	Relay *Relay
+	// H is told of every start of a proxy, if there is one.
+	H *judge.History
 	// IsDebugged gives every node an address for profiles, three above its port.
 	IsDebugged bool
 }
@@ -110,6 +113,9 @@
 	for key, value := range set {
 		args = append(args, "--set", key+"="+value)
 	}
+	if m.IsProxy && m.fleet.H != nil {
+		m.fleet.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
+	}
 	cmd := exec.Command(m.fleet.Binary, args...)
 	trouble, err := os.OpenFile(filepath.Join(filepath.Dir(m.Log()), "stderr"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -101,6 +101,7 @@
 	r.f = New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
 	r.f.IsDebugged = r.Profile != ""
 	r.h = judge.New(r.History)
+	r.f.H = r.h
 	r.spent = map[string]time.Duration{}
 	r.say("shape %s, rates times %.2f, %d s, seed %d, faults %s", shape.Name, r.Factor, r.Seconds, r.Seed, r.Fault)
 	r.h.Add(judge.Record{Kind: judge.Began, Note: shape.Name})
--- a/internal/fleet/smoke.go
+++ b/internal/fleet/smoke.go
@@ -41,10 +41,11 @@
 	say := func(format string, args ...any) {
 		fmt.Fprintf(out, "%6.2fs %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 	}
+	h := judge.New(nil)
+	f.H = h
 	if err := f.StartAll(); err != nil {
 		return err
 	}
-	h := judge.New(nil)
 	h.Add(judge.Record{Kind: judge.Began, Note: "smoke"})
 	host := realm.Host("")
 	services := map[string]bool{"rates": true, "bookings": false}
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -12,8 +12,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/sumactrestle/sumactrestle/internal/mark"
 )
 
 const (
@@ -114,14 +112,6 @@
 	return true
 }
 
-// keyOf is the hash by which a caller's key is remembered; zero for no key.
-func keyOf(service, key string) uint64 {
-	if key == "" {
-		return 0
-	}
-	return mark.Score(service, key) | 1
-}
-
 // Seen remembers that a request under this key is handed over, as a first one
 // of the service or as a repeat.
 func (b *Budget) Seen(service string, bounds Bounds, key uint64, isRepeat bool) {
@@ -184,13 +174,3 @@
 	}
 	b.sweep()
 }
-
-// IsRepeat tells whether a request under this key was handed over of late, by
-// this proxy or by one that told of it. A request that was refused as not run
-// left no key, so coming back as told is no repeat.
-func (b *Budget) IsRepeat(key uint64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	seen, ok := b.keys[key]
-	return key != 0 && ok && time.Since(seen.at) <= 3*window
-}
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -13,7 +13,6 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/flow"
-	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -130,7 +129,7 @@
 }
 
 // course plans a request.
-func (g *Gate) course(r *http.Request) (*course, error) {
+func (g *Gate) course(r *http.Request, id string) (*course, error) {
 	t := g.table.Load()
 	if t == nil {
 		return nil, fault.New(fault.NotFresh, "no plan yet")
@@ -146,9 +145,9 @@
 	if !ok {
 		return nil, fault.New(fault.NoTarget, "service of %s", m.Name)
 	}
-	c := &course{id: mark.NewID(), chart: t.chart, mapping: m, service: service, isRepeatable: m.Repeatable, key: keyOf(service.Name, r.Header.Get(HeaderOnce))}
-	if key := r.Header.Get(HeaderOnce); m.Once && key != "" {
-		c.claim = claimName(service.Name, key)
+	c := &course{id: id, chart: t.chart, mapping: m, service: service, isRepeatable: m.Repeatable, key: orderOf(r)}
+	if c.key != 0 && m.Once {
+		c.claim = claimName(r)
 	}
 	c.deadline = time.Now().Add(g.r.Props.GateDeadline)
 	if m.Deadline > 0 {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -37,6 +38,7 @@
 	table    atomic.Pointer[table]
 	pool     *pool
 	budget   *Budget
+	orders   *Orders
 	counters sync.Map
 	inflight atomic.Int64
 	isGoing  atomic.Bool
@@ -48,9 +50,9 @@
 }
 
 func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
-	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), wire: w, bond: bond, settles: make(chan settled, 4096)}
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), orders: NewOrders(), wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
-	g.gossip = newGossip(r, w, k, g.budget)
+	g.gossip = newGossip(r, w, k, g.budget, g.orders)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := newTable(chart, g.table.Load())
 		g.table.Store(t)
@@ -78,45 +80,60 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := g.inflight.Add(1)
 	defer g.inflight.Add(-1)
+	id := mark.NewID()
+	w.Header().Set(HeaderRequest, id)
+	c, got, err := g.handle(w, r, id, n)
+	if err != nil {
+		g.refuse(w, orderOf(r), err)
+		return
+	}
+	g.pass(w, c, got)
+}
+
+// handle plans a request, asks for what it needs, and carries it out.
+func (g *Gate) handle(w http.ResponseWriter, r *http.Request, id string, n int64) (*course, *answer, error) {
 	if g.isGoing.Load() {
 		w.Header().Set("Connection", "close")
-		g.refuse(w, fault.New(fault.Stopping, ""))
-		return
+		return nil, nil, fault.New(fault.Stopping, "")
 	}
 	if n > int64(g.r.Props.GateInflight) {
-		g.refuse(w, fault.New(fault.Overload, "%d requests are under way", n-1))
-		return
+		return nil, nil, fault.New(fault.Overload, "%d requests are under way", n-1)
 	}
 	if r.ContentLength > int64(g.r.Props.GateRequest) {
-		g.refuse(w, fault.New(fault.RequestTooLarge, "%d bytes", r.ContentLength))
-		return
+		return nil, nil, fault.New(fault.RequestTooLarge, "%d bytes", r.ContentLength)
 	}
-	c, err := g.course(r)
+	c, err := g.course(r, id)
 	if err != nil {
-		g.refuse(w, err)
-		return
+		return nil, nil, err
 	}
 	done, err := g.admit(c)
 	if err != nil {
-		g.refuse(w, err)
-		return
+		return nil, nil, err
 	}
 	defer done()
 	if err := g.claim(c); err != nil {
-		g.refuse(w, err)
-		return
+		g.orders.End(c.key, how(err))
+		return nil, nil, err
 	}
 	got, err := g.carry(c, r)
+	g.orders.End(c.key, how(err))
 	g.settle(c, err)
-	if err != nil {
-		if c.key != 0 && fault.Of(err).Code.Outcome == "unknown" {
-			g.budget.Told(c.key)
-			g.gossip.tell(c.key)
-		}
-		g.refuse(w, err)
-		return
+	if c.key != 0 && how(err) == unknown {
+		g.budget.Told(c.key)
+		g.gossip.tell(c.key)
 	}
-	g.pass(w, c, got)
+	return c, got, err
+}
+
+// how tells what a try that ended so makes known of its order.
+func how(err error) string {
+	switch {
+	case err == nil || fault.Is(err, fault.OrderRan):
+		return ran
+	case fault.Of(err).Code.Outcome == "unknown" && !fault.Is(err, fault.OrderUnderWay):
+		return unknown
+	}
+	return unheardOf
 }
 
 // admit holds the proxy's share of the service and the budget of repeats.
@@ -130,7 +147,14 @@
 			return nil, fault.New(fault.Overload, "%s: the share of this proxy is %d", c.service.Name, share)
 		}
 	}
-	if c.isRepeat = g.budget.IsRepeat(c.key); c.isRepeat && !g.extra(c) {
+	state := g.orders.Begin(c.key, c.claim != "")
+	c.isRepeat = state != unheardOf
+	if c.isRepeat && c.claim != "" {
+		done()
+		return nil, knownOrder(state, "this proxy handed it over")
+	}
+	if c.isRepeat && !g.extra(c) {
+		g.orders.End(c.key, unheardOf)
 		done()
 		return nil, fault.New(fault.BudgetSpent, "%s: a repeat of a request", c.service.Name)
 	}
@@ -206,6 +230,7 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
+	h.Set(HeaderRequest, c.id)
 	h.Set(HeaderOutcome, "ran")
 	h.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
 	if got.response.StatusCode != http.StatusNoContent && got.response.StatusCode != http.StatusNotModified && got.response.Request.Method != http.MethodHead {
@@ -224,15 +249,19 @@
 	found.(*atomic.Int64).Add(1)
 }
 
-// refuse answers at once, and spreads the time to come back.
-func (g *Gate) refuse(w http.ResponseWriter, err error) {
+// refuse answers at once, and spreads the time to come back. What is said is
+// true of the order, if the request bore a key and the order is known here.
+func (g *Gate) refuse(w http.ResponseWriter, key uint64, err error) {
 	p := fault.Of(err)
+	if key != 0 {
+		p = ofOrder(g.orders.Of(key), p)
+	}
 	g.note(p.Code.Name)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderCode, strconv.Itoa(p.Code.No))
 	h.Set(HeaderOutcome, p.Code.Outcome)
-	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests || p.Code.No == fault.OrderUnderWay.No {
+	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests || p.Code.Status == http.StatusConflict {
 		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(3)))
 	}
 	status := p.Code.Status
--- a/internal/gate/gossip.go
+++ b/internal/gate/gossip.go
@@ -25,7 +25,7 @@
 	queue chan uint64
 }
 
-func newGossip(r *realm.Realm, w *wire.Wire, k *kin.Kin, b *Budget) *gossip {
+func newGossip(r *realm.Realm, w *wire.Wire, k *kin.Kin, b *Budget, o *Orders) *gossip {
 	g := &gossip{r: r, w: w, k: k, queue: make(chan uint64, gossipMost)}
 	w.Handle("gate.seen", func(c *wire.Call) (any, error) {
 		var ask wire.SeenAsk
@@ -33,6 +33,7 @@
 			return nil, err
 		}
 		b.Heard(ask.Keys)
+		o.Heard(ask.Keys)
 		return struct{}{}, nil
 	})
 	r.Go(g.run)
--- a/internal/gate/once.go
+++ b/internal/gate/once.go
@@ -12,6 +12,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -29,9 +30,22 @@
 	name, request, state string
 }
 
-func claimName(service, key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return service + "/once/" + hex.EncodeToString(sum[:16])
+// claimName does not hang on the service: a change set may lead the path to
+// another one between an order and its repeat.
+func claimName(r *http.Request) string {
+	sum := sha256.Sum256([]byte(r.Method + "\n" + r.URL.Path + "\n" + r.Header.Get(HeaderOnce)))
+	return hex.EncodeToString(sum[:16])
+}
+
+// knownOrder is the answer to a repeat of an order of which something is known.
+func knownOrder(state, note string) error {
+	switch state {
+	case ran:
+		return fault.New(fault.OrderRan, "%s", note)
+	case unknown:
+		return fault.New(fault.OrderUnknown, "%s", note)
+	}
+	return fault.New(fault.OrderUnderWay, "%s", note)
 }
 
 // claim asks for the order's key; without it nothing may be handed over.
@@ -55,13 +69,7 @@
 	}
 	var state string
 	json.Unmarshal(receipt.Value, &state)
-	switch state {
-	case "ran":
-		return fault.New(fault.OrderRan, "request %s", receipt.Holder)
-	case "unknown":
-		return fault.New(fault.OrderUnknown, "request %s", receipt.Holder)
-	}
-	return fault.New(fault.OrderUnderWay, "request %s", receipt.Holder)
+	return knownOrder(state, "request "+receipt.Holder)
 }
 
 // giveBack frees the key of an order of which nothing was written.
@@ -81,14 +89,14 @@
 	if c.claim == "" {
 		return
 	}
-	state := "ran"
+	state := ran
 	switch {
 	case err == nil:
 	case fault.Of(err).Code.Outcome == "not run":
 		g.r.Go(func() { g.giveBack(c) })
 		return
 	default:
-		state = "unknown"
+		state = unknown
 	}
 	select {
 	case g.settles <- settled{c.claim, c.id, state}:
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -30,6 +30,7 @@
 	Rescue   = "rescue"   // all machines are back at At; usable again by Start
 	Planned  = "planned"  // a planned stop began at At
 	InForce  = "inforce"  // the configuration at the end, mapping names in Names
+	Alive    = "alive"    // a proxy's process was started
 	Harmless = "harmless" // the scenario holds planned stops only
 )
 
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -61,6 +61,7 @@
 	learnBound  = 2 * time.Second
 	rescueBound = 15 * time.Second
 	slack       = 50 * time.Millisecond
+	keyBound    = 25 * time.Second // how long a proxy surely remembers an order
 )
 
 type check func(all []Record, fail func(at time.Duration, format string, args ...any))
@@ -150,27 +151,44 @@
 	}
 }
 
-// notRun: "not run" for a request that did run, or will run later.
+// notRun: "not run" for a request that did run, or will run later. Each answer
+// bears its request's id, so each try of a caller is judged by itself. What is
+// said of a repeat must be true of the order: through the proxy that handed the
+// order over, and has lived on since, no repeat is told "not run".
 func notRun(all []Record, fail func(time.Duration, string, ...any)) {
-	runs := map[string]int{}
-	for _, r := range of(all, Ran) {
-		runs[r.Call]++
+	runs, lives := map[string]Record{}, map[string][]time.Duration{}
+	for _, r := range all {
+		switch r.Kind {
+		case Ran:
+			runs[r.Request] = r
+		case Alive:
+			lives[r.Proxy] = append(lives[r.Proxy], r.At)
+		}
 	}
-	answers := map[string][]Record{}
+	handed := map[string][]Record{}
 	for _, r := range of(all, Called) {
-		answers[r.Call] = append(answers[r.Call], r)
+		if _, ok := runs[r.Request]; ok && !r.Repeatable {
+			handed[r.Call] = append(handed[r.Call], r)
+		}
 	}
-	for call, list := range answers {
-		maybe, last := 0, Record{}
-		for _, r := range list {
-			if r.Outcome != "not run" {
-				maybe++
-			} else {
-				last = r
-			}
+	for _, r := range of(all, Called) {
+		if r.Outcome != "not run" {
+			continue
+		}
+		if r.Request == "" {
+			fail(r.At, "call %s was answered not run (%d) without its request's id; nothing can be said of it", r.Call, r.Code)
 		}
-		if last.Call != "" && maybe == 0 && runs[call] > 0 {
-			fail(last.At, "call %s was answered not run (%d) and ran %d times", call, last.Code, runs[call])
+		if ran, ok := runs[r.Request]; ok {
+			fail(r.At, "call %s, request %s was answered not run (%d) and ran at %s", r.Call, r.Request, r.Code, ran.Instance)
+		}
+		for _, first := range handed[r.Call] {
+			isSameLife := r.Proxy == first.Proxy && first.At < r.Start && r.At < first.Start+keyBound
+			for _, at := range lives[r.Proxy] {
+				isSameLife = isSameLife && (at < first.Start || at > r.At)
+			}
+			if isSameLife {
+				fail(r.At, "a repeat of call %s was answered not run (%d) by the proxy that had handed it over as request %s", r.Call, r.Code, first.Request)
+			}
 		}
 	}
 }
@@ -243,24 +261,42 @@
 	}
 }
 
-// slidBack: a proxy hands over under an epoch after it did under a later one.
+// slidBack: a request that was called after another was answered through the
+// same proxy runs under a lower epoch than that one did. Nothing is forgiven,
+// and a proxy that was started anew is the same proxy.
 func slidBack(all []Record, fail func(time.Duration, string, ...any)) {
+	epochs := map[string]Record{}
+	for _, r := range of(all, Ran) {
+		epochs[r.Request] = r
+	}
 	type seen struct {
-		epoch uint64
-		at    time.Duration
+		at  time.Duration
+		ran Record
 	}
-	highest := map[string]seen{}
-	for _, r := range of(all, Ran) {
-		top := highest[r.Proxy]
-		came := r.At
-		if r.Start > 0 {
-			came = r.Start
-		}
-		if r.Epoch < top.epoch && came > top.at+learnBound {
-			fail(r.At, "proxy %s used epoch %d after epoch %d", r.Proxy, r.Epoch, top.epoch)
+	answered, called := map[string][]seen{}, map[string][]seen{}
+	for _, r := range of(all, Called) {
+		ran, ok := epochs[r.Request]
+		if !ok {
+			continue
 		}
-		if r.Epoch > top.epoch {
-			highest[r.Proxy] = seen{r.Epoch, r.At}
+		called[r.Proxy] = append(called[r.Proxy], seen{r.Start, ran})
+		answered[r.Proxy] = append(answered[r.Proxy], seen{r.At, ran})
+	}
+	for proxy, list := range called {
+		byTime := func(list []seen) func(i, j int) bool { return func(i, j int) bool { return list[i].at < list[j].at } }
+		sort.Slice(list, byTime(list))
+		before := answered[proxy]
+		sort.Slice(before, byTime(before))
+		top, next := Record{}, 0
+		for _, s := range list {
+			for ; next < len(before) && before[next].at < s.at; next++ {
+				if before[next].ran.Epoch > top.Epoch {
+					top = before[next].ran
+				}
+			}
+			if s.ran.Epoch < top.Epoch {
+				fail(s.at, "call %s was handed over by proxy %s under epoch %d after call %s was answered under epoch %d", s.ran.Call, proxy, s.ran.Epoch, top.Call, top.Epoch)
+			}
 		}
 	}
 }
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -14,9 +14,9 @@
 func sound() []Record {
 	return []Record{
 		{Kind: Began, At: 1},
-		{Kind: Called, Start: 1 * s, At: 1*s + 9, Call: "a", Service: "bookings", Status: 200, Outcome: "ran", Digest: "d"},
+		{Kind: Called, Start: 1 * s, At: 1*s + 9, Call: "a", Request: "ra", Proxy: "p:1", Service: "bookings", Status: 200, Outcome: "ran", Digest: "d"},
 		{Kind: Ran, At: 1*s + 5, Call: "a", Request: "ra", Proxy: "p", Service: "bookings", Owner: "bookings", Instance: "i1", Address: "x", Epoch: 3, Digest: "d"},
-		{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "b", Service: "bookings", Status: 503, Code: 1002, Outcome: "not run", RetryAfter: "1"},
+		{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "b", Request: "rb", Proxy: "p:1", Service: "bookings", Status: 503, Code: 1002, Outcome: "not run", RetryAfter: "1"},
 		{Kind: Known, At: 4 * s, Service: "bookings", Instance: "i1"},
 		{Kind: Changed, Start: 5 * s, At: 5*s + 9, Name: "c1", Base: 3, Epoch: 4, Outcome: "accepted", Names: []string{"c1"}},
 		{Kind: Changed, Start: 5 * s, At: 5*s + 9, Name: "c2", Base: 3, Outcome: "refused", Code: 2002, Names: []string{"c2"}},
@@ -69,7 +69,7 @@
 		"late-hand-over": {ran("c", "rc", "bookings", "bookings", "i1", 6*s+100*time.Millisecond, 9)},
 		"wrong-service":  {ran("c", "rc", "rates", "bookings", "i2", 3*s, 3)},
 		"old-plan":       {ran("c", "rc", "bookings", "bookings", "i2", 7*s+100*time.Millisecond, 3)},
-		"slid-back":      {ran("c", "rc", "bookings", "bookings", "i2", 1*s+100, 9), ran("d", "rd", "bookings", "bookings", "i2", 4*s, 8)},
+		"slid-back":      {ran("c", "rc", "bookings", "bookings", "i2", 1*s+100, 9), {Kind: Called, Start: 1 * s, At: 1*s + 200, Call: "c", Request: "rc", Proxy: "p:2", Outcome: "unknown"}, ran("d", "rd", "bookings", "bookings", "i2", 1*s+250, 8), {Kind: Called, Start: 1*s + 201, At: 1*s + 300, Call: "d", Request: "rd", Proxy: "p:2", Outcome: "unknown"}},
 		"racing-changes": {{Kind: Changed, At: 6 * s, Name: "c3", Base: 3, Epoch: 5, Outcome: "accepted"}},
 		"lost-change":    {{Kind: Asked, Start: 26 * s, At: 26*s + 9, Name: "c1", Outcome: "absent"}},
 		"extra-tries":    many(),
@@ -79,7 +79,7 @@
 		"stale-read":     {{Kind: Bonded, Start: 14 * s, At: 14*s + 9, Op: "get", Name: "k", Stamp: 19, Outcome: "done"}},
 		"watch-gap":      {{Kind: Watched, Start: 14 * s, At: 14*s + 9, Name: "k", From: 19, Stamp: 25, Outcome: "done"}},
 		"too-long":       {{Kind: Rescue, Start: 20 * s, At: 36 * s, Outcome: "usable"}},
-		"answered":       {{Kind: Called, At: 3 * s, Call: "y", Status: 503, Code: 1002, Outcome: "not run"}},
+		"answered":       {{Kind: Called, At: 3 * s, Call: "y", Request: "ry", Status: 503, Code: 1002, Outcome: "not run"}},
 	}
 	for rule := range Checks {
 		if planted[rule] == nil {
@@ -97,6 +97,9 @@
 }
 
 func TestOtherFaultsOfTheSameRules(t *testing.T) {
+	ran := func(call, request string, at time.Duration) Record {
+		return Record{Kind: Ran, At: at, Call: call, Request: request, Proxy: "p", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3, Digest: "d"}
+	}
 	for name, c := range map[string]struct {
 		rule   string
 		faults []Record
@@ -112,6 +115,9 @@
 		"a request by a silent server":          {"late-hand-over", []Record{{Kind: Silent, At: 3 * s, Service: "bookings", Instance: "i7"}, {Kind: Ran, At: 6*s + s, Call: "c", Request: "rc", Service: "bookings", Owner: "bookings", Instance: "i7", Epoch: 9}}},
 		"one request handed over again":         {"runs-twice", []Record{{Kind: Ran, At: 2 * s, Call: "q", Request: "ra", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3}}},
 		"a success of another's body":           {"wrong-answer", []Record{{Kind: Called, At: 3 * s, Call: "a", Status: 200, Outcome: "ran", Digest: "d", Note: "wrong answer"}}},
+		"a refusal without its id":              {"not-run", []Record{{Kind: Called, At: 3 * s, Call: "y", Status: 503, Code: 1002, Outcome: "not run", RetryAfter: "1"}}},
+		"one of two tries that is told wrong":   {"not-run", []Record{{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "k", Request: "r1", Proxy: "p:1", Status: 503, Code: 1006, Outcome: "not run", RetryAfter: "1"}, {Kind: Called, Start: 3 * s, At: 3*s + 9, Call: "k", Request: "r2", Proxy: "p:2", Status: 502, Code: 1007, Outcome: "unknown", RetryAfter: "1"}, ran("k", "r1", 2*s)}},
+		"a repeat that is told of its try only": {"not-run", []Record{{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "k", Request: "r1", Proxy: "p:1", Status: 502, Code: 1007, Outcome: "unknown", RetryAfter: "1"}, {Kind: Called, Start: 3 * s, At: 3*s + 9, Call: "k", Request: "r2", Proxy: "p:1", Status: 429, Code: 1005, Outcome: "not run", RetryAfter: "1"}, ran("k", "r1", 2*s)}},
 		"a broken call in a planned stop":       {"dropped", []Record{{Kind: Harmless, At: 2}, {Kind: Called, At: 3 * s, Call: "a", Outcome: "broken"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -123,6 +129,18 @@
 	}
 }
 
+// A proxy that was started anew can't know what its earlier life handed over.
+func TestARepeatAfterAProxysRestartIsToldOfItsTry(t *testing.T) {
+	v := Judge(append(sound(),
+		Record{Kind: Called, Start: 2 * s, At: 2*s + 9, Call: "k", Request: "r1", Proxy: "p:1", Status: 502, Code: 1007, Outcome: "unknown", RetryAfter: "1"},
+		Record{Kind: Ran, At: 2 * s, Call: "k", Request: "r1", Proxy: "p", Service: "bookings", Owner: "bookings", Instance: "i2", Epoch: 3},
+		Record{Kind: Alive, At: 2*s + 500, Proxy: "p:1"},
+		Record{Kind: Called, Start: 3 * s, At: 3*s + 9, Call: "k", Request: "r2", Proxy: "p:1", Status: 503, Code: 1002, Outcome: "not run", RetryAfter: "1"}))
+	if !v.IsClean() {
+		t.Fatal(v)
+	}
+}
+
 func TestHistoryWithoutEndProvesNothing(t *testing.T) {
 	records := sound()
 	v := Judge(records[:len(records)-1])
--- a/internal/sham/caller.go
+++ b/internal/sham/caller.go
@@ -69,6 +69,7 @@
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
 	r.Status, r.Outcome, r.RetryAfter = response.StatusCode, response.Header.Get(gate.HeaderOutcome), response.Header.Get("Retry-After")
+	r.Request = response.Header.Get(gate.HeaderRequest)
 	r.Code, _ = strconv.Atoi(response.Header.Get(gate.HeaderCode))
 	r.Epoch, _ = strconv.ParseUint(response.Header.Get(gate.HeaderEpoch), 10, 64)
 	switch {
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -438,7 +438,7 @@
 	Shares   map[mark.Name]int   `json:"shares"`
 }
 
-// SeenAsk tells other proxies of orders that were handed over and got no answer, by the hash of service and caller's key.
+// SeenAsk tells other proxies of orders that were handed over and got no answer, by the hash of method, path and caller's key.
 type SeenAsk struct {
 	Keys []uint64 `json:"keys"`
 }
