Orders lost while other proxies can't be told are charged to the proxy that lost them

Cause: the budget of extra tries recognises a repeat at another proxy by the word of the one that lost the order. In the second before a cut-off proxy refuses for want of freshness, and for as long as two proxies are cut from one another, that word does not arrive, and each repeat counts as a first request and even pays into the bucket.

Ruled out: a lower bound for all (takes tries from those who are whole); asking a core node per order (cost on the ordinary path); relaying through a third node (helps only where there is one).

Change: the word goes to every proxy of the epoch, live in our view or not; what not all have heard of is a debt of the service's bucket, and while the bucket could not pay, orders with a key are refused as overload before they are handed over.

--- a/internal/dream/servers.go
+++ b/internal/dream/servers.go
@@ -78,7 +78,8 @@
 }
 
 // storm has servers that lose many answers, while callers repeat at once; now
-// and then a proxy is killed and comes back with an empty memory.
+// and then a proxy is killed and comes back with an empty memory, or is cut off
+// from the fleet and has no fresh plan by which to hand a repeat over.
 func storm(f *Fleet) {
 	for _, s := range f.Servers("bookings") {
 		if s.Misdo == nil {
@@ -92,11 +93,18 @@
 		}
 	}
 	f.nap(2*time.Second, 6*time.Second)
-	if f.Rand.IntN(2) == 0 {
-		m := f.pick(f.Proxies())
+	m := f.pick(f.Proxies())
+	switch f.Rand.IntN(3) {
+	case 0:
 		f.Say("kill %s", m.Name)
 		m.Kill(false)
 		f.up(m)
+	case 1:
+		f.Say("cut %s off", m.Name)
+		f.isolate([]*Machine{m})
+		f.nap(time.Second, 3*time.Second)
+		f.Say("heal")
+		f.W.Heal()
 	}
 }
 
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -19,9 +19,13 @@
 	debtMax = -200
 )
 
+// bucket is one service's: the tries it holds, and the orders lost without all
+// other proxies' having heard of it, of which some still may.
 type bucket struct {
-	tries float64
-	at    time.Time
+	tries  float64
+	unsaid float64
+	debt   float64
+	at     time.Time
 }
 
 // Bounds is what a service may have: a percentage of its traffic, and a base
@@ -97,6 +101,10 @@
 		l.tries = min(l.tries+part*now.Sub(l.at).Seconds()/window.Seconds(), part)
 	}
 	l.at = now
+	if paid := min(l.debt, max(0, l.tries)); paid > 0 {
+		l.debt -= paid
+		l.tries -= paid
+	}
 	return l
 }
 
@@ -146,14 +154,47 @@
 	}
 }
 
-// Told marks a key as one that this proxy told the others of.
-func (b *Budget) Told(key uint64) {
+// Lose notes an order that got no answer; until all proxies have heard of it,
+// its repeat may come to one that takes it for a first request.
+func (b *Budget) Lose(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if seen, ok := b.keys[key]; ok {
-		seen.isTold = true
-		b.keys[key] = seen
+	if l := b.services[service]; l != nil {
+		l.unsaid++
+	}
+}
+
+// Told marks keys as ones that the other proxies were told of. Those that not
+// all have heard of are a debt, paid before any extra try is.
+func (b *Budget) Told(keys []uint64, services map[string]int, isHeard bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range keys {
+		if seen, ok := b.keys[key]; ok {
+			seen.isTold = true
+			b.keys[key] = seen
+		}
 	}
+	for service, n := range services {
+		l := b.services[service]
+		if l == nil {
+			continue
+		}
+		l.unsaid -= float64(n)
+		if !isHeard {
+			l.debt = min(l.debt+float64(n), -debtMax)
+		}
+	}
+}
+
+// MayLose tells whether the bucket could pay for the repeats of all orders that
+// were lost unsaid. If not, no order with a key is handed over for a moment, for
+// its loss might not be told either.
+func (b *Budget) MayLose(service string, bounds Bounds) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.of(service, bounds)
+	return l.unsaid+l.debt <= max(0, l.tries)+1+float64(bounds.Base)/8/float64(b.proxies())
 }
 
 // Heard takes keys that another proxy tells of. One that was taken for a first
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -52,7 +52,7 @@
 func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
 	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), orders: NewOrders(), wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
-	g.gossip = newGossip(r, w, k, g.budget, g.orders)
+	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := newTable(chart, g.table.Load())
 		g.table.Store(t)
@@ -119,8 +119,7 @@
 	g.orders.End(c.key, how(err))
 	g.settle(c, err)
 	if c.key != 0 && how(err) == unknown {
-		g.budget.Told(c.key)
-		g.gossip.tell(c.key)
+		g.gossip.tell(lostOrder{c.key, c.service.Name})
 	}
 	return c, got, err
 }
@@ -147,6 +146,10 @@
 			return nil, fault.New(fault.Overload, "%s: the share of this proxy is %d", c.service.Name, share)
 		}
 	}
+	if c.key != 0 && c.claim == "" && !c.isRepeatable && !g.budget.MayLose(c.service.Name, bounds(c)) {
+		done()
+		return nil, fault.New(fault.Overload, "%s: orders were lost of which not all proxies know", c.service.Name)
+	}
 	state := g.orders.Begin(c.key, c.claim != "")
 	c.isRepeat = state != unheardOf
 	if c.isRepeat && c.claim != "" {
--- a/internal/gate/gossip.go
+++ b/internal/gate/gossip.go
@@ -1,13 +1,17 @@
 // Proxies tell one another of orders that were handed over and got no answer,
 // so that a caller's repeat is recognised whichever proxy it comes to. Only
 // failures are told, as hashes, the first at once and those that follow gathered
-// for a moment; nobody waits for it.
+// for a moment; nobody waits for it. What could not be told to every proxy of the
+// epoch may come back unrecognised, so it is charged to this proxy's own budget.
 package gate
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -15,18 +19,26 @@
 
 const (
 	gossipPause = 2 * time.Millisecond
+	gossipTime  = 500 * time.Millisecond
 	gossipMost  = 512
 )
 
+type lostOrder struct {
+	key     uint64
+	service string
+}
+
 type gossip struct {
 	r     *realm.Realm
 	w     *wire.Wire
 	k     *kin.Kin
-	queue chan uint64
+	b     *Budget
+	chart func() *flow.Chart
+	queue chan lostOrder
 }
 
-func newGossip(r *realm.Realm, w *wire.Wire, k *kin.Kin, b *Budget, o *Orders) *gossip {
-	g := &gossip{r: r, w: w, k: k, queue: make(chan uint64, gossipMost)}
+func newGossip(r *realm.Realm, w *wire.Wire, k *kin.Kin, b *Budget, o *Orders, chart func() *flow.Chart) *gossip {
+	g := &gossip{r: r, w: w, k: k, b: b, chart: chart, queue: make(chan lostOrder, gossipMost)}
 	w.Handle("gate.seen", func(c *wire.Call) (any, error) {
 		var ask wire.SeenAsk
 		if err := c.Read(&ask); err != nil {
@@ -40,43 +52,69 @@
 	return g
 }
 
-// tell never waits; in the worst of storms some keys are left out.
-func (g *gossip) tell(key uint64) {
+// tell never waits; in the worst of storms some are left out, and charged.
+func (g *gossip) tell(lost lostOrder) {
+	g.b.Lose(lost.service)
 	select {
-	case g.queue <- key:
+	case g.queue <- lost:
 	default:
+		g.b.Told(nil, map[string]int{lost.service: 1}, false)
 	}
 }
 
 func (g *gossip) run() {
 	for {
-		var keys []uint64
+		var batch []lostOrder
 		select {
 		case <-g.r.Done():
 			return
-		case key := <-g.queue:
-			keys = append(keys, key)
+		case lost := <-g.queue:
+			batch = append(batch, lost)
 		}
-		for isMore := true; isMore && len(keys) < gossipMost; {
+		for isMore := true; isMore && len(batch) < gossipMost; {
 			select {
-			case key := <-g.queue:
-				keys = append(keys, key)
+			case lost := <-g.queue:
+				batch = append(batch, lost)
 			default:
 				isMore = false
 			}
 		}
-		for name, m := range g.k.View() {
-			if name == g.r.Name || m.Gate == "" || m.State != kin.Alive {
-				continue
-			}
-			g.r.Go(func() {
-				ctx, end := context.WithTimeout(g.r, time.Second)
-				defer end()
-				g.w.Ask(ctx, m.Wire, "gate.seen", &wire.SeenAsk{Keys: keys}, nil)
-			})
-		}
+		g.r.Go(func() { g.spread(batch) })
 		if !g.r.Pause(gossipPause) {
 			return
 		}
 	}
 }
+
+// spread tells every proxy of the epoch, and notes whether all have heard.
+func (g *gossip) spread(batch []lostOrder) {
+	var keys []uint64
+	services := map[string]int{}
+	for _, lost := range batch {
+		keys = append(keys, lost.key)
+		services[lost.service]++
+	}
+	var all sync.WaitGroup
+	var misses atomic.Int64
+	chart := g.chart()
+	if chart == nil {
+		return
+	}
+	for name := range chart.Shares {
+		if name == g.r.Name {
+			continue
+		}
+		all.Add(1)
+		g.r.Go(func() {
+			defer all.Done()
+			ctx, end := context.WithTimeout(g.r, gossipTime)
+			defer end()
+			m, ok := g.k.View()[name]
+			if !ok || g.w.Ask(ctx, m.Wire, "gate.seen", &wire.SeenAsk{Keys: keys}, nil) != nil {
+				misses.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	g.b.Told(keys, services, misses.Load() == 0)
+}
