A proxy that was started anew does not slide back to an epoch its earlier life left

Cause: a diskless proxy forgets the epoch it used. For the time between a new owner's first epoch and the age at which the deposed one's word runs out, a proxy that starts beside the deposed owner fetched the older epoch there and had it vouched for.

Ruled out: keeping the epoch on a disk (most proxies have none); asking a majority of core nodes at the start (a start before the core would hang on it).

Change: word on the configuration counts only if it was given after the process began. Price: a new proxy waits for one confirmation, at most a round and a pulse.

--- /dev/null
+++ b/internal/dream/slide_test.go
@@ -0,0 +1,94 @@
+// A proxy that is started anew while an owner that was deposed, and does not know
+// it yet, is the nearest control node there is.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// ownerOf is the core node that serves a part, other than one.
+func ownerOf(f *Fleet, no mark.Part, but *Machine) *Machine {
+	for _, m := range f.Cores() {
+		if m != but && m.Node() != nil && m.Node().Pact.Part(no).IsServing() {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestAProxyStartedAnewDoesNotSlideBack(t *testing.T) {
+	shown := 0
+	for i := 0; i < 60 && shown < 3; i++ {
+		if startedAnew(t) {
+			shown++
+		}
+	}
+	if shown == 0 {
+		t.Error("no request was answered under the newer epoch before the restart; nothing was shown")
+	}
+}
+
+// startedAnew tells whether the proxy used the newer epoch before its restart.
+func startedAnew(t *testing.T) (isShown bool) {
+	shape := Small()
+	shape.Proxies = 3
+	shape.Settings["pact.silence"], shape.Settings["pact.round"] = "400ms", "100ms"
+	shape.Settings["flow.pulse"], shape.Settings["flow.retry"] = "20ms", "10ms"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		old := ownerOf(f, mark.Config, nil)
+		near := f.some(func(m *Machine) bool { return m.IsProxy && m.Zone == old.Zone })[0]
+		for _, m := range f.Machines {
+			if m != old && m != near {
+				f.W.Cut(m.IP, old.IP)
+				f.W.Cut(old.IP, m.IP)
+			}
+		}
+		var fresh *Machine
+		if !f.Until(time.Second, func() bool { fresh = ownerOf(f, mark.Config, old); return fresh != nil }) {
+			t.Fatal("nobody took the configuration part over")
+		}
+		operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, fresh.Api())
+		view, err := operator.Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := operator.Submit(f.ctx, f.change("newer", view.Epoch)); err != nil {
+			t.Fatal(err)
+		}
+		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		defer caller.Close()
+		call := func() judge.Record {
+			return caller.Call(f.ctx, near.Gate(), "GET", "/rates", "rates", nil)
+		}
+		time.Sleep(60 * time.Millisecond)
+		before := call()
+		near.Kill(false)
+		for _, m := range f.Cores() {
+			if m != old {
+				m.Kill(false)
+			}
+		}
+		if err := near.Start(); err != nil {
+			t.Fatal(err)
+		}
+		isShown = before.Outcome == "ran" && before.Epoch > view.Epoch
+		for range 200 {
+			call()
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.Restore()
+		if !f.Until(15*time.Second, func() bool { return call().Outcome == "ran" }) {
+			t.Error("the proxy did not come back")
+		}
+		f.H.Add(judge.Record{Kind: judge.Ended})
+		if v := judge.Judge(f.H.Records()); !v.IsClean() {
+			t.Error(v)
+		}
+	})
+	return isShown
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -36,6 +36,7 @@
 	k     *kin.Kin
 	Cache *Cache
 	ages  atomic.Pointer[Vouched]
+	born  time.Time
 	began atomic.Bool
 
 	mu        sync.Mutex
@@ -45,7 +46,7 @@
 }
 
 func NewClient(r *realm.Realm, w *wire.Wire, k *kin.Kin) *Client {
-	c := &Client{r: r, w: w, k: k, Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
+	c := &Client{r: r, w: w, k: k, born: time.Now(), Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
 	c.ages.Store(&Vouched{})
 	return c
 }
@@ -252,6 +253,8 @@
 
 // IsFresh tells whether a chart may be acted on for a service now. Ages that
 // name an older epoch vouch for a newer chart too: what was known then is in it.
+// Word from before this process was started vouches for nothing: an earlier life
+// of this proxy may have used an epoch that a deposed owner does not know.
 func (c *Client) IsFresh(chart *Chart, service string) bool {
 	if chart == nil {
 		return false
@@ -259,7 +262,7 @@
 	held := c.ages.Load()
 	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
 	for _, a := range []*Ages{&held.Newest, &held.Before} {
-		if a.Epoch <= chart.Epoch && time.Since(a.Config) < bound && (service == "" || time.Since(a.Parts[no]) < bound) {
+		if a.Epoch <= chart.Epoch && time.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || time.Since(a.Parts[no]) < bound) {
 			return true
 		}
 	}
