A proxy that comes back after a cut does not take repeats for first requests

Cause: proxies told of lost orders only those that the epoch names. One that was cut off drops out of the epoch; when the cut heals it is fresh, and serves, before it is named again and told.

Change: every proxy that kin knows of is told, named or not; and one that the epoch does not name hands over no order whose loss it might not be told of.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -150,9 +150,9 @@
 		}
 	}
 	if c.key != 0 && c.claim == "" && !c.isRepeatable {
-		if !g.budget.MayLose(c.service.Name, bounds(c)) {
+		if err := g.mayLose(c); err != nil {
 			done()
-			return nil, fault.New(fault.Overload, "%s: orders were lost of which not all proxies know", c.service.Name)
+			return nil, err
 		}
 	}
 	state := g.orders.Begin(c.key, c.claim != "")
@@ -169,6 +169,19 @@
 	return done, nil
 }
 
+// mayLose tells whether an order that may be lost can be handed over, although
+// its repeat may come to a proxy that does not hear of it, or came from one that
+// could not tell this one: the others tell those that the epoch names.
+func (g *Gate) mayLose(c *course) error {
+	if _, ok := c.chart.Shares[g.r.Name]; !ok {
+		return fault.New(fault.Overload, "epoch %d does not name this proxy yet", c.chart.Epoch)
+	}
+	if !g.budget.MayLose(c.service.Name, bounds(c)) {
+		return fault.New(fault.Overload, "%s: orders were lost of which not all proxies know", c.service.Name)
+	}
+	return nil
+}
+
 // share is this proxy's part of a fleet-wide bound, by strength.
 func (g *Gate) share(chart *flow.Chart, whole int) int64 {
 	total := 0
--- a/internal/gate/gossip.go
+++ b/internal/gate/gossip.go
@@ -86,7 +86,8 @@
 	}
 }
 
-// spread tells every proxy of the epoch, and notes whether all have heard.
+// spread tells every proxy there is, and notes whether all that the epoch names
+// have heard.
 func (g *gossip) spread(batch []lostOrder) {
 	var keys []uint64
 	services := map[string]int{}
@@ -100,8 +101,9 @@
 	if chart == nil {
 		return
 	}
-	for name := range chart.Shares {
-		if name == g.r.Name {
+	for name, m := range g.k.View() {
+		_, isNamed := chart.Shares[name]
+		if name == g.r.Name || m.Gate == "" || m.State == kin.Left {
 			continue
 		}
 		all.Add(1)
@@ -109,12 +111,16 @@
 			defer all.Done()
 			ctx, end := context.WithTimeout(g.r, gossipTime)
 			defer end()
-			m, ok := g.k.View()[name]
-			if !ok || g.w.Ask(ctx, m.Wire, "gate.seen", &wire.SeenAsk{Keys: keys}, nil) != nil {
+			if g.w.Ask(ctx, m.Wire, "gate.seen", &wire.SeenAsk{Keys: keys}, nil) != nil && isNamed {
 				misses.Add(1)
 			}
 		})
 	}
+	for name := range chart.Shares {
+		if _, ok := g.k.View()[name]; !ok {
+			misses.Add(1)
+		}
+	}
 	all.Wait()
 	g.b.Told(keys, services, misses.Load() == 0)
 }
