Core nodes that come back together soon know the proxies that knew them all along

Cause: after a restart of the whole core each core node found the others through its seeds and then exchanged lists only every ten seconds; pings of proxies it did not know were answered and otherwise passed over.

Ruled out: exchanging lists more often (traffic between rooms, all the time); putting the sender's record into each ping (bytes in every probe).

Change: who is pinged by a stranger asks "who", and the stranger presents its list, one exchange at a time.

--- /dev/null
+++ b/internal/dream/kin_test.go
@@ -0,0 +1,41 @@
+// Who knows whom after many machines came back at once.
+package dream
+
+import (
+	"testing"
+	"time"
+)
+
+// Core nodes that come back together find one another through their seeds; the
+// proxies, which knew them all along, must not stay strangers to them.
+func TestACoreThatReturnsAsAWholeSoonKnowsTheProxies(t *testing.T) {
+	shape := Small()
+	shape.Proxies = 6
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		for range 4 {
+			for _, m := range f.Cores() {
+				m.Kill(true)
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, m := range f.Cores() {
+				f.up(m)
+			}
+			back := time.Now()
+			isKnown := func() bool {
+				for _, core := range f.Cores() {
+					for _, proxy := range f.Proxies() {
+						if _, ok := core.Node().Kin.Of(proxy.Node().R.Name); !ok {
+							return false
+						}
+					}
+				}
+				return true
+			}
+			if !f.Until(5*time.Second, isKnown) {
+				t.Error("after 5 s a core node does not know every proxy")
+			}
+			t.Log(time.Since(back))
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -49,6 +49,8 @@
 	order   []mark.Name
 	view    atomic.Pointer[map[mark.Name]Standing]
 	zones   atomic.Pointer[map[string]string]
+
+	isPresenting atomic.Bool
 }
 
 // Standing is a member and since when it stands as it does.
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -54,6 +54,9 @@
 			if probe.To != "" && probe.To != k.r.Name {
 				continue
 			}
+			if !k.IsLive(wire.Peer{Name: probe.From, Birth: probe.Birth}) {
+				k.send(from.String(), wire.Probe{Kind: "who"})
+			}
 			me := k.Me()
 			k.send(from.String(), wire.Probe{Kind: "ack", Seq: probe.Seq, News: append(k.gossip(), me)})
 		case "ack":
@@ -63,6 +66,8 @@
 				close(waiter)
 			}
 			k.mu.Unlock()
+		case "who":
+			k.present(probe.From)
 		case "relay":
 			to, ok := k.Of(probe.To)
 			if !ok {
@@ -78,6 +83,19 @@
 	}
 }
 
+// present makes this node, and all it knows, known to one that asked who it is:
+// machines that come back together find one another first, and nobody else.
+func (k *Kin) present(name mark.Name) {
+	m, ok := k.Of(name)
+	if !ok || !k.isPresenting.CompareAndSwap(false, true) {
+		return
+	}
+	k.r.Go(func() {
+		defer k.isPresenting.Store(false)
+		k.exchange(m.Wire)
+	})
+}
+
 // ping waits for the ack of one member; meanwhile verbs run after half time.
 func (k *Kin) ping(address string, name mark.Name, relay func(seq uint64)) bool {
 	k.mu.Lock()
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -45,7 +45,7 @@
 	State       string     `json:"state"`
 }
 
-// Probe is one datagram of the membership: ping, ack, or a ping on another's behalf.
+// Probe is one datagram of the membership: ping, ack, a ping on another's behalf, or who are you.
 type Probe struct {
 	Kind  string     `json:"kind"`
 	Seq   uint64     `json:"seq"`
