Coordination as applications use it: conditions, deletes, lists, elections, repeats

Cause: the runs put, read and added only, so rules on conditional writes, deletes, lists, elections, watches of whole spaces and repeats under an id had no witness.

Change: a load with all of these under every fault, and checkers that hold them: a condition that did not hold, a read, list or leader older than what was acknowledged, a value that was never written, a watch of a space that lacks a drop or runs backward, receipts that differ under one id, a counter at the end that counts an id twice or not.

--- /dev/null
+++ b/internal/dream/bonds.go
@@ -0,0 +1,178 @@
+// The rest of what applications do: compare-and-set, deletes, lists, elections,
+// watches of whole spaces, and repeats of calls that were left unknown, under the
+// id that they had.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+const space = "space/"
+
+// again makes a call under an id, and up to three times more while it is left
+// unknown; each try is recorded under the id.
+func (f *Fleet) again(r *rand.Rand, clients []*api.Client, rec judge.Record, call func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error) (done bool) {
+	rec.Request = mark.NewID()
+	for range 4 {
+		client, outcome := clients[r.IntN(len(clients))], ""
+		f.bonded(rec, func(ctx context.Context, now *judge.Record) error {
+			err := call(ctx, client, rec.Request, now)
+			outcome = outcomeOf(err)
+			return err
+		})
+		if outcome == "refused" || outcome == "done" && r.IntN(8) > 0 {
+			return outcome == "done"
+		}
+		pause(r, 300*time.Millisecond)
+	}
+	return false
+}
+
+func take(rec *judge.Record, receipt *api.Receipt, err error) error {
+	if err == nil {
+		rec.Stamp, rec.Count = receipt.Stamp, receipt.Count.Or(0)
+	}
+	return err
+}
+
+// Bonders start n applications, and watchers of the space.
+func (f *Fleet) Bonders(n int, mean time.Duration) {
+	var clients []*api.Client
+	for _, m := range f.Machines {
+		clients = append(clients, sham.Client(f.W.Net(f.outside(61)), m.Api()))
+	}
+	for i := range n {
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			key := fmt.Sprint(space, "k", r.IntN(4))
+			client := clients[r.IntN(len(clients))]
+			switch r.IntN(6) {
+			case 0:
+				f.again(r, clients, judge.Record{Op: "add", Name: "total/" + fmt.Sprint(r.IntN(2))}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+					receipt, err := client.AddCounter(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(id)})
+					return take(rec, receipt, err)
+				})
+			case 1, 2:
+				f.compareAndSet(r, clients, key)
+			case 3:
+				f.again(r, clients, judge.Record{Op: "drop", Name: key}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+					receipt, err := client.DropKey(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(id)})
+					return take(rec, receipt, err)
+				})
+			case 4:
+				f.bonded(judge.Record{Op: "list", Name: space}, func(ctx context.Context, rec *judge.Record) error {
+					receipt, err := client.ListKeys(ctx, api.ListKeysParams{Prefix: space})
+					if err == nil {
+						rec.Stamp = receipt.Stamp
+						for _, k := range receipt.Keys {
+							rec.Names, rec.Stamps = append(rec.Names, k.Name), append(rec.Stamps, k.Stamp)
+						}
+					}
+					return err
+				})
+			case 5:
+				f.campaign(r, clients, fmt.Sprint("candidate", i))
+			}
+		})
+	}
+	from := uint64(0)
+	f.task(func(r *rand.Rand) { f.watchOnce(r, clients[r.IntN(len(clients))], space, &from) })
+}
+
+// compareAndSet reads a key and puts it back, if nobody else did meanwhile.
+func (f *Fleet) compareAndSet(r *rand.Rand, clients []*api.Client, key string) {
+	stamp, isRead := uint64(0), false
+	f.bonded(judge.Record{Op: "get", Name: key}, func(ctx context.Context, rec *judge.Record) error {
+		receipt, err := clients[r.IntN(len(clients))].GetKey(ctx, api.GetKeyParams{Name: key})
+		if sham.CodeOf(err) == fault.NoKey.No {
+			isRead = true
+			return nil
+		}
+		if err == nil {
+			stamp, isRead = receipt.Stamp, true
+			rec.Stamp, rec.Digest = receipt.Stamp, string(receipt.Value)
+		}
+		return err
+	})
+	if !isRead {
+		return
+	}
+	value, _ := json.Marshal(r.Uint32())
+	f.again(r, clients, judge.Record{Op: "put", Name: key, IsIf: true, From: stamp, Digest: string(value)}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+		receipt, err := client.PutKey(ctx, &api.Call{Name: key, Value: jx.Raw(value), If: api.NewOptUint64(stamp), ID: api.NewOptString(id)})
+		return take(rec, receipt, err)
+	})
+}
+
+// campaign stands in an election, reads who leads, and may resign.
+func (f *Fleet) campaign(r *rand.Rand, clients []*api.Client, who string) {
+	const ttl = 2 * time.Second
+	session := who + "-" + mark.NewID()
+	fence := uint64(0)
+	client := clients[r.IntN(len(clients))]
+	f.bonded(judge.Record{Op: "leader", Name: "head"}, func(ctx context.Context, rec *judge.Record) error {
+		receipt, err := client.GetLeader(ctx, api.GetLeaderParams{Name: "head"})
+		if sham.CodeOf(err) == fault.NoKey.No {
+			return nil
+		}
+		if err == nil {
+			rec.Fence, rec.Holder = receipt.Fence.Or(0), receipt.Holder.Or("")
+		}
+		return err
+	})
+	err := f.bonded(judge.Record{Op: "acquire", Name: "head", Holder: session, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+		receipt, err := client.Elect(ctx, &api.Call{Name: "head", Holder: api.NewOptString(session), TTL: api.NewOptInt64(ttl.Milliseconds()), Value: jx.Raw(`"here"`), ID: api.NewOptString(mark.NewID())}, api.ElectParams{Verb: api.ElectVerbCampaign})
+		if err == nil {
+			fence = receipt.Fence.Or(0)
+			rec.Fence = fence
+		}
+		return err
+	})
+	if err != nil {
+		return
+	}
+	time.Sleep(time.Duration(r.Int64N(int64(ttl))))
+	if r.IntN(2) == 0 {
+		f.bonded(judge.Record{Op: "release", Name: "head", Holder: session, Fence: fence}, func(ctx context.Context, rec *judge.Record) error {
+			_, err := client.Elect(ctx, &api.Call{Name: "head", Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence), ID: api.NewOptString(mark.NewID())}, api.ElectParams{Verb: api.ElectVerbResign})
+			return err
+		})
+	}
+}
+
+// countUp reads the counters at the end, when nothing else goes on.
+func (f *Fleet) countUp() {
+	client := sham.Client(f.W.Net(f.outside(92)), f.Cores()[0].Api())
+	for i := range 2 {
+		f.Until(10*time.Second, func() bool {
+			return f.bonded(judge.Record{Op: "total", Name: fmt.Sprint("total/", i)}, func(ctx context.Context, rec *judge.Record) error {
+				receipt, err := client.GetCounter(ctx, api.GetCounterParams{Name: rec.Name})
+				return take(rec, receipt, err)
+			}) == nil
+		})
+	}
+}
+
+func outcomeOf(err error) string {
+	if err == nil {
+		return "done"
+	}
+	if code := sham.CodeOf(err); code > 0 && fault.Codes[code].Outcome == "" {
+		return "refused"
+	} else if code > 0 {
+		return fault.Codes[code].Outcome
+	}
+	return "unknown"
+}
--- a/internal/dream/order_test.go
+++ b/internal/dream/order_test.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"time"
 
@@ -80,14 +79,3 @@
 		}
 	})
 }
-
-func outcomeOf(err error) string {
-	var p *api.ProblemStatusCodeWithHeaders
-	switch {
-	case err == nil:
-		return "done"
-	case errors.As(err, &p):
-		return p.Response.Outcome.Or("")
-	}
-	return err.Error()
-}
--- a/internal/dream/run.go
+++ b/internal/dream/run.go
@@ -92,6 +92,7 @@
 	f.Callers(60 * time.Millisecond)
 	f.Operators(2, 2*time.Second)
 	f.Sets(2, 1500*time.Millisecond)
+	f.Bonders(5, 100*time.Millisecond)
 	f.Apps(6, 100*time.Millisecond)
 	if s.Start != nil {
 		s.Start(f)
@@ -113,6 +114,7 @@
 	f.isLoad.Store(false)
 	f.loads.Wait()
 	f.ask()
+	f.countUp()
 	f.H.Add(judge.Record{Kind: judge.Ended})
 	for _, m := range f.Cores() {
 		if node := m.Node(); node != nil && node.R.Sign.Counts()["PartMended"] > 0 {
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -70,6 +70,7 @@
 	Ttl        time.Duration `json:"ttl,omitempty"`
 	Stamps     []uint64      `json:"stamps,omitempty"`
 	From       uint64        `json:"from,omitempty"`
+	IsIf       bool          `json:"is_if,omitempty"` // From is the stamp that the key must have
 	IsWhole    bool          `json:"whole,omitempty"`
 	// Lead is where a change set leads each path: services with commas between
 	// them, or nothing if the path is dropped.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -82,6 +82,7 @@
 	"dropped":        dropped,
 	"locks":          locks,
 	"counters":       counters,
+	"counted":        counted,
 	"stale-read":     staleRead,
 	"watch-gap":      watchGap,
 	"too-long":       tooLong,
