--- a/internal/dream/disk.go
+++ b/internal/dream/disk.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/syndtr/goleveldb/leveldb/storage"
 )
@@ -30,6 +31,8 @@
 	hasMeta bool
 	life    int
 	stalled chan struct{}
+	each    time.Duration
+	hurts   int
 	Syncs   int
 }
 
@@ -50,6 +53,7 @@
 	d.mu.Lock()
 	if d.stalled == nil {
 		d.stalled = make(chan struct{})
+		d.hurts++
 	}
 	d.mu.Unlock()
 }
@@ -63,6 +67,20 @@
 	d.mu.Unlock()
 }
 
+// Slow makes every sync take so long; zero makes it quick again.
+func (d *Disk) Slow(each time.Duration) {
+	d.mu.Lock()
+	d.each = each
+	d.hurts++
+	d.mu.Unlock()
+}
+
+func (d *Disk) state() (isWell bool, hurts int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stalled == nil && d.each == 0, d.hurts
+}
+
 // SpoilAll cuts the index of the store short, so that it can't be read.
 func (d *Disk) SpoilAll() {
 	d.mu.Lock()
@@ -206,8 +224,9 @@
 func (w *writer) Sync() error {
 	for {
 		w.d.mu.Lock()
-		stalled := w.d.stalled
+		stalled, each := w.d.stalled, w.d.each
 		w.d.mu.Unlock()
+		time.Sleep(each)
 		if stalled == nil {
 			break
 		}
--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -35,6 +35,16 @@
 	{Name: "laggard", Shape: Small, Length: 25 * time.Second, Faults: laggard},
 	{Name: "storm", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(12) }, Faults: storm},
 	{Name: "once", Shape: once, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(8) }, Faults: func(f *Fleet) { storm(f); kills(f) }},
+	{Name: "march", Shape: five, Length: 30 * time.Second, Faults: march},
+	{Name: "acked", Shape: Small, Length: 30 * time.Second, Faults: acked},
+	{Name: "slows", Shape: Small, Length: 25 * time.Second, Faults: slows},
+	{Name: "herds", Shape: Small, Length: 25 * time.Second, Faults: herds},
+	{Name: "cold", Shape: Small, Length: 30 * time.Second, Faults: cold},
+	{Name: "stops-long", Shape: long, Length: 30 * time.Second, Start: func(f *Fleet) { f.Uploads(4) }, Faults: longStops, IsHarmless: true},
+	{Name: "stops-alone", Shape: long, Length: 30 * time.Second, Start: func(f *Fleet) { f.Uploads(4) }, Faults: loneStops},
+	{Name: "uploads", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Uploads(8) }, Faults: func(f *Fleet) { cuts(f); kills(f); servers(f) }},
+	{Name: "overlap", Shape: five, Length: 30 * time.Second, Faults: overlap},
+	{Name: "growth", Shape: growing, Length: 25 * time.Second, Faults: kills},
 	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
 }
 
@@ -45,6 +55,8 @@
 func (f *Fleet) pick(list []*Machine) *Machine { return list[f.Rand.IntN(len(list))] }
 
 func (f *Fleet) up(m *Machine) {
+	m.upping.Lock()
+	defer m.upping.Unlock()
 	if m.Node() == nil {
 		if err := m.Start(); err != nil {
 			f.Say("%s can't start: %v", m.Name, err)
@@ -223,6 +235,19 @@
 	return s
 }
 
+// long has servers that work for up to a few seconds on each request.
+func long() Shape {
+	s := Small()
+	s.Work = 2500 * time.Millisecond
+	return s
+}
+
+func growing() Shape {
+	s := Small()
+	s.Growth = 400
+	return s
+}
+
 func once() Shape {
 	s := Small()
 	s.Once = true
--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -28,6 +28,7 @@
 	Once                  bool
 	Growth                int // mappings that some change sets add at once
 	Settings              map[string]string
+	Work                  time.Duration // how long a server works at most; a moment if zero
 }
 
 // Small is the shape of most simulated runs.
@@ -45,6 +46,7 @@
 	IsProxy bool
 	mu      sync.Mutex
 	node    *seat.Node
+	upping  sync.Mutex
 }
 
 // Fleet is one run.
@@ -69,7 +71,7 @@
 
 func NewFleet(seed uint64, shape Shape, log io.Writer) *Fleet {
 	ctx, end := context.WithCancel(context.Background())
-	f := &Fleet{W: NewWorld(seed), H: judge.New(nil), Shape: shape, Log: log, Rand: rand.New(rand.NewPCG(seed, 7)), ctx: ctx, end: end}
+	f := &Fleet{W: NewWorld(seed), H: judge.New(nil), Shape: shape, Log: log, Rand: rand.New(&chance{pcg: rand.NewPCG(seed, 7)}), ctx: ctx, end: end}
 	f.isLoad.Store(true)
 	f.H.Add(judge.Record{Kind: judge.Began, Note: fmt.Sprint("seed ", seed)})
 	for i := range shape.Cores {
@@ -81,6 +83,18 @@
 	return f
 }
 
+// chance is a source that several faults may draw from at once.
+type chance struct {
+	mu  sync.Mutex
+	pcg *rand.PCG
+}
+
+func (c *chance) Uint64() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pcg.Uint64()
+}
+
 // Add puts a machine into the fleet; it is down at first.
 func (f *Fleet) Add(name string, zone int, isCore, isProxy bool) *Machine {
 	m := &Machine{f: f, Name: name, Zone: fmt.Sprint("zone", zone+1), IP: f.host(zone), IsCore: isCore, IsProxy: isProxy}
@@ -134,7 +148,9 @@
 	if m.IsProxy {
 		m.f.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
 	}
-	r := realm.New(m.f.ctx, p, sign.New(m.f.Log, "debug", m.Name), m.f.W.Net(m.IP))
+	journal := sign.New(m.f.Log, "debug", m.Name)
+	journal.Told = m.f.hear
+	r := realm.New(m.f.ctx, p, journal, m.f.W.Net(m.IP))
 	node, err := seat.Start(r)
 	if err != nil {
 		m.f.W.Kill(m.IP, false)
@@ -156,6 +172,13 @@
 	return nil
 }
 
+// hear notes what a node has learned, be it that its answer is lost.
+func (f *Fleet) hear(e sign.Entry) {
+	if e.Event.No == sign.TargetGoing.No {
+		f.H.Add(judge.Record{Kind: judge.Known, Service: e.Pairs[1].(string), Instance: e.Pairs[3].(string), Note: "taken in"})
+	}
+}
+
 // Kill ends the process at once; with the power, what was not synced is gone.
 func (m *Machine) Kill(isPowerLost bool) {
 	m.mu.Lock()
@@ -226,6 +249,9 @@
 		ip = f.host(zone)
 	}
 	s := &sham.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond}
+	if f.Shape.Work > 0 {
+		s.Work = time.Duration(f.Rand.Int64N(int64(f.Shape.Work)))
+	}
 	if err := s.Start(f.ctx); err != nil {
 		panic(err)
 	}
--- /dev/null
+++ b/internal/dream/hurts.go
@@ -0,0 +1,245 @@
+// More of the brief's failures: a march of kills through the whole fleet, power or
+// a disk lost at the very moment after an acknowledgement, slow disks, herds of
+// servers, cold starts of proxies before the core, planned stops over long work and
+// without a majority, uploads that are cut, and faults that overlap.
+package dream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// march kills every machine in turn, the next one soon after the last is back.
+func march(f *Fleet) {
+	all := append([]*Machine(nil), f.Machines...)
+	f.Rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, m := range all {
+		f.Say("kill %s", m.Name)
+		m.Kill(f.Rand.IntN(2) == 0)
+		f.nap(0, 1500*time.Millisecond)
+		f.up(m)
+		f.nap(300*time.Millisecond, 2500*time.Millisecond)
+	}
+}
+
+// acked takes power or disk from the owner, or from another member, at the moment
+// at which a write or a change set was acknowledged.
+func acked(f *Fleet) {
+	f.nap(500*time.Millisecond, 2*time.Second)
+	isChange, isWipe, isOwner := f.Rand.IntN(2) == 0, f.Rand.IntN(2) == 0, f.Rand.IntN(2) == 0
+	name := fmt.Sprint("acked", f.Rand.IntN(100))
+	no := mark.PartOf(name)
+	if isChange {
+		no = mark.Config
+	}
+	owner := ownerOf(f, no, nil)
+	if owner == nil {
+		return
+	}
+	victim := owner
+	for !isOwner && victim == owner {
+		victim = f.pick(f.Cores())
+	}
+	proxy := f.pick(f.Proxies())
+	if proxy.Node() == nil {
+		return
+	}
+	if isChange {
+		operator := sham.NewOperator(f.W.Net(f.outside(70)), f.H, proxy.Api())
+		if view, err := operator.Epoch(f.ctx); err == nil {
+			operator.Submit(f.ctx, f.change(fmt.Sprint("a-", f.changes.Add(1)), view.Epoch))
+		}
+	} else {
+		client := sham.Client(f.W.Net(f.outside(70)), proxy.Api())
+		f.bonded(judge.Record{Op: "put", Name: name}, func(ctx context.Context, rec *judge.Record) error {
+			receipt, err := client.PutKey(ctx, &api.Call{Name: name, Value: jx.Raw("1")})
+			return take(rec, receipt, err)
+		})
+	}
+	f.Say("%s loses power right after an acknowledgement (change set %v, owner %v, disk lost %v)", victim.Name, isChange, isOwner, isWipe)
+	victim.Kill(true)
+	if isWipe {
+		f.W.Disk(victim.IP).Wipe()
+	}
+	f.nap(0, 2*time.Second)
+	if !isChange {
+		f.readBack(name)
+	}
+	f.up(victim)
+	if isWipe && !f.Until(30*time.Second, f.isMended) {
+		f.Say("the copies are not mended after 30 s")
+	}
+}
+
+func (f *Fleet) readBack(name string) {
+	client := sham.Client(f.W.Net(f.outside(70)), f.pick(f.Proxies()).Api())
+	f.bonded(judge.Record{Op: "get", Name: name}, func(ctx context.Context, rec *judge.Record) error {
+		receipt, err := client.GetKey(ctx, api.GetKeyParams{Name: name})
+		if sham.CodeOf(err) == 3008 {
+			return nil
+		}
+		return take(rec, receipt, err)
+	})
+}
+
+// slows makes disks slow, not stopped: from a little to near the bound at which an
+// owner gives its parts up.
+func slows(f *Fleet) {
+	f.nap(500*time.Millisecond, 2*time.Second)
+	victims := f.Cores()
+	if f.Rand.IntN(2) == 0 {
+		victims = victims[:1]
+	}
+	for _, m := range victims {
+		each := time.Duration(20+f.Rand.IntN(900)) * time.Millisecond
+		f.Say("every sync of %s takes %s", m.Name, each)
+		f.W.Disk(m.IP).Slow(each)
+	}
+	f.nap(time.Second, 5*time.Second)
+	for _, m := range victims {
+		f.W.Disk(m.IP).Slow(0)
+	}
+	if f.Rand.IntN(3) == 0 {
+		f.Say("%s loses power while its disk is slow", victims[0].Name)
+		victims[0].Kill(true)
+		f.up(victims[0])
+	}
+}
+
+// herds lets all servers of a service vanish, or all of a zone, and come back.
+func herds(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	service := []string{"bookings", "rates"}[f.Rand.IntN(2)]
+	zone := fmt.Sprint("zone", 1+f.Rand.IntN(f.Shape.Zones))
+	isZone := f.Rand.IntN(2) == 0
+	var gone []*sham.Server
+	for _, name := range []string{"bookings", "rates"} {
+		for _, s := range f.Servers(name) {
+			if isZone && s.Zone == zone || !isZone && name == service {
+				gone = append(gone, s)
+			}
+		}
+	}
+	f.Say("a herd of %d servers vanishes (zone %v)", len(gone), isZone)
+	for _, s := range gone {
+		f.Forget(s)
+		s.Vanish()
+	}
+	f.nap(0, 3*time.Second)
+	for _, s := range gone {
+		f.Serve(s.Service, "", f.Rand.IntN(f.Shape.Zones))
+	}
+	f.nap(time.Second, 2*time.Second)
+}
+
+// cold ends everything and starts the proxies, some before the core and some after.
+func cold(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	f.Say("all machines lose power; proxies start before the core")
+	for _, m := range f.Machines {
+		m.Kill(true)
+	}
+	for _, m := range f.Proxies() {
+		f.up(m)
+		f.nap(0, time.Second)
+	}
+	f.nap(0, 4*time.Second)
+	for _, m := range f.Cores() {
+		f.up(m)
+		f.nap(0, time.Second)
+	}
+	f.nap(3*time.Second, 6*time.Second)
+}
+
+// longStops stops machines as planned while answers that take seconds and uploads
+// are under way; what is not out at six seconds is killed.
+func longStops(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	m := f.pick(f.Machines)
+	f.Say("stop %s as planned, in the middle of long work", m.Name)
+	done := make(chan struct{})
+	go func() { m.Stop(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(6 * time.Second):
+		f.Say("%s is killed at six seconds", m.Name)
+		m.Kill(false)
+		f.W.Kill(m.IP, false)
+		<-done
+	}
+	f.nap(0, time.Second)
+	f.up(m)
+	f.nap(500*time.Millisecond, 2*time.Second)
+}
+
+// loneStops stops machines as planned while the core is split and has no majority.
+func loneStops(f *Fleet) {
+	f.nap(time.Second, 2*time.Second)
+	f.Say("split the core apart")
+	for _, a := range f.Cores() {
+		f.isolate([]*Machine{a})
+	}
+	f.nap(0, 2*time.Second)
+	longStops(f)
+	f.Say("heal")
+	f.W.Heal()
+	f.nap(2*time.Second, 4*time.Second)
+}
+
+// overlap lets two or three kinds of faults go on at once, each in its own time.
+func overlap(f *Fleet) {
+	kinds := []func(*Fleet){kills, freezes, cuts, slows, servers, herds, stops}
+	f.Rand.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	var all sync.WaitGroup
+	for _, hurt := range kinds[:2+f.Rand.IntN(2)] {
+		all.Add(1)
+		go func() { defer all.Done(); hurt(f); hurt(f) }()
+	}
+	all.Wait()
+	f.W.Heal()
+	f.nap(time.Second, 3*time.Second)
+}
+
+// Uploads start callers who send large bodies slowly, of whom some break off, and
+// some go away as soon as they have sent all.
+func (f *Fleet) Uploads(n int) {
+	for i := range n {
+		net := f.W.Net(f.outside(80 + i))
+		caller := sham.NewCaller(net, f.H)
+		f.task(func(r *rand.Rand) {
+			pause(r, 300*time.Millisecond)
+			proxy := f.Proxies()[r.IntN(len(f.Proxies()))].Gate()
+			body := strings.Repeat(fmt.Sprintf("%08x", r.Uint32()), 12000)
+			if r.IntN(2) == 0 {
+				caller.Call(f.ctx, proxy, http.MethodPost, "/bookings", "bookings", []byte(body))
+				return
+			}
+			conn, err := net.Dial(f.ctx, proxy)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			call, isWhole := mark.NewID(), r.IntN(2) == 0
+			rec := judge.Record{Kind: judge.Called, Start: f.H.Now(), Call: call, Proxy: proxy, Service: "bookings", Mapping: "/bookings", Digest: sham.Digest([]byte(body)), Outcome: "gone"}
+			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", sham.CallHeader, call, len(body))
+			for at := 0; at < len(body) && (isWhole || at < len(body)/2); at += 16000 {
+				io.WriteString(conn, body[at:min(at+16000, len(body))])
+				pause(r, 40*time.Millisecond)
+			}
+			f.H.Add(rec)
+		})
+	}
+}
--- a/internal/dream/run.go
+++ b/internal/dream/run.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/jx"
@@ -71,6 +72,7 @@
 	f.W.Heal()
 	for _, m := range f.Machines {
 		f.W.Disk(m.IP).Resume()
+		f.W.Disk(m.IP).Slow(0)
 		if m.Node() == nil {
 			if err := m.Start(); err != nil {
 				f.Say("%s can't start: %v", m.Name, err)
@@ -79,6 +81,49 @@
 	}
 }
 
+// state tells whether all machines are up, with their ways and disks, and how
+// often something was done to any of them.
+func (f *Fleet) state() (isWhole bool, hurts int) {
+	isWhole, hurts = f.W.state()
+	for _, m := range f.Machines {
+		isWell, more := f.W.Disk(m.IP).state()
+		isWhole = isWhole && isWell && m.Node() != nil
+		hurts += more
+	}
+	return isWhole, hurts
+}
+
+// watchReturns takes, after every return inside the run, the time until the fleet
+// is usable again; a return that the next fault overtakes is not counted.
+func (f *Fleet) watchReturns() {
+	back, isCounted, last := time.Duration(0), true, 0
+	f.task(func(r *rand.Rand) {
+		time.Sleep(200 * time.Millisecond)
+		isWhole, hurts := f.state()
+		if hurts != last || !isWhole {
+			back, isCounted, last = 0, false, hurts
+		}
+		if isWhole && back == 0 {
+			back = f.H.Now()
+		}
+		if isCounted || back == 0 {
+			return
+		}
+		isUsable := f.IsUsable()
+		if isWhole, hurts = f.state(); hurts != last || !isWhole {
+			return
+		}
+		if isUsable || f.H.Now()-back > 16*time.Second {
+			isCounted = true
+			rec := judge.Record{Kind: judge.Rescue, Start: back, Outcome: "usable"}
+			if !isUsable {
+				rec.Outcome = "not usable"
+			}
+			f.H.Add(rec)
+		}
+	})
+}
+
 // Run carries a scenario out; it must be called in a bubble of virtual time.
 func Run(s Scenario, seed uint64, log io.Writer) (*Result, error) {
 	f := NewFleet(seed, s.Shape(), log)
@@ -94,6 +139,7 @@
 	f.Sets(2, 1500*time.Millisecond)
 	f.Bonders(5, 100*time.Millisecond)
 	f.Apps(6, 100*time.Millisecond)
+	f.watchReturns()
 	if s.Start != nil {
 		s.Start(f)
 	}
--- a/internal/dream/world.go
+++ b/internal/dream/world.go
@@ -35,6 +35,7 @@
 	disks     map[string]*Disk
 	nextPort  int
 	loss      float64
+	hurts     int // how often something was done to a way or a machine
 
 	// Bytes sent between zones and within them, in all.
 	Between, Within int64
@@ -66,7 +67,7 @@
 func (w *World) Place(ip, zone string) { w.mu.Lock(); w.zones[ip] = zone; w.mu.Unlock() }
 
 // Cut stops what goes from one machine to another; Heal lets it through.
-func (w *World) Cut(from, to string) { w.mu.Lock(); w.cuts[[2]string{from, to}] = true; w.mu.Unlock() }
+func (w *World) Cut(from, to string) { w.mu.Lock(); w.cuts[[2]string{from, to}] = true; w.hurts++; w.mu.Unlock() }
 
 // Heal ends all cuts and holds.
 func (w *World) Heal() {
@@ -77,7 +78,7 @@
 }
 
 // Hold keeps back all that a machine sends and gets, until Release.
-func (w *World) Hold(ip string) { w.mu.Lock(); w.held[ip] = true; w.mu.Unlock() }
+func (w *World) Hold(ip string) { w.mu.Lock(); w.held[ip] = true; w.hurts++; w.mu.Unlock() }
 
 func (w *World) Release(ip string) {
 	w.mu.Lock()
@@ -86,6 +87,13 @@
 	w.mu.Unlock()
 }
 
+// state tells whether all ways are whole, and how often something was hurt.
+func (w *World) state() (isWhole bool, hurts int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.cuts) == 0 && len(w.held) == 0 && w.loss == 0, w.hurts
+}
+
 // Lose sets the share of datagrams that are lost.
 func (w *World) Lose(share float64) { w.mu.Lock(); w.loss = share; w.mu.Unlock() }
 
@@ -95,6 +103,7 @@
 func (w *World) Kill(ip string, isPowerLost bool) {
 	w.mu.Lock()
 	w.life[ip]++
+	w.hurts++
 	for c := range w.conns {
 		if c.local == ip || c.remote == ip {
 			c.reset(c.local == ip, !isPowerLost, w.rand.IntN(2) == 0)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -196,12 +196,21 @@
 }
 
 // wrongAnswer: a success without seal or part of its body, or of another
-// request, or one that never ran.
+// request, or one that never ran; or a body that did not arrive whole and ran.
 func wrongAnswer(all []Record, fail func(time.Duration, string, ...any)) {
 	runs := map[string]bool{}
 	for _, r := range of(all, Ran) {
 		runs[r.Call+r.Digest] = true
 	}
+	sent := map[string]string{}
+	for _, r := range of(all, Called) {
+		sent[r.Call] = r.Digest
+	}
+	for _, r := range of(all, Ran) {
+		if digest, ok := sent[r.Call]; ok && digest != "" && r.Digest != "" && digest != r.Digest {
+			fail(r.At, "call %s ran at %s with another body than was sent", r.Call, r.Instance)
+		}
+	}
 	for _, r := range of(all, Called) {
 		if r.Status == 200 && (r.Note != "" || !runs[r.Call+r.Digest]) {
 			fail(r.At, "call %s got a success that is not its own: %s", r.Call, r.Note)
--- a/internal/seat/desk.go
+++ b/internal/seat/desk.go
@@ -41,6 +41,9 @@
 		d.n.R.Sign.Say(sign.BeatRefused, "service", beat.Service, "instance", beat.Instance, "cause", err.Error())
 		return nil, err
 	}
+	if beat.State != plan.Serving {
+		d.n.R.Sign.Say(sign.TargetGoing, "service", beat.Service, "instance", beat.Instance, "state", beat.State)
+	}
 	var done struct{}
 	if err := d.n.pass(limited, op{mark.PartOf(beat.Service), "beat", beat}, 0, &done); err != nil {
 		return nil, err
--- a/internal/sham/server.go
+++ b/internal/sham/server.go
@@ -156,6 +156,7 @@
 const CallHeader = "X-Call"
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := s.H.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -173,7 +174,7 @@
 	}
 	epoch, _ := strconv.ParseUint(r.Header.Get(gate.HeaderEpoch), 10, 64)
 	call, request := r.Header.Get(CallHeader), r.Header.Get(gate.HeaderRequest)
-	s.H.Add(judge.Record{Kind: judge.Ran, Call: call, Request: request, Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Epoch: epoch, Repeatable: r.Method == http.MethodGet, Digest: Digest(body)})
+	s.H.Add(judge.Record{Kind: judge.Ran, Start: came, Call: call, Request: request, Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Epoch: epoch, Repeatable: r.Method == http.MethodGet, Digest: Digest(body)})
 	reply := Answer{Call: call, Service: s.Service, Bytes: len(body), Digest: Digest(body)}
 	if way == Huge {
 		reply.Pad = strings.Repeat("x", 64<<10)
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -25,6 +25,7 @@
 	TargetIn       = Event{No: 404, Name: "TargetIn", Level: "info", Text: "target in"}
 	TargetOut      = Event{No: 405, Name: "TargetOut", Level: "info", Text: "target out"}
 	AddressClash   = Event{No: 406, Name: "AddressClash", Level: "warn", Text: "two instances claim one address"}
+	TargetGoing    = Event{No: 407, Name: "TargetGoing", Level: "info", Text: "a server says that it drains or leaves"}
 	EpochServed    = Event{No: 501, Name: "EpochServed", Level: "info", Text: "epoch swapped in"}
 	FetchFailed    = Event{No: 502, Name: "FetchFailed", Level: "warn", Text: "fetch failed, trying the next control node"}
 	ListenFailed   = Event{No: 503, Name: "ListenFailed", Level: "warn", Text: "listener request failed"}
--- a/internal/sign/sign.go
+++ b/internal/sign/sign.go
@@ -35,6 +35,8 @@
 	ring   []Entry
 	counts map[string]uint64
 	logger *log.Logger
+	// Told is called with every event, if it is set before the first.
+	Told func(Entry)
 }
 
 func New(out io.Writer, level string, node string) *Sign {
@@ -54,6 +56,9 @@
 	s.ring = append(s.ring, entry)
 	s.counts[e.Name]++
 	s.mu.Unlock()
+	if s.Told != nil {
+		s.Told(entry)
+	}
 	line := s.logger.WithLevel(log.ParseLevel(e.Level))
 	line.Int("event", e.No)
 	for i := 0; i+1 < len(pairs); i += 2 {
