An upload's body goes out only when the server has taken its head, within a second

Cause: streamed uploads had ten seconds to be acknowledged, for a server may read slowly, and a cut on the way delivered the whole request when it healed.

Ruled out: one second for all of it (breaks uploads to a server that pauses to read); asking the system how much is unacknowledged (says nothing of the server).

Change: the head goes alone with Expect: 100-continue; no word from the server within a second gives the try up, and without its body nothing runs. The body then has ten.

Before: the test's upload arrives and runs 2.6 s after it was sent, when the cut heals.

--- a/internal/dream/gate_test.go
+++ b/internal/dream/gate_test.go
@@ -180,3 +180,25 @@
 		}
 	})
 }
+
+// The same for a body that streams: its head must be taken by the server within
+// the short patience, or nothing of the body goes out.
+func TestAnUploadThatACutHeldBackDoesNotArriveLater(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		proxy, server := f.Of("proxy1"), f.Servers("bookings")[0]
+		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		defer caller.Close()
+		body := []byte(strings.Repeat("x", 300000))
+		warm := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", body, "warm", false)
+		f.W.Cut(proxy.IP, host(server.Address))
+		time.AfterFunc(2600*time.Millisecond, f.W.Heal)
+		held := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", body, "held", false)
+		time.Sleep(5 * time.Second)
+		if warm.Outcome != "ran" || held.Outcome != "unknown" || ranOf(f, "held") != 0 {
+			t.Errorf("%+v\n%+v, ran %d times", warm, held, ranOf(f, "held"))
+		}
+		if took := held.At - held.Start; took > 2*time.Second {
+			t.Errorf("it was given up after %s", took)
+		}
+	})
+}
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -39,6 +39,7 @@
 	asked  *http.Request
 	limit  int
 	answer chan answer
+	more   chan struct{} // closed when the server wants the body, or has answered
 	isDead bool
 }
 
@@ -48,7 +49,7 @@
 	for {
 		_, err := reader.Peek(1)
 		p.mu.Lock()
-		request, limit, out := p.asked, p.limit, p.answer
+		request, limit, out, more := p.asked, p.limit, p.answer, p.more
 		if request == nil {
 			p.isDead = true
 			p.mu.Unlock()
@@ -56,10 +57,11 @@
 		}
 		p.mu.Unlock()
 		if err != nil {
+			close(more)
 			out <- answer{err: err}
 			return
 		}
-		got := read(reader, request, limit)
+		got := read(reader, request, limit, more)
 		isOver := got.err != nil || got.response.Close || reader.Buffered() > 0
 		p.mu.Lock()
 		p.asked = nil
@@ -72,7 +74,9 @@
 	}
 }
 
-func read(reader *bufio.Reader, request *http.Request, limit int) answer {
+func read(reader *bufio.Reader, request *http.Request, limit int, more chan struct{}) answer {
+	tell := sync.OnceFunc(func() { close(more) })
+	defer tell()
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
@@ -82,6 +86,9 @@
 			if response.StatusCode == http.StatusSwitchingProtocols {
 				return answer{err: errors.New("the server switched protocols")}
 			}
+			if response.StatusCode == http.StatusContinue {
+				tell()
+			}
 			continue
 		}
 		body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
@@ -110,7 +117,7 @@
 	if p.isDead {
 		return nil, false
 	}
-	p.asked, p.limit, p.answer = request, limit, make(chan answer, 1)
+	p.asked, p.limit, p.answer, p.more = request, limit, make(chan answer, 1), make(chan struct{})
 	return p.answer, true
 }
 
@@ -120,6 +127,25 @@
 	return !p.isDead && p.asked == nil
 }
 
+// wanted waits until the server wants the body, within the short patience; from
+// then on the body has the longer one.
+func (p *pipe) wanted(ctx context.Context) error {
+	p.mu.Lock()
+	more := p.more
+	p.mu.Unlock()
+	wakeup := time.NewTimer(ackTime)
+	defer wakeup.Stop()
+	select {
+	case <-more:
+		giveUpAfter(p.conn, ackTimeStream)
+		return nil
+	case <-wakeup.C:
+		return errors.New("the server did not take the head in time")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // pool keeps the idle pipes by target.
 type pool struct {
 	r    *realm.Realm
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -35,14 +36,22 @@
 	return func() io.Reader { return stream }, false, nil
 }
 
-// streamed is a caller's body on its way; it remembers how it ended.
+// streamed is a caller's body on its way; it remembers how it ended. Before the
+// first of it is read, begin waits for the server's word.
 type streamed struct {
-	from io.Reader
-	left int64
-	err  error
+	from  io.Reader
+	left  int64
+	err   error
+	begin func() error
 }
 
 func (s *streamed) Read(p []byte) (int, error) {
+	if s.begin != nil {
+		if err := s.begin(); err != nil {
+			return 0, err
+		}
+		s.begin = nil
+	}
 	n, err := s.from.Read(p)
 	if s.left -= int64(n); s.left < 0 {
 		err = errors.New("the body is too large")
@@ -79,14 +88,10 @@
 		}
 	}
 	p.conn.SetDeadline(c.deadline)
-	patience := ackTime
-	if _, isStream := body().(*streamed); isStream {
-		patience = ackTimeStream
-	}
-	giveUpAfter(p.conn, patience)
+	giveUpAfter(p.conn, ackTime)
 	g.budget.Seen(c.service.Name, bounds(c), c.key, c.isRepeat || no > 0)
 	counted := &counted{to: p.conn}
-	if err := request.Write(counted); err != nil {
+	if err := g.write(ctx, p, request, counted); err != nil {
 		select {
 		case got := <-out:
 			// The server answered before it had read everything.
@@ -119,6 +124,29 @@
 	}
 }
 
+// write writes the request, once. A body that streams follows its head only when
+// the server has said that it wants it (100 Continue): a head that a cut holds back
+// is given up within the short patience, and without its body nothing runs.
+func (g *Gate) write(ctx context.Context, p *pipe, request *http.Request, to io.Writer) error {
+	if body, ok := request.Body.(wrapped); ok {
+		if stream, ok := body.Reader.(*streamed); ok {
+			buffer := bufio.NewWriter(to)
+			stream.begin = func() error {
+				if err := buffer.Flush(); err != nil {
+					return err
+				}
+				return p.wanted(ctx)
+			}
+			request.Header.Set("Expect", "100-continue")
+			if err := request.Write(buffer); err != nil {
+				return err
+			}
+			return buffer.Flush()
+		}
+	}
+	return request.Write(to)
+}
+
 // count notes the bytes of a try, without the answer's head.
 func (g *Gate) count(target wire.Target, bytes int) {
 	kind := "gate.try"
