Ages and grants go on while a machine is suspended

Cause: they counted on the monotonic clock, which stands still while a machine is suspended; a proxy that woke took its plan for fresh until the next pulse, and an owner told ages that were too small.

Ruled out: watching for jumps in a task (a request may come before it runs); the wall clock (jumps).

Change: realm.Now is the monotonic clock and what the boot clock is ahead of it, behind one verb that the simulator replaces; flow, pact, plan and bond count by it.

Before: the proxy's test hands a request over a minute after its last word (the mutant, which takes the seam out, is caught by it). After: refused until renewed; an owner tells the whole minute.

--- a/internal/bond/desk.go
+++ b/internal/bond/desk.go
@@ -70,9 +70,9 @@
 		return
 	}
 	claims, stamp := d.books[no].All(Claim, "")
-	d.past[no] = append(d.past[no], moment{time.Now(), stamp})
+	d.past[no] = append(d.past[no], moment{d.r.Now(), stamp})
 	old := mark.Stamp(0)
-	for len(d.past[no]) > 0 && time.Since(d.past[no][0].at) > ClaimsKept {
+	for len(d.past[no]) > 0 && d.r.Since(d.past[no][0].at) > ClaimsKept {
 		old = d.past[no][0].stamp
 		d.past[no] = d.past[no][1:]
 	}
@@ -97,7 +97,7 @@
 	part, book := d.p.Part(no), d.books[no]
 	switch op.Op {
 	case "get", "list", "watch", "renew":
-		began := time.Now()
+		began := d.r.Now()
 		term, _, isServing := part.Serving()
 		if !isServing {
 			return nil, fault.New(fault.NotOwner, "part %d", no)
@@ -258,7 +258,7 @@
 	if g.isGoingBy {
 		return &wire.BondReceipt{Code: fault.NotHeld.No, Fence: fence}, nil
 	}
-	g.until = time.Now().Add(time.Duration(ttl) * time.Millisecond)
+	g.until = d.r.Now().Add(time.Duration(ttl) * time.Millisecond)
 	return &wire.BondReceipt{Fence: fence, Ttl: ttl, Stamp: fence}, nil
 }
 
@@ -275,10 +275,10 @@
 	for _, lock := range locks {
 		g := grants[lock.Name]
 		if g == nil || g.fence != lock.Fence {
-			grants[lock.Name] = &grant{fence: lock.Fence, until: time.Now().Add(time.Duration(lock.Ttl) * time.Millisecond)}
+			grants[lock.Name] = &grant{fence: lock.Fence, until: d.r.Now().Add(time.Duration(lock.Ttl) * time.Millisecond)}
 			continue
 		}
-		if time.Now().Before(g.until) || g.isGoingBy {
+		if d.r.Now().Before(g.until) || g.isGoingBy {
 			continue
 		}
 		g.isGoingBy = true
--- /dev/null
+++ b/internal/dream/sleep_test.go
@@ -0,0 +1,65 @@
+// A machine that is suspended stops its monotonic clock. What it held for fresh
+// when it went to sleep must not count as fresh when it wakes.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+func TestASuspendedProxyWakesWithoutAFreshPlan(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		proxy := f.Of("proxy1")
+		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		defer caller.Close()
+		for range 5 {
+			if got := caller.Call(f.ctx, proxy.Gate(), "GET", "/rates", "rates", nil); got.Outcome != "ran" {
+				t.Fatalf("before: %+v", got)
+			}
+			for _, m := range f.Machines {
+				if m != proxy {
+					f.W.Cut(m.IP, proxy.IP)
+				}
+			}
+			f.W.Suspend(proxy.IP, time.Minute)
+			got := caller.Call(f.ctx, proxy.Gate(), "GET", "/rates", "rates", nil)
+			f.W.Heal()
+			if got.Code != fault.NotFresh.No || got.Outcome != "not run" {
+				t.Errorf("after: %+v", got)
+			}
+			if !f.Until(5*time.Second, func() bool {
+				return caller.Call(f.ctx, proxy.Gate(), "GET", "/rates", "rates", nil).Outcome == "ran"
+			}) {
+				t.Error("the proxy did not come back")
+			}
+		}
+	})
+}
+
+// An owner that was suspended vouches for nothing until a majority has spoken anew.
+func TestASuspendedOwnerVouchesForNothing(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		var owner *Machine
+		for range 5 {
+			if !f.Until(10*time.Second, func() bool {
+				owner = ownerOf(f, mark.Config, nil)
+				if owner == nil || !f.IsUsable() {
+					return false
+				}
+				pulse, err := owner.Node().Planner.Pulse()
+				return err == nil && pulse.Age < time.Second.Microseconds()
+			}) {
+				t.Fatal("the fleet did not come back")
+			}
+			f.W.Suspend(owner.IP, time.Minute)
+			pulse, err := owner.Node().Planner.Pulse()
+			if err == nil && pulse.Age < time.Minute.Microseconds() {
+				t.Errorf("it tells an age of %d us", pulse.Age)
+			}
+		}
+	})
+}
--- a/internal/dream/world.go
+++ b/internal/dream/world.go
@@ -29,6 +29,7 @@
 	cuts      map[[2]string]bool
 	held      map[string]bool
 	life      map[string]int
+	slept     map[string]time.Duration
 	listeners map[string]*listener
 	packets   map[string]*packetConn
 	conns     map[*conn]bool
@@ -42,7 +43,7 @@
 }
 
 func NewWorld(seed uint64) *World {
-	return &World{rand: rand.New(rand.NewPCG(seed, 1)), change: make(chan struct{}), zones: map[string]string{}, cuts: map[[2]string]bool{}, held: map[string]bool{}, life: map[string]int{},
+	return &World{rand: rand.New(rand.NewPCG(seed, 1)), change: make(chan struct{}), zones: map[string]string{}, cuts: map[[2]string]bool{}, held: map[string]bool{}, life: map[string]int{}, slept: map[string]time.Duration{},
 		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, disks: map[string]*Disk{}, nextPort: 40000}
 }
 
@@ -85,6 +86,15 @@
 // Hold keeps back all that a machine sends and gets, until Release.
 func (w *World) Hold(ip string) { w.mu.Lock(); w.held[ip] = true; w.hurts++; w.mu.Unlock() }
 
+// Suspend is a suspension as the machine sees it: its monotonic clock stands
+// still, and all else has gone on meanwhile.
+func (w *World) Suspend(ip string, d time.Duration) {
+	w.mu.Lock()
+	w.slept[ip] += d
+	w.hurts++
+	w.mu.Unlock()
+}
+
 func (w *World) Release(ip string) {
 	w.mu.Lock()
 	delete(w.held, ip)
@@ -197,6 +207,11 @@
 			return p, nil
 		},
 		Store: func(string) (storage.Storage, error) { return w.Disk(ip).attach() },
+		Slept: func() time.Duration {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.slept[ip]
+		},
 		Aside: func(string, string) error { w.Disk(ip).Wipe(); return nil },
 	}
 }
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -46,7 +46,7 @@
 }
 
 func NewClient(r *realm.Realm, w *wire.Wire, k *kin.Kin) *Client {
-	c := &Client{r: r, w: w, k: k, born: time.Now(), Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
+	c := &Client{r: r, w: w, k: k, born: r.Now(), Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
 	c.ages.Store(&Vouched{})
 	return c
 }
@@ -201,7 +201,7 @@
 		}
 		for try := 0; try < 2; try++ {
 			m := cores[pick%len(cores)]
-			sent := time.Now()
+			sent := c.r.Now()
 			ctx, end := context.WithTimeout(c.r, c.r.Props.FlowPulse+100*time.Millisecond)
 			var receipt wire.PulseReceipt
 			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
@@ -262,7 +262,7 @@
 	held := c.ages.Load()
 	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
 	for _, a := range []*Ages{&held.Newest, &held.Before} {
-		if a.Epoch <= chart.Epoch && time.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || time.Since(a.Parts[no]) < bound) {
+		if a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || c.r.Since(a.Parts[no]) < bound) {
 			return true
 		}
 	}
@@ -275,7 +275,7 @@
 // tell writes an event when freshness of the configuration is lost or back.
 func (c *Client) tell() {
 	chart, ages := c.Cache.Chart(), c.Ages()
-	isFresh := chart != nil && chart.Epoch >= ages.Epoch && time.Since(ages.Config) < c.r.Props.FlowFresh
+	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < c.r.Props.FlowFresh
 	if isFresh != c.isFresh {
 		c.isFresh = isFresh
 		if isFresh {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -138,7 +138,7 @@
 	if mine.err != nil {
 		return nil, mine.err
 	}
-	grown := time.Since(mine.sent).Microseconds() + 1
+	grown := s.r.Since(mine.sent).Microseconds() + 1
 	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
 	for i, age := range mine.receipt.Parts {
 		receipt.Parts[i] = age
@@ -154,7 +154,7 @@
 	now := s.waiting
 	s.running, s.waiting = now, nil
 	s.r.Go(func() {
-		now.sent = time.Now()
+		now.sent = s.r.Now()
 		now.receipt, now.err = s.ask()
 		close(now.done)
 		s.mu.Lock()
--- a/internal/pact/feed.go
+++ b/internal/pact/feed.go
@@ -210,7 +210,7 @@
 		t.matchIn, t.matched = ask.Term, 0
 	}
 	receipt.Promised = ask.Term
-	t.heard = time.Now()
+	t.heard = t.p.r.Now()
 	if ask.Snapshot != nil && ask.Snapshot.Index > t.commit && !t.contains(ask.Snapshot) {
 		if err := t.install(w, ask.Snapshot); err != nil {
 			t.mu.Unlock()
--- a/internal/pact/found.go
+++ b/internal/pact/found.go
@@ -191,7 +191,7 @@
 			t.base.Group = Placement(t.no, charter.Members)
 			t.regroup()
 		}
-		t.since = time.Now()
+		t.since = t.p.r.Now()
 		t.mu.Unlock()
 	}
 	p.k.Amend(func(m *wire.Member) { m.Fleet = charter.Fleet })
--- a/internal/pact/group.go
+++ b/internal/pact/group.go
@@ -30,7 +30,7 @@
 	for _, peer := range group {
 		m, ok := view[peer.Name]
 		isReborn := ok && m.Birth != peer.Birth
-		isGone := peer != t.p.me && (!ok && time.Since(t.servedAt()) > t.p.r.Props.PactGone || ok && !t.p.k.IsLive(peer) && time.Since(m.Since) > t.p.r.Props.PactGone)
+		isGone := peer != t.p.me && (!ok && t.p.r.Since(t.servedAt()) > t.p.r.Props.PactGone || ok && !t.p.k.IsLive(peer) && time.Since(m.Since) > t.p.r.Props.PactGone)
 		if isReborn || isGone {
 			lost = &peer
 			continue
@@ -80,7 +80,7 @@
 // again and has shown that its disk works, so that owners stay spread.
 func (t *Part) giveBack(group []wire.Peer) {
 	first := Order(t.no, group)[0]
-	if first == t.p.me || !t.p.k.IsLive(first) || time.Since(t.p.k.View()[first.Name].Since) < settleTime || time.Since(t.servedAt()) < settleTime {
+	if first == t.p.me || !t.p.k.IsLive(first) || time.Since(t.p.k.View()[first.Name].Since) < settleTime || t.p.r.Since(t.servedAt()) < settleTime {
 		return
 	}
 	ctx, end := context.WithTimeout(t.p.r, time.Second)
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -194,7 +194,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.owners[no]
-	return c.name, ok && time.Since(c.at) < 3*time.Second
+	return c.name, ok && p.r.Since(c.at) < 3*time.Second
 }
 
 // tend is the slow hand: founding, rounds to new peers, standing, membership.
--- a/internal/pact/part.go
+++ b/internal/pact/part.go
@@ -58,7 +58,7 @@
 }
 
 func newPart(p *Pact, no mark.Part, machine Machine) *Part {
-	return &Part{p: p, no: no, machine: machine, change: make(chan struct{}), since: time.Now(), waiters: map[mark.Stamp]waiter{}}
+	return &Part{p: p, no: no, machine: machine, change: make(chan struct{}), since: p.r.Now(), waiters: map[mark.Stamp]waiter{}}
 }
 
 func (t *Part) key(kind string) string { return fmt.Sprintf("p/%02d/%s", t.no, kind) }
@@ -262,7 +262,7 @@
 		}
 	}
 	if t.isOwner && !t.isServing && t.commit >= t.began {
-		t.isServing, t.served = true, time.Now()
+		t.isServing, t.served = true, t.p.r.Now()
 		t.p.say(sign.PartOwned, "part", int(t.no), "term", t.promised.String(), "commit", uint64(t.commit))
 	}
 	t.stir()
@@ -366,7 +366,7 @@
 	last, _ := t.last()
 	o := Outline{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.group, Age: -1}
 	if t.isOwner {
-		o.Age = time.Since(t.confirmed())
+		o.Age = t.p.r.Since(t.confirmed())
 	}
 	return o
 }
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -68,7 +68,7 @@
 		if len(claims) == 0 || !ok || m.Birth != peer.Birth {
 			continue
 		}
-		sent := time.Now()
+		sent := p.r.Now()
 		limited, end := context.WithTimeout(ctx, 500*time.Millisecond)
 		var receipt wire.RoundReceipt
 		err := p.w.Ask(limited, m.Wire, "pact.round", &wire.RoundAsk{From: p.me, Claims: claims}, &receipt)
@@ -126,7 +126,7 @@
 			t.mu.Unlock()
 			continue
 		}
-		t.heard = time.Now()
+		t.heard = t.p.r.Now()
 		if t.matchIn == claim.Term {
 			t.advance(min(claim.Commit, t.matched))
 		}
@@ -142,13 +142,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.owners[no]; !term.Less(old.term) {
-		p.owners[no] = claimed{name: name, term: term, at: time.Now()}
+		p.owners[no] = claimed{name: name, term: term, at: p.r.Now()}
 	}
 }
 
 // confirmed is the moment as of which a majority confirms the owner's term.
 func (t *Part) confirmed() time.Time {
-	now := time.Now()
+	now := t.p.r.Now()
 	age := majorityOf(t.group, func(peer wire.Peer) int64 {
 		if peer == t.p.me {
 			return 0
@@ -192,5 +192,5 @@
 	if !t.isServing {
 		return 0, false
 	}
-	return time.Since(t.confirmed()), true
+	return t.p.r.Since(t.confirmed()), true
 }
--- a/internal/pact/stand.go
+++ b/internal/pact/stand.go
@@ -31,7 +31,7 @@
 	if since.Before(t.since) {
 		since = t.since
 	}
-	if time.Since(since) <= silence {
+	if t.p.r.Since(since) <= silence {
 		return false
 	}
 	rank := 0
@@ -43,15 +43,15 @@
 			rank++
 		}
 	}
-	return time.Since(since) > silence+time.Duration(rank)*silence/2
+	return t.p.r.Since(since) > silence+time.Duration(rank)*silence/2
 }
 
 // promise answers a member that stands.
 func (t *Part) promise(ask *wire.PromiseAsk) (*wire.PromiseReceipt, error) {
 	t.mu.Lock()
 	receipt := &wire.PromiseReceipt{From: t.p.me, Promised: t.promised}
-	isHeard := !ask.Invited && time.Since(t.heard) < t.p.r.Props.PactSilence*3/4 && !t.heard.IsZero()
-	isConfirmed := t.isOwner && !ask.Invited && time.Since(t.confirmed()) < t.p.r.Props.PactSilence*3/4
+	isHeard := !ask.Invited && t.p.r.Since(t.heard) < t.p.r.Props.PactSilence*3/4 && !t.heard.IsZero()
+	isConfirmed := t.isOwner && !ask.Invited && t.p.r.Since(t.confirmed()) < t.p.r.Props.PactSilence*3/4
 	if !t.promised.Less(ask.Term) || isHeard || isConfirmed {
 		t.mu.Unlock()
 		return receipt, nil
@@ -59,7 +59,7 @@
 	t.stepDown("a higher term stands")
 	t.promised = ask.Term
 	t.matchIn, t.matched = ask.Term, 0
-	t.since = time.Now()
+	t.since = t.p.r.Now()
 	w := t.p.store.Begin()
 	t.putPromise(w)
 	t.p.store.Hand(w)
@@ -89,7 +89,7 @@
 	round := max(t.promised.Round, t.seen) + 1
 	term := mark.Term{Round: round, Node: t.p.me.Name}
 	t.promised, t.matchIn, t.matched = term, term, 0
-	t.since = time.Now()
+	t.since = t.p.r.Now()
 	w := t.p.store.Begin()
 	t.putPromise(w)
 	t.p.store.Hand(w)
@@ -100,7 +100,7 @@
 	if w.Wait() != nil {
 		return
 	}
-	sent := time.Now()
+	sent := t.p.r.Now()
 	best, granted := t.gather(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, group, mine)
 	if best == nil {
 		t.p.say(sign.StandFailed, "part", int(t.no), "term", term.String())
@@ -200,7 +200,7 @@
 	t.isOwner, t.isServing = false, false
 	t.end()
 	t.failWaiters(0)
-	t.since = time.Now()
+	t.since = t.p.r.Now()
 	t.p.say(sign.PartLost, "part", int(t.no), "term", t.promised.String(), "cause", cause)
 	t.stir()
 }
@@ -214,7 +214,7 @@
 // checkMajority gives up a part whose term no majority confirms any more.
 func (t *Part) checkMajority() {
 	t.mu.Lock()
-	if t.isOwner && time.Since(t.confirmed()) > 2*t.p.r.Props.PactSilence {
+	if t.isOwner && t.p.r.Since(t.confirmed()) > 2*t.p.r.Props.PactSilence {
 		t.stepDown("no majority in reach")
 	}
 	t.mu.Unlock()
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -47,7 +47,7 @@
 }
 
 func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *Ledger) *Planner {
-	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[string]bool{}, zero: time.Now(), planning: realm.NewTurn()}
+	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[string]bool{}, zero: r.Now(), planning: realm.NewTurn()}
 	l.reset(mark.Term{})
 	return l
 }
@@ -104,7 +104,7 @@
 		all.Add(1)
 		l.r.Go(func() {
 			defer all.Done()
-			sent := time.Now()
+			sent := l.r.Now()
 			var receipt wire.NewsReceipt
 			if l.w.Ask(ctx, m.Wire, "plan.news", &wire.NewsAsk{Known: known}, &receipt) == nil {
 				l.fold(term, sent, &receipt)
@@ -312,7 +312,7 @@
 func (l *Planner) Submit(ctx context.Context, change *wire.Change) (*wire.ChangeReceipt, error) {
 	l.planning.Lock()
 	defer l.planning.Unlock()
-	if err := l.part.Confirm(ctx, time.Now()); err != nil {
+	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
 		return nil, err
 	}
 	raw, _ := json.Marshal(change)
@@ -360,7 +360,7 @@
 
 // View is the epoch in force, confirmed since the call came.
 func (l *Planner) View(ctx context.Context) (*wire.EpochView, error) {
-	if err := l.part.Confirm(ctx, time.Now()); err != nil {
+	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
 		return nil, err
 	}
 	return l.ledger.Sheet().View(), nil
@@ -373,7 +373,7 @@
 	if !isServing {
 		return nil, fault.New(fault.NotOwner, "configuration part")
 	}
-	began := time.Now()
+	began := l.r.Now()
 	term, _, _ := l.part.Serving()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -381,10 +381,10 @@
 	for no := range receipt.Parts {
 		receipt.Parts[no] = -1
 		if at, ok := l.reflects[mark.Part(no)]; ok && l.term == term {
-			receipt.Parts[no] = time.Since(at).Microseconds() + 1
+			receipt.Parts[no] = l.r.Since(at).Microseconds() + 1
 		}
 	}
 	receipt.Epoch = l.ledger.Sheet().Epoch
-	receipt.Age = (age + time.Since(began)).Microseconds() + 1
+	receipt.Age = (age + l.r.Since(began)).Microseconds() + 1
 	return receipt, nil
 }
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -110,10 +110,10 @@
 		return nil
 	}
 	if h == nil {
-		h = &heard{first: time.Now()}
+		h = &heard{first: l.r.Now()}
 		instances[b.Instance] = h
 	}
-	h.at = time.Now()
+	h.at = l.r.Now()
 	if !isOld {
 		h.beat = *b
 	}
@@ -148,17 +148,17 @@
 // News is the lists of all parts owned here, each with an age that proves that
 // everything known at that time is in the list.
 func (l *Roll) News(ctx context.Context, ask *wire.NewsAsk) *wire.NewsReceipt {
-	began := time.Now()
+	began := l.r.Now()
 	receipt := &wire.NewsReceipt{}
 	for no := range l.books {
 		part := l.p.Part(mark.Part(no))
 		term, since, isServing := part.Serving()
-		if !isServing || time.Since(since) < settle || part.Confirm(ctx, began) != nil {
+		if !isServing || l.r.Since(since) < settle || part.Confirm(ctx, began) != nil {
 			continue
 		}
 		lists := l.lists(mark.Part(no), term)
 		digest := digestOf(lists)
-		news := wire.PartNews{Part: mark.Part(no), Term: term, Digest: digest, Age: time.Since(began).Microseconds() + 1}
+		news := wire.PartNews{Part: mark.Part(no), Term: term, Digest: digest, Age: l.r.Since(began).Microseconds() + 1}
 		if ask.Known[mark.Part(no)] != digest {
 			news.Lists = lists
 		}
@@ -184,7 +184,7 @@
 		for instance, h := range instances {
 			out := ""
 			m, isMarked := marked[service+"/"+instance]
-			silence := time.Since(h.at)
+			silence := l.r.Since(h.at)
 			switch {
 			case isMarked:
 				out = m.Holder
@@ -212,7 +212,7 @@
 				delete(instances, instance)
 				continue
 			}
-			lists[service] = append(lists[service], wire.Listed{Instance: instance, Address: h.beat.Address, Zone: h.beat.Zone, Weight: h.beat.Weight, Since: time.Since(h.first).Microseconds(), Out: out})
+			lists[service] = append(lists[service], wire.Listed{Instance: instance, Address: h.beat.Address, Zone: h.beat.Zone, Weight: h.beat.Weight, Since: l.r.Since(h.first).Microseconds(), Out: out})
 		}
 		if len(instances) == 0 {
 			delete(l.beats, service)
@@ -246,7 +246,7 @@
 			if h.isIn {
 				state = "in"
 			}
-			rows = append(rows, []any{service, instance, h.beat.Address, h.beat.Zone, h.beat.Weight, state + " (" + h.beat.State + ")", time.Since(h.at).Round(time.Millisecond)})
+			rows = append(rows, []any{service, instance, h.beat.Address, h.beat.Zone, h.beat.Weight, state + " (" + h.beat.State + ")", l.r.Since(h.at).Round(time.Millisecond)})
 		}
 	}
 	return rows
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/syndtr/goleveldb/leveldb/storage"
+	"golang.org/x/sys/unix"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/props"
@@ -27,6 +28,8 @@
 	Packet func(address string) (net.PacketConn, error)
 	Store  func(folder string) (storage.Storage, error)
 	Aside  func(folder, aside string) error
+	// Slept is how long the machine was suspended so far; nil is for never.
+	Slept func() time.Duration
 }
 
 // Realm is one life of one node.
@@ -75,6 +78,27 @@
 	}
 }
 
+// Now is the time by which ages and grants count: the monotonic clock, which
+// stands still while a machine is suspended, and what it stood still.
+func (r *Realm) Now() time.Time {
+	if r.Net.Slept == nil {
+		return time.Now()
+	}
+	return time.Now().Add(r.Net.Slept())
+}
+
+// Since is the age of a time that Now gave.
+func (r *Realm) Since(t time.Time) time.Duration { return r.Now().Sub(t) }
+
+// slept is what the boot clock is ahead of the monotonic one.
+func slept() time.Duration {
+	var boot, running unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &running) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - running.Nano()).Truncate(10 * time.Millisecond)
+}
+
 // Jitter spreads a pause by a quarter to both sides.
 func Jitter(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
@@ -97,6 +121,7 @@
 			return storage.OpenFile(folder, false)
 		},
 		Aside: os.Rename,
+		Slept: slept,
 	}
 }
 
--- a/internal/seat/show.go
+++ b/internal/seat/show.go
@@ -67,9 +67,9 @@
 			ages := n.Flow.Ages()
 			epoch, _ := n.Flow.Cache.Have()
 			add("in use", epoch, "")
-			add("config", ages.Epoch, time.Since(ages.Config).Round(time.Millisecond))
+			add("config", ages.Epoch, d.n.R.Since(ages.Config).Round(time.Millisecond))
 			for no, at := range ages.Parts {
-				add(fmt.Sprint("part ", no), ages.Epoch, time.Since(at).Round(time.Millisecond))
+				add(fmt.Sprint("part ", no), ages.Epoch, d.n.R.Since(at).Round(time.Millisecond))
 			}
 		}
 	case api.ShowWhatCounts:
