Runs at the real sizes: small processors by a fixed cycle, open load, ranges of seeds

Cause: real runs went to half of today's rates, on whole processors, with callers that waited for one another, one seed a command; a mistyped fault was found after the start.

--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -5,10 +5,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -44,8 +48,11 @@
 				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
 				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
-				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the faults are drawn from"},
-				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change or all"},
+				&cli.StringFlag{Name: "seeds", Value: "1", Usage: "what the faults are drawn from: a number, or FIRST:LAST for a run with each"},
+				&cli.BoolFlag{Name: "small", Usage: "each process has only the shape's share of a processor, by stopping and continuing it"},
+				&cli.DurationFlag{Name: "work", Usage: "how long a server works on each request"},
+				&cli.FloatFlag{Name: "eager", Value: -1, Usage: "share of callers that repeat a failed order at once; the shape's if below zero"},
+				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change, grow or all"},
 				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
 				&cli.BoolFlag{Name: "twice", Usage: "orders are not claimed, so that a repeat may run them again"},
 				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
@@ -64,21 +71,66 @@
 	if err != nil {
 		return err
 	}
-	run := &fleet.Run{Factor: cmd.Float("factor"), Seconds: cmd.Int("seconds"), Seed: cmd.Uint64("seed"), Fault: cmd.String("faults"), Mapped: cmd.Int("mappings"), Profile: cmd.String("profile"), IsTwice: cmd.Bool("twice")}
-	if run.Factor <= 0 || run.Factor > 1 || run.Seconds < 1 || run.Seconds > 3600 {
-		return fmt.Errorf("the factor must be above 0 and at most 1, the seconds 1 to 3600")
+	if f := cmd.Float("factor"); f <= 0 || f > 10 || cmd.Int("seconds") < 1 || cmd.Int("seconds") > 3600 {
+		return fmt.Errorf("the factor must be above 0 and at most 10, the seconds 1 to 3600")
 	}
+	if cmd.Duration("work") < 0 || cmd.Duration("work") > time.Minute || cmd.Float("eager") > 1 {
+		return fmt.Errorf("the work must be 0 to 1m, the eager share at most 1")
+	}
+	if _, ok := fleet.Faults[cmd.String("faults")]; !ok {
+		return fmt.Errorf("there are no faults %q", cmd.String("faults"))
+	}
+	first, last, err := seedsOf(cmd.String("seeds"))
+	if err != nil {
+		return err
+	}
+	var history io.Writer
 	if path := cmd.String("history"); path != "" {
+		if first != last {
+			return fmt.Errorf("a history is of one seed")
+		}
 		file, err := os.Create(path)
 		if err != nil {
 			return err
 		}
 		defer file.Close()
-		run.History = file
+		history = file
+	}
+	failed := 0
+	for seed := first; seed <= last; seed++ {
+		run := &fleet.Run{Factor: cmd.Float("factor"), Seconds: cmd.Int("seconds"), Seed: seed, Fault: cmd.String("faults"), Mapped: cmd.Int("mappings"), Profile: cmd.String("profile"),
+			IsTwice: cmd.Bool("twice"), IsSmall: cmd.Bool("small"), Work: cmd.Duration("work"), Eager: cmd.Float("eager"), History: history}
+		if err := inFolder(cmd, func(folder string) error { return run.Go(ctx, cmd.String("sumac"), folder, shape, os.Stdout) }); err != nil {
+			if ctx.Err() != nil || first == last {
+				return err
+			}
+			fmt.Printf("seed %d: %v\n", seed, err)
+			failed++
+		}
+	}
+	if first != last {
+		fmt.Printf("%d runs, %d failed\n", last-first+1, failed)
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d runs failed", failed, last-first+1)
+	}
+	return nil
+}
+
+// seedsOf reads a seed, or the first and the last of several.
+func seedsOf(text string) (first, last uint64, err error) {
+	one, other, isRange := strings.Cut(text, ":")
+	if !isRange {
+		other = one
+	}
+	first, err = strconv.ParseUint(one, 10, 64)
+	if err == nil {
+		last, err = strconv.ParseUint(other, 10, 64)
+	}
+	if err != nil || last < first || last-first > 10000 {
+		return 0, 0, fmt.Errorf("--seeds %q is neither a number nor FIRST:LAST", text)
 	}
-	return inFolder(cmd, func(folder string) error {
-		return run.Go(ctx, cmd.String("sumac"), folder, shape, os.Stdout)
-	})
+	return first, last, nil
 }
 
 // inFolder keeps the folder only when the run failed, or when it was named.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	fleet    *Fleet
 	cmd      *exec.Cmd
 	done     chan struct{}
+	isFrozen atomic.Bool
 }
 
 // Fleet is all machines of one run.
@@ -47,6 +49,7 @@
 	H *judge.History
 	// IsDebugged gives every node an address for profiles, three above its port.
 	IsDebugged bool
+	isSmall    bool
 }
 
 // New lays a fleet out: cores and proxies spread over zones.
@@ -123,6 +126,9 @@
 	}
 	defer trouble.Close()
 	cmd.Stderr = trouble
+	if m.fleet.isSmall {
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -172,8 +178,8 @@
 }
 
 // Freeze and Thaw hold the process still.
-func (m *Machine) Freeze() { m.signal(syscall.SIGSTOP) }
-func (m *Machine) Thaw()   { m.signal(syscall.SIGCONT) }
+func (m *Machine) Freeze() { m.isFrozen.Store(true); m.signal(syscall.SIGSTOP) }
+func (m *Machine) Thaw()   { m.isFrozen.Store(false); m.signal(syscall.SIGCONT) }
 
 // Wipe empties the disk of a machine that is down.
 func (m *Machine) Wipe() error { return os.RemoveAll(m.Data()) }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -33,6 +33,9 @@
 	History io.Writer
 	Profile string
 	IsTwice bool
+	IsSmall bool          // processes have only the shape's share of a processor
+	Work    time.Duration // how long a server works on each request
+	Eager   float64       // the share of callers that repeat a refused order at once; the shape's if negative
 
 	f       *Fleet
 	shape   Shape
@@ -68,7 +71,7 @@
 	for _, m := range r.f.ProxyMachines() {
 		nodes = append(nodes, m.Api())
 	}
-	s := &sham.Server{Net: realm.Host(""), H: r.h, Service: service, Zone: zone, Address: address, Key: "key-" + service, Nodes: nodes}
+	s := &sham.Server{Net: realm.Host(""), H: r.h, Service: service, Zone: zone, Address: address, Key: "key-" + service, Nodes: nodes, Work: r.Work}
 	if err := s.Start(r.ctx); err != nil {
 		r.say("%s at %s: %v", service, address, err)
 		return
@@ -100,6 +103,10 @@
 	r.shape, r.ctx, r.out, r.began = shape, ctx, out, time.Now()
 	r.f = New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
 	r.f.IsDebugged = r.Profile != ""
+	r.f.isSmall = r.IsSmall
+	if r.Eager >= 0 {
+		r.shape.Impatient = r.Eager
+	}
 	r.h = judge.New(r.History)
 	r.f.H = r.h
 	r.spent = map[string]time.Duration{}
@@ -147,6 +154,11 @@
 	}
 	time.Sleep(1500 * time.Millisecond)
 	r.say("the fleet is ready")
+	cycling, leave := context.WithCancel(ctx)
+	defer leave()
+	if r.IsSmall {
+		r.small(cycling)
+	}
 	before, traffic := r.cpu(), r.traffic()
 	loading, stop := context.WithCancel(ctx)
 	var loads sync.WaitGroup
@@ -163,14 +175,15 @@
 	after, later := r.cpu(), r.traffic()
 	stop()
 	loads.Wait()
-	if r.Fault != "none" && r.Fault != "change" {
+	r.goodput(took.Seconds())
+	if !r.isCalm() {
 		r.rescue()
 	}
 	r.ask(operator)
 	r.h.Add(judge.Record{Kind: judge.Ended})
 	verdict := judge.Judge(r.h.Records())
 	fmt.Fprint(out, verdict)
-	if r.Fault == "none" || r.Fault == "change" {
+	if r.isCalm() {
 		r.costs(took, before, after, traffic, later)
 	}
 	if !verdict.IsClean() {
@@ -179,14 +192,18 @@
 	return nil
 }
 
+// openMost bounds the requests of one service that are under way at once.
+const openMost = 2000
+
 // load starts callers at the shape's rates, spread over the proxies, and
-// applications over all nodes. Every loop is bounded by the run.
+// applications over all nodes. A caller does not wait for the answers of others, so
+// a slow fleet gets no fewer requests. Every loop is bounded by the run.
 func (r *Run) load(ctx context.Context, loads *sync.WaitGroup) {
-	proxies := r.f.ProxyMachines()
 	for _, l := range r.shape.Loads {
 		tasks := 1 + int(l.PerSecond*r.Factor/20)
 		pause := time.Duration(float64(tasks) / (l.PerSecond * r.Factor) * float64(time.Second))
 		body := []byte(strings.Repeat("x", l.Bytes))
+		open := make(chan struct{}, openMost)
 		for range tasks {
 			loads.Add(1)
 			go func() {
@@ -194,6 +211,8 @@
 				caller := sham.NewCaller(realm.Host(""), r.h)
 				caller.Once = !r.IsTwice
 				defer caller.Close()
+				var mine sync.WaitGroup
+				defer mine.Wait()
 				tick := time.NewTicker(pause)
 				defer tick.Stop()
 				for {
@@ -202,17 +221,17 @@
 						return
 					case <-tick.C:
 					}
-					r.calls.Add(1)
-					proxy := proxies[rand.IntN(len(proxies))].Gate()
-					if l.IsRepeatable {
-						caller.Call(context.Background(), proxy, "GET", "/"+l.Service+"/x", l.Service, nil)
+					select {
+					case open <- struct{}{}:
+					default:
 						continue
 					}
-					call := mark.NewID()
-					got := caller.Repeat(context.Background(), proxy, "POST", "/"+l.Service, l.Service, body, call, false)
-					for try := 0; try < 5 && got.Outcome != "ran" && rand.Float64() < r.shape.Impatient; try++ {
-						got = caller.Repeat(context.Background(), proxies[rand.IntN(len(proxies))].Gate(), "POST", "/"+l.Service, l.Service, body, call, true)
-					}
+					r.calls.Add(1)
+					mine.Add(1)
+					go func() {
+						defer func() { <-open; mine.Done() }()
+						r.callOnce(caller, l, body)
+					}()
 				}
 			}()
 		}
@@ -242,6 +261,21 @@
 	}
 }
 
+// callOnce is one request of a service, and its repeats if the caller is eager.
+func (r *Run) callOnce(caller *sham.Caller, l Load, body []byte) {
+	proxies := r.f.ProxyMachines()
+	gate := func() string { return proxies[rand.IntN(len(proxies))].Gate() }
+	if l.IsRepeatable {
+		caller.Call(context.Background(), gate(), "GET", "/"+l.Service+"/x", l.Service, nil)
+		return
+	}
+	call := mark.NewID()
+	got := caller.Repeat(context.Background(), gate(), "POST", "/"+l.Service, l.Service, body, call, false)
+	for try := 0; try < 5 && got.Outcome != "ran" && rand.Float64() < r.shape.Impatient; try++ {
+		got = caller.Repeat(context.Background(), gate(), "POST", "/"+l.Service, l.Service, body, call, true)
+	}
+}
+
 // bondOnce is one coordination call, recorded for the judge.
 func (r *Run) bondOnce(client *api.Client, app string, n int) {
 	ctx, end := context.WithTimeout(context.Background(), 4*time.Second)
@@ -299,8 +333,19 @@
 	r.say("usable again %s after the last machine was back", (r.h.Now() - back).Round(10*time.Millisecond))
 }
 
+// isCalm tells whether nothing is hurt, so that costs can be told.
+func (r *Run) isCalm() bool {
+	return r.Fault == "none" || r.Fault == "change" || r.Fault == "grow"
+}
+
 func (r *Run) ask(operator *sham.Operator) {
-	Until(r.ctx, 10*time.Second, func() bool { _, err := operator.Ask(r.ctx, "first"); return err == nil })
+	asked := map[string]bool{}
+	for _, rec := range r.h.Records() {
+		if rec.Kind == judge.Changed && !asked[rec.Name] {
+			asked[rec.Name] = true
+			Until(r.ctx, 10*time.Second, func() bool { _, err := operator.Ask(r.ctx, rec.Name); return err == nil })
+		}
+	}
 	if view, err := operator.Epoch(r.ctx); err == nil {
 		rec := judge.Record{Kind: judge.InForce, Epoch: view.Epoch}
 		for _, m := range view.Config.Mappings {
--- a/internal/fleet/shape.go
+++ b/internal/fleet/shape.go
@@ -30,13 +30,15 @@
 	CallsPerSecond        float64
 	// Impatient is the share of callers that repeat a refused order at once.
 	Impatient float64
+	// How much of a processor a machine has.
+	ProxyShare, CoreShare float64
 }
 
 // Shapes is both deployments, and a small one.
 var Shapes = map[string]Shape{
-	"quoteline": {Name: "quoteline", Cores: 5, Proxies: 9, Zones: 3, CallsPerSecond: 40, Loads: []Load{
+	"quoteline": {Name: "quoteline", Cores: 5, Proxies: 9, Zones: 3, CallsPerSecond: 40, ProxyShare: 0.25, CoreShare: 0.25, Loads: []Load{
 		{"rates", 12, 200, true, 0}, {"bookings", 6, 65, false, 400}, {"slots", 10, 70, true, 0}}},
-	"municipality": {Name: "municipality", Cores: 3, Proxies: 12, Zones: 3, CallsPerSecond: 110, Impatient: 0.2, Loads: []Load{
+	"municipality": {Name: "municipality", Cores: 3, Proxies: 12, Zones: 3, CallsPerSecond: 110, Impatient: 0.2, ProxyShare: 1.0 / 3, CoreShare: 1, Loads: []Load{
 		{"status", 21, 570, true, 0}, {"signing", 12, 260, false, 600}, {"uploads", 6, 60, false, 256 << 10}}},
 	"small": {Name: "small", Cores: 3, Proxies: 2, Zones: 3, CallsPerSecond: 20, Loads: []Load{
 		{"rates", 3, 50, true, 0}, {"bookings", 3, 20, false, 400}}},
@@ -67,6 +69,7 @@
 	"server": serverGoes,
 	"change": changeOne,
 	"cut":    cutSome,
+	"grow":   growSome,
 	"all": func(r *Run, rnd *rand.Rand) {
 		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, cutSome, cutSome, freezeOne, stopOne, serverGoes, serverGoes}
 		all[rnd.IntN(len(all))](r, rnd)
@@ -87,6 +90,20 @@
 	r.nap(rnd, 1000, 1001)
 }
 
+// growSome adds a hundred mappings in one change set.
+func growSome(r *Run, rnd *rand.Rand) {
+	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
+	if view, err := operator.Epoch(r.ctx); err == nil {
+		id, config := fmt.Sprint("grown", r.changes.Add(1)), api.Config{}
+		for i := range 100 {
+			name := fmt.Sprint(id, "-", i)
+			config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: r.shape.Loads[0].Service, Weight: 1}}})
+		}
+		operator.Submit(r.ctx, &api.Change{ID: id, Base: view.Epoch, Put: api.NewOptConfig(config)})
+	}
+	r.nap(rnd, 500, 501)
+}
+
 // cutSome cuts ways between processes: one way, a machine, a zone, or the whole
 // core apart.
 func cutSome(r *Run, rnd *rand.Rand) {
