Tasks may begin while a realm ends, also from a request's handler

Ruled out: handlers as tasks of the realm (the server makes them, not we).

Change: the realm counts its tasks under a lock, and End waits until there are none.

--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -40,20 +40,35 @@
 	Net   Net
 	Name  mark.Name
 
-	end   context.CancelFunc
-	tasks sync.WaitGroup
+	end context.CancelFunc
+
+	mu    sync.Mutex
+	tasks int
+	idle  *sync.Cond
 }
 
 func New(parent context.Context, p *props.Props, s *sign.Sign, n Net) *Realm {
 	ctx, end := context.WithCancel(parent)
-	return &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), end: end}
+	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), end: end}
+	r.idle = sync.NewCond(&r.mu)
+	return r
 }
 
-// Go runs a task that End waits for.
+// Go runs a task that End waits for. It may be called while End waits, also from
+// where no task is, such as a request's handler.
 func (r *Realm) Go(task func()) {
-	r.tasks.Add(1)
+	r.mu.Lock()
+	r.tasks++
+	r.mu.Unlock()
 	go func() {
-		defer r.tasks.Done()
+		defer func() {
+			r.mu.Lock()
+			r.tasks--
+			if r.tasks == 0 {
+				r.idle.Broadcast()
+			}
+			r.mu.Unlock()
+		}()
 		task()
 	}()
 }
@@ -61,7 +76,11 @@
 // End tells all tasks to finish and waits for them.
 func (r *Realm) End() {
 	r.end()
-	r.tasks.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.tasks > 0 {
+		r.idle.Wait()
+	}
 }
 
 func (r *Realm) IsOver() bool { return r.Err() != nil }
