Rounds say only the claims that differ from the last message that was heard

Cause: every node told every other all its claims four times a second, the largest cause of traffic between zones, and seldom did one differ.

Ruled out: fewer rounds (freshness hangs on them); digests of the whole (a difference in one claim then costs a second message).

Change: a message names the one it builds on by number; a member that does not have it as its last confirms nothing, says so, and is told all. Numbers begin anywhere in each life, so an earlier life's are not met again.

--- /dev/null
+++ b/internal/pact/claims.go
@@ -0,0 +1,80 @@
+// What a round says. Most claims are the same from round to round, so a message
+// names the one before it that was heard, and says only what differs. A member
+// that does not have that one, for it was started anew or the order of messages
+// broke, says so, confirms nothing, and is told all.
+package pact
+
+import (
+	"math/rand/v2"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// saying is all that one message claims, by its number.
+type saying struct {
+	no     uint64
+	claims map[mark.Part]wire.Claim
+}
+
+func byPart(claims []wire.Claim) map[mark.Part]wire.Claim {
+	set := make(map[mark.Part]wire.Claim, len(claims))
+	for _, c := range claims {
+		set[c.Part] = c
+	}
+	return set
+}
+
+// ask makes the next message; numbers begin anywhere, so that those of an earlier
+// life of this node are not met again.
+func (r *rounder) ask(from wire.Peer, claims []wire.Claim) *wire.RoundAsk {
+	if r.no == 0 {
+		r.no = rand.Uint64() >> 2
+	}
+	r.no++
+	ask := &wire.RoundAsk{From: from, No: r.no, Base: r.heard.no}
+	now := byPart(claims)
+	for _, c := range claims {
+		if old, ok := r.heard.claims[c.Part]; !ok || old != c {
+			ask.Claims = append(ask.Claims, c)
+		}
+	}
+	for no := range r.heard.claims {
+		if _, ok := now[no]; !ok {
+			ask.Gone = append(ask.Gone, no)
+		}
+	}
+	return ask
+}
+
+// took notes that a message was heard, or that its base was lost.
+func (r *rounder) took(ask *wire.RoundAsk, claims []wire.Claim, isLost bool) {
+	r.heard = saying{}
+	if !isLost {
+		r.heard = saying{no: ask.No, claims: byPart(claims)}
+	}
+}
+
+// whole is all that a message claims; false if its base is not the last heard.
+func (p *Pact) whole(ask *wire.RoundAsk) (map[mark.Part]wire.Claim, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.sayings[ask.From]
+	if ask.Base != 0 && last.no != ask.Base {
+		return nil, false
+	}
+	set := map[mark.Part]wire.Claim{}
+	if ask.Base != 0 {
+		for no, c := range last.claims {
+			set[no] = c
+		}
+	}
+	for _, no := range ask.Gone {
+		delete(set, no)
+	}
+	for _, c := range ask.Claims {
+		set[c.Part] = c
+	}
+	p.sayings[ask.From] = saying{no: ask.No, claims: set}
+	return set, true
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -44,6 +44,7 @@
 	pledge  mark.Term
 	owners  map[mark.Part]claimed
 	rounds  map[wire.Peer]*rounder
+	sayings map[wire.Peer]saying
 	isBusy  map[mark.Part]bool
 	isGoing bool
 	Ready   chan struct{}
@@ -74,7 +75,7 @@
 func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Pact, error) {
 	me := k.Me()
 	p := &Pact{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
-		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*rounder{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
+		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*rounder{}, sayings: map[wire.Peer]saying{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
 	for no, machine := range machines {
 		p.parts = append(p.parts, newPart(p, mark.Part(no), machine))
 	}
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -14,8 +14,10 @@
 )
 
 type rounder struct {
-	kick chan struct{}
-	end  context.CancelFunc
+	kick  chan struct{}
+	end   context.CancelFunc
+	no    uint64
+	heard saying
 }
 
 // keepRounds has one task for each core node there is.
@@ -27,6 +29,7 @@
 		if m, ok := view[peer.Name]; !ok || m.Birth != peer.Birth {
 			r.end()
 			delete(p.rounds, peer)
+			delete(p.sayings, peer)
 		}
 	}
 	for name, m := range view {
@@ -71,10 +74,20 @@
 		sent := p.r.Now()
 		limited, end := context.WithTimeout(ctx, 500*time.Millisecond)
 		var receipt wire.RoundReceipt
-		err := p.w.Ask(limited, m.Wire, "pact.round", &wire.RoundAsk{From: p.me, Claims: claims}, &receipt)
+		ask := r.ask(p.me, claims)
+		err := p.w.Ask(limited, m.Wire, "pact.round", ask, &receipt)
 		end()
-		if err == nil && receipt.From == peer {
+		if err != nil || receipt.From != peer {
+			continue
+		}
+		r.took(ask, claims, receipt.Lost)
+		if !receipt.Lost {
 			p.credit(peer, sent, claims, &receipt)
+			continue
+		}
+		select {
+		case r.kick <- struct{}{}:
+		default:
 		}
 	}
 }
@@ -115,7 +128,12 @@
 // hear answers a round.
 func (p *Pact) hear(ask *wire.RoundAsk) *wire.RoundReceipt {
 	receipt := &wire.RoundReceipt{From: p.me}
-	for _, claim := range ask.Claims {
+	claims, ok := p.whole(ask)
+	if !ok {
+		receipt.Lost = true
+		return receipt
+	}
+	for _, claim := range claims {
 		t, err := p.part(claim.Part)
 		if err != nil {
 			continue
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -127,17 +127,20 @@
 	Serving bool       `json:"serving,omitempty"`
 }
 
-// RoundAsk confirms all the terms that a node holds, in one message.
+// RoundAsk confirms all the terms that a node holds, in one message: those of the message named as base, but for what is said here.
 type RoundAsk struct {
-	From   Peer    `json:"from"`
-	Claims []Claim `json:"claims"`
+	From   Peer        `json:"from"`
+	No     uint64      `json:"no"`
+	Base   uint64      `json:"base,omitempty"`
+	Claims []Claim     `json:"claims,omitempty"`
+	Gone   []mark.Part `json:"gone,omitempty"`
 }
 
-// RoundReceipt lists the parts whose claim is refused, with the term promised.
+// RoundReceipt lists the parts whose claim is refused, with the term promised; or says that the base is lost, and nothing was heard.
 type RoundReceipt struct {
-	From    Peer        `json:"from"`
-	Refused []Claim     `json:"refused,omitempty"`
-	Absent  []mark.Part `json:"absent,omitempty"`
+	From    Peer    `json:"from"`
+	Refused []Claim `json:"refused,omitempty"`
+	Lost    bool    `json:"lost,omitempty"`
 }
 
 // InviteAsk asks a member to stand for a part at once.
