Two builds in one fleet: rolls under load; another version of the wire is refused

Cause: nothing kept a build that takes a message for something else out of a fleet, and since rounds say only what differs an older build would confirm what it was not told.

Ruled out: guessing by the fields of each message; carrying both meanings on.

--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -49,10 +49,11 @@
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
 				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
 				&cli.StringFlag{Name: "seeds", Value: "1", Usage: "what the faults are drawn from: a number, or FIRST:LAST for a run with each"},
+				&cli.StringFlag{Name: "other", Usage: "another build of sumac, for --faults roll"},
 				&cli.BoolFlag{Name: "small", Usage: "each process has only the shape's share of a processor, by stopping and continuing it"},
 				&cli.DurationFlag{Name: "work", Usage: "how long a server works on each request"},
 				&cli.FloatFlag{Name: "eager", Value: -1, Usage: "share of callers that repeat a failed order at once; the shape's if below zero"},
-				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change, grow or all"},
+				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change, grow, roll or all"},
 				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
 				&cli.BoolFlag{Name: "twice", Usage: "orders are not claimed, so that a repeat may run them again"},
 				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
@@ -99,7 +100,7 @@
 	failed := 0
 	for seed := first; seed <= last; seed++ {
 		run := &fleet.Run{Factor: cmd.Float("factor"), Seconds: cmd.Int("seconds"), Seed: seed, Fault: cmd.String("faults"), Mapped: cmd.Int("mappings"), Profile: cmd.String("profile"),
-			IsTwice: cmd.Bool("twice"), IsSmall: cmd.Bool("small"), Work: cmd.Duration("work"), Eager: cmd.Float("eager"), History: history}
+			IsTwice: cmd.Bool("twice"), Other: cmd.String("other"), IsSmall: cmd.Bool("small"), Work: cmd.Duration("work"), Eager: cmd.Float("eager"), History: history}
 		if err := inFolder(cmd, func(folder string) error { return run.Go(ctx, cmd.String("sumac"), folder, shape, os.Stdout) }); err != nil {
 			if ctx.Err() != nil || first == last {
 				return err
--- a/internal/dream/wire_test.go
+++ b/internal/dream/wire_test.go
@@ -30,14 +30,16 @@
 		}
 		before := m.Node().R.Sign.Counts()["MessageRefused"]
 		for line, says := range map[string]string{
-			"what is this":                                        "",
-			`{"id":1,"kind":"pact.nothing"}`:                      fmt.Sprint(fault.UnknownKind.No),
-			`{"id":2,"kind":"pact.promise","body":{"part":"x"}}`:  fmt.Sprint(fault.BadMessage.No),
-			`{"id":3,"kind":"pact.promise","body":{"part":99}}`:   fmt.Sprint(fault.BadMessage.No),
-			`{"id":4,"kind":"pact.append","body":{"part":-1}}`:    fmt.Sprint(fault.BadMessage.No),
-			`{"id":5,"kind":"seat.pass","body":{"part":400}}`:     fmt.Sprint(fault.BadMessage.No),
-			`{"id":6,"kind":"pact.found","body":{"step":"open"}}`: fmt.Sprint(fault.BadMessage.No),
-			strings.Repeat("x", 100000):                           "",
+			"what is this":                         "",
+			`{"v":2,"id":1,"kind":"pact.nothing"}`: fmt.Sprint(fault.UnknownKind.No),
+			`{"v":2,"id":2,"kind":"pact.promise","body":{"part":"x"}}`:  fmt.Sprint(fault.BadMessage.No),
+			`{"v":2,"id":3,"kind":"pact.promise","body":{"part":99}}`:   fmt.Sprint(fault.BadMessage.No),
+			`{"v":2,"id":4,"kind":"pact.append","body":{"part":-1}}`:    fmt.Sprint(fault.BadMessage.No),
+			`{"v":2,"id":5,"kind":"seat.pass","body":{"part":400}}`:     fmt.Sprint(fault.BadMessage.No),
+			`{"v":2,"id":6,"kind":"pact.found","body":{"step":"open"}}`: fmt.Sprint(fault.BadMessage.No),
+			`{"id":7,"kind":"pact.charter"}`:                            fmt.Sprint(fault.WrongVersion.No),
+			`{"v":99,"id":8,"kind":"pact.charter"}`:                     fmt.Sprint(fault.WrongVersion.No),
+			strings.Repeat("x", 100000):                                 "",
 		} {
 			got := send(line)
 			if says == "" && got != "" || !strings.Contains(got, says) {
@@ -51,7 +53,7 @@
 		defer packet.Close()
 		packet.WriteTo([]byte("what"), addr(m.Wire()))
 		time.Sleep(100 * time.Millisecond)
-		if n := m.Node().R.Sign.Counts()["MessageRefused"] - before; n < 7 {
+		if n := m.Node().R.Sign.Counts()["MessageRefused"] - before; n < 9 {
 			t.Errorf("%d refusals are counted", n)
 		}
 		if !f.IsUsable() {
--- a/internal/fault/codes_gen.go
+++ b/internal/fault/codes_gen.go
@@ -41,6 +41,7 @@
 	Unreached       = Code{No: 4003, Name: "Unreached", Status: 503, Outcome: "not run", Text: "the peer can't be reached"}
 	ReplyLost       = Code{No: 4004, Name: "ReplyLost", Status: 503, Outcome: "unknown", Text: "the peer's reply did not come"}
 	UnknownKind     = Code{No: 4005, Name: "UnknownKind", Status: 400, Outcome: "", Text: "no such kind of message"}
+	WrongVersion    = Code{No: 4006, Name: "WrongVersion", Status: 400, Outcome: "not run", Text: "the peer speaks another version of the wire"}
 	BadProps        = Code{No: 5001, Name: "BadProps", Status: 400, Outcome: "", Text: "the settings are faulty"}
 	Internal        = Code{No: 5002, Name: "Internal", Status: 500, Outcome: "unknown", Text: "a fault of the program"}
 	OrderRan        = Code{No: 1016, Name: "OrderRan", Status: 409, Outcome: "ran", Text: "an order under this key ran already"}
@@ -88,6 +89,7 @@
 	4003: Unreached,
 	4004: ReplyLost,
 	4005: UnknownKind,
+	4006: WrongVersion,
 	5001: BadProps,
 	5002: Internal,
 	1016: OrderRan,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,11 +33,13 @@
 	cmd      *exec.Cmd
 	done     chan struct{}
 	isFrozen atomic.Bool
+	isOther  bool // runs the other build
 }
 
 // Fleet is all machines of one run.
 type Fleet struct {
 	Binary   string
+	Other    string // another build, for rolls; none if empty
 	Folder   string
 	Port     int
 	Cores    int
@@ -119,7 +121,11 @@
 	if m.IsProxy && m.fleet.H != nil {
 		m.fleet.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
 	}
-	cmd := exec.Command(m.fleet.Binary, args...)
+	binary := m.fleet.Binary
+	if m.isOther {
+		binary = m.fleet.Other
+	}
+	cmd := exec.Command(binary, args...)
 	trouble, err := os.OpenFile(filepath.Join(filepath.Dir(m.Log()), "stderr"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -33,6 +33,7 @@
 	History io.Writer
 	Profile string
 	IsTwice bool
+	Other   string        // another build of sumac, for rolls
 	IsSmall bool          // processes have only the shape's share of a processor
 	Work    time.Duration // how long a server works on each request
 	Eager   float64       // the share of callers that repeat a refused order at once; the shape's if negative
@@ -48,6 +49,7 @@
 	calls   atomic.Int64
 	bonds   atomic.Int64
 	changes atomic.Int64
+	rolled  int
 	spent   map[string]time.Duration
 	lives   map[string]int
 }
@@ -103,7 +105,10 @@
 	r.shape, r.ctx, r.out, r.began = shape, ctx, out, time.Now()
 	r.f = New(binary, folder, port, shape.Cores, shape.Proxies, shape.Zones)
 	r.f.IsDebugged = r.Profile != ""
-	r.f.isSmall = r.IsSmall
+	r.f.isSmall, r.f.Other = r.IsSmall, r.Other
+	if r.Fault == "roll" && r.Other == "" {
+		return fault.New(fault.BadCall, "a roll needs another build (--other)")
+	}
 	if r.Eager >= 0 {
 		r.shape.Impatient = r.Eager
 	}
--- a/internal/fleet/shape.go
+++ b/internal/fleet/shape.go
@@ -70,6 +70,7 @@
 	"change": changeOne,
 	"cut":    cutSome,
 	"grow":   growSome,
+	"roll":   rollOne,
 	"all": func(r *Run, rnd *rand.Rand) {
 		all := []func(*Run, *rand.Rand){killOne, killHerd, wipeOne, cutSome, cutSome, freezeOne, stopOne, serverGoes, serverGoes}
 		all[rnd.IntN(len(all))](r, rnd)
@@ -90,6 +91,20 @@
 	r.nap(rnd, 1000, 1001)
 }
 
+// rollOne stops one machine after the other as planned and starts it with the other
+// build: forward through the whole fleet, and back.
+func rollOne(r *Run, rnd *rand.Rand) {
+	m := r.f.Machines[r.rolled%len(r.f.Machines)]
+	r.rolled++
+	if !m.Stop() {
+		r.say("%s did not stop in time", m.Name)
+	}
+	m.isOther = !m.isOther
+	r.say("roll %s (other build: %v)", m.Name, m.isOther)
+	r.start(m)
+	r.nap(rnd, 800, 1500)
+}
+
 // growSome adds a hundred mappings in one change set.
 func growSome(r *Run, rnd *rand.Rand) {
 	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -77,7 +77,7 @@
 		ask := r.ask(p.me, claims)
 		err := p.w.Ask(limited, m.Wire, "pact.round", ask, &receipt)
 		end()
-		if err != nil || receipt.From != peer {
+		if err != nil || receipt.From != peer || receipt.No != ask.No {
 			continue
 		}
 		r.took(ask, claims, receipt.Lost)
@@ -127,7 +127,7 @@
 
 // hear answers a round.
 func (p *Pact) hear(ask *wire.RoundAsk) *wire.RoundReceipt {
-	receipt := &wire.RoundReceipt{From: p.me}
+	receipt := &wire.RoundReceipt{From: p.me, No: ask.No}
 	claims, ok := p.whole(ask)
 	if !ok {
 		receipt.Lost = true
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -13,6 +13,7 @@
 
 // Frame is one line on a pipe: an ask or its receipt.
 type Frame struct {
+	V        int             `json:"v,omitempty"`
 	Id       uint64          `json:"id"`
 	Kind     string          `json:"kind,omitempty"`
 	Deadline int64           `json:"deadline,omitempty"`
@@ -139,6 +140,7 @@
 // RoundReceipt lists the parts whose claim is refused, with the term promised; or says that the base is lost, and nothing was heard.
 type RoundReceipt struct {
 	From    Peer    `json:"from"`
+	No      uint64  `json:"no"`
 	Refused []Claim `json:"refused,omitempty"`
 	Lost    bool    `json:"lost,omitempty"`
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -20,6 +20,10 @@
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 )
 
+// Version is what the messages mean. It grows when a message no longer means to an
+// older build what it means to this one; peers of another version are refused.
+const Version = 2
+
 // Call is an ask as its handler sees it.
 type Call struct {
 	context.Context
@@ -177,12 +181,16 @@
 }
 
 func (w *Wire) answer(ctx context.Context, ask *Frame) *Frame {
-	receipt := &Frame{Id: ask.Id}
+	receipt := &Frame{V: Version, Id: ask.Id}
 	fail := func(err error) *Frame {
 		p := fault.Of(err)
 		receipt.Code, receipt.Note, receipt.Paths = p.Code.No, p.Note, p.Paths
 		return receipt
 	}
+	if ask.V != Version {
+		w.r.Sign.Say(sign.MessageRefused, "code", fault.WrongVersion.No, "kind", ask.Kind, "version", ask.V)
+		return fail(fault.New(fault.WrongVersion, "%d, not %d", ask.V, Version))
+	}
 	handle, ok := w.handlers[ask.Kind]
 	if !ok {
 		w.r.Sign.Say(sign.MessageRefused, "code", fault.UnknownKind.No, "kind", ask.Kind)
@@ -242,7 +250,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
-	frame := &Frame{Kind: kind, Hops: hops, Body: raw}
+	frame := &Frame{V: Version, Kind: kind, Hops: hops, Body: raw}
 	if end, ok := ctx.Deadline(); ok {
 		left := time.Until(end)
 		if left <= 0 {
@@ -258,6 +266,9 @@
 	if err != nil {
 		return err
 	}
+	if receipt.V != Version {
+		return fault.New(fault.ReplyLost, "%s %s: answered in version %d of the wire, not %d", address, kind, receipt.V, Version)
+	}
 	if receipt.Code != 0 {
 		code, ok := fault.Codes[receipt.Code]
 		if !ok {
