A round that was asked for takes the place of the next one by the clock

Ruled out: a longer pause for all (an owner that nobody asks must be confirmed as often).

Change: after a round that was asked for, the clock waits half as long again.

--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -59,13 +59,17 @@
 	wakeup := time.NewTimer(0)
 	defer wakeup.Stop()
 	for {
+		pause := p.r.Props.PactRound
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.kick:
+			// Whoever kicks, does so about as often; the next kick is awaited a little
+			// longer, or there would be two rounds for each.
+			pause = pause * 3 / 2
 		case <-wakeup.C:
 		}
-		wakeup.Reset(p.r.Props.PactRound)
+		wakeup.Reset(pause)
 		claims := p.claims()
 		m, ok := p.k.View()[peer.Name]
 		if len(claims) == 0 || !ok || m.Birth != peer.Birth {
