--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	done, err := g.admit(c)
+	done, err := g.gate(c)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -139,8 +139,8 @@
 	return unheardOf
 }
 
-// admit holds the proxy's share of the service and the budget of repeats.
-func (g *Gate) admit(c *course) (func(), error) {
+// gate holds the proxy's share of the service and the budget of repeats.
+func (g *Gate) gate(c *course) (func(), error) {
 	under := g.counter("service\n" + c.service.Name)
 	n := under.Add(1)
 	done := func() { under.Add(-1) }
