Schema: targets with slots, operators' versions, revisions of spaces, settings for all bounds

Cause: the users' platform asks for these of the product. Messages and settings only; no behaviour changes yet. A verb of the simulator that its non-test code uses moves out of a test file, for the package did not build without its tests.

--- a/internal/dream/hurts.go
+++ b/internal/dream/hurts.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// ownerOf is the core node that serves a part, other than one.
+func ownerOf(f *Fleet, no mark.Part, but *Machine) *Machine {
+	for _, m := range f.Cores() {
+		if m != but && m.Node() != nil && m.Node().Pact.Part(no).IsServing() {
+			return m
+		}
+	}
+	return nil
+}
+
 // acked takes power or disk from the owner, or from another member, at the moment
 // at which a write or a change set was acknowledged.
 func acked(f *Fleet) {
--- a/internal/dream/slide_test.go
+++ b/internal/dream/slide_test.go
@@ -11,16 +11,6 @@
 	"github.com/sumactrestle/sumactrestle/internal/sham"
 )
 
-// ownerOf is the core node that serves a part, other than one.
-func ownerOf(f *Fleet, no mark.Part, but *Machine) *Machine {
-	for _, m := range f.Cores() {
-		if m != but && m.Node() != nil && m.Node().Pact.Part(no).IsServing() {
-			return m
-		}
-	}
-	return nil
-}
-
 func TestAProxyStartedAnewDoesNotSlideBack(t *testing.T) {
 	shown := 0
 	for i := 0; i < 60 && shown < 1; i++ {
--- a/internal/mark/mark.go
+++ b/internal/mark/mark.go
@@ -18,6 +18,9 @@
 	Part  int
 	Stamp uint64
 	Epoch uint64
+
+	// Version is the operators' own number of a configuration; it only grows.
+	Version uint64
 )
 
 // Parts is the number of data parts; the configuration part comes after them.
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -6,42 +6,61 @@
 
 // Props are the checked settings of one node.
 type Props struct {
-	Name          string        // the node's name, lasting and unique in the fleet
-	Zone          string        // the zone or room the machine stands in
-	Seeds         []string      // wire addresses of other processes, three at best
-	WireAddress   string        // address for the other processes, TCP and UDP
-	WireAdvertise string        // address that the others are told for this node, if it is not wire.address
-	ApiAddress    string        // address for back ends, applications and operators (HTTP)
-	GateAddress   string        // address for callers (HTTP); a node that has one is a proxy
-	DataFolder    string        // folder for the state; a node that has one is a core node
-	FoundCores    int           // how many empty core nodes found a fleet
-	Strength      int           // the machine's strength; shares follow it
-	LogLevel      string        // debug, info, warn or error
-	LogFile       string        // file for the log; standard error if empty
-	KinProbe      time.Duration // pause between two probes
-	KinReply      time.Duration // how long a probe waits before third parties are asked
-	KinSuspect    time.Duration // how long a suspected member may refute
-	PactRound     time.Duration // pause between two confirmations of a term
-	PactSilence   time.Duration // silence of an owner after which the next in order stands
-	PactGone      time.Duration // how long a core node may be gone before a spare replaces it
-	PactSnapshot  int           // entries between two snapshots of a part
-	PlanSilence   time.Duration // silence after which a target is taken out
-	PlanPoll      time.Duration // pause between two collections of the parts' news
-	FlowHold      time.Duration // how long a listener request is held
-	FlowPause     time.Duration // pause after a fetch that brought nothing newer
-	FlowRetry     time.Duration // pause between tries after an error
-	FlowTries     int           // tries before the long pause
-	FlowCool      time.Duration // the long pause
-	FlowPulse     time.Duration // pause between two renewals of freshness
-	FlowFresh     time.Duration // age above which a proxy hands nothing over
-	GateDeadline  time.Duration // deadline of a request whose mapping names none
-	GateBody      int           // largest answer that is buffered, in bytes
-	GateRequest   int           // largest request body, in bytes
-	GateInflight  int           // requests under way at once in this proxy
-	GateConnect   time.Duration // time for a connection to a target
-	WireLine      int           // longest message between processes, in bytes
-	StopGrace     time.Duration // time for a planned stop
-	DebugAddress  string        // address for profiles (pprof); none if empty; keep it inside
+	Name           string        // the node's name, lasting and unique in the fleet
+	Zone           string        // the zone or room the machine stands in
+	Seeds          []string      // wire addresses of other processes, three at best
+	WireAddress    string        // address for the other processes, TCP and UDP
+	WireAdvertise  string        // address that the others are told for this node, if it is not wire.address
+	ApiAddress     string        // address for back ends, applications and operators (HTTP)
+	GateAddress    string        // address for callers (HTTP); a node that has one is a proxy
+	DataFolder     string        // folder for the state; a node that has one is a core node
+	FoundCores     int           // how many empty core nodes found a fleet; 0 is for one that only joins
+	Strength       int           // the machine's strength; shares follow it
+	LogLevel       string        // debug, info, warn or error
+	LogFile        string        // file for the log; standard error if empty
+	KinProbe       time.Duration // pause between two probes
+	KinReply       time.Duration // how long a probe waits before third parties are asked
+	KinSuspect     time.Duration // how long a suspected member may refute
+	PactRound      time.Duration // pause between two confirmations of a term
+	PactSilence    time.Duration // silence of an owner after which the next in order stands
+	PactLosses     int           // how many core nodes may be lost at once; a data part has twice as many members and one
+	PactGone       time.Duration // how long a core node may be gone before a spare replaces it
+	PactSnapshot   int           // entries between two snapshots of a part
+	PlanSilence    time.Duration // silence after which a target is taken out; about three beats
+	PlanSettle     time.Duration // how long a new owner of a part listens to beats before its word counts
+	PlanKeep       bool          // while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address
+	PlanStrangers  bool          // keep the beats of services that no configuration names yet
+	PlanBeat       time.Duration // pause between two beats of a server, as servers are told
+	PlanPoll       time.Duration // pause between two collections of the parts' news
+	FlowHold       time.Duration // how long a listener request is held
+	FlowPause      time.Duration // pause after a fetch that brought nothing newer
+	FlowRetry      time.Duration // pause between tries after an error
+	FlowTries      int           // tries before the long pause
+	FlowCool       time.Duration // the long pause
+	FlowPulse      time.Duration // pause between two renewals of freshness
+	FlowFresh      time.Duration // age above which a proxy hands nothing over; above 900ms a proxy that is cut off serves its last epoch for longer than two seconds after a change
+	GateDeadline   time.Duration // deadline of a request whose mapping names none
+	GateBody       int           // largest answer that is buffered, in bytes
+	GateRequest    int           // largest request body, in bytes
+	GateInflight   int           // requests under way at once in this proxy
+	GateConnect    time.Duration // time for a connection to a target
+	WireLine       int           // longest message between processes, in bytes
+	StopGrace      time.Duration // time for a planned stop
+	DebugAddress   string        // address for profiles (pprof); none if empty; keep it inside
+	GateSeal       string        // keyed: an answer bears the server's seal under the service's key; opaque: a success bears a mark that only the caller can judge, and every answer names its request
+	GateIds        string        // own: a request gets an id here; caller: it bears one, and the answer names it
+	GateLinger     time.Duration // how long a stopping proxy still takes new requests, while those who ask are told that it is not ready
+	GateIdle       time.Duration // how long a pipe to a target is kept idle, unless the target names less
+	GateSpill      int           // by how many hundredths of its aim a request may be slower before it goes to another zone
+	ExtraPercent   int           // extra tries that a hundred first requests of a service pay for
+	ExtraBase      int           // extra tries of a service beside these, in any extra.window, of all proxies together
+	ExtraWindow    time.Duration // the window of the budget of extra tries
+	HeaderRequest  string        // header that names the request, both ways
+	HeaderDeadline string        // header with the milliseconds that the caller will wait, and that are left for the target
+	HeaderExpect   string        // header to the target that names the instance meant
+	HeaderSeal     string        // header with the server's seal
+	HeaderUnrun    string        // header by which a target says that it did not run the request
+	HeaderWeight   string        // header by which a target tells what it has to do: requests running, waiting, and its slots
 }
 
 var table = []entry{
@@ -53,7 +72,7 @@
 	{key: "api.address", kind: "address", fallback: "", low: "", high: "", doc: "address for back ends, applications and operators (HTTP)", set: func(p *Props, v any) { p.ApiAddress = v.(string) }},
 	{key: "gate.address", kind: "address", fallback: "", low: "", high: "", doc: "address for callers (HTTP); a node that has one is a proxy", set: func(p *Props, v any) { p.GateAddress = v.(string) }},
 	{key: "data.folder", kind: "string", fallback: "", low: "", high: "", doc: "folder for the state; a node that has one is a core node", set: func(p *Props, v any) { p.DataFolder = v.(string) }},
-	{key: "found.cores", kind: "int", fallback: "3", low: "1", high: "9", doc: "how many empty core nodes found a fleet", set: func(p *Props, v any) { p.FoundCores = v.(int) }},
+	{key: "found.cores", kind: "int", fallback: "3", low: "0", high: "9", doc: "how many empty core nodes found a fleet; 0 is for one that only joins", set: func(p *Props, v any) { p.FoundCores = v.(int) }},
 	{key: "strength", kind: "int", fallback: "100", low: "1", high: "100000", doc: "the machine's strength; shares follow it", set: func(p *Props, v any) { p.Strength = v.(int) }},
 	{key: "log.level", kind: "string", fallback: "info", low: "", high: "", doc: "debug, info, warn or error", set: func(p *Props, v any) { p.LogLevel = v.(string) }},
 	{key: "log.file", kind: "string", fallback: "", low: "", high: "", doc: "file for the log; standard error if empty", set: func(p *Props, v any) { p.LogFile = v.(string) }},
@@ -62,17 +81,22 @@
 	{key: "kin.suspect", kind: "duration", fallback: "1500ms", low: "100ms", high: "1m", doc: "how long a suspected member may refute", set: func(p *Props, v any) { p.KinSuspect = v.(time.Duration) }},
 	{key: "pact.round", kind: "duration", fallback: "250ms", low: "20ms", high: "500ms", doc: "pause between two confirmations of a term", set: func(p *Props, v any) { p.PactRound = v.(time.Duration) }},
 	{key: "pact.silence", kind: "duration", fallback: "700ms", low: "100ms", high: "10s", doc: "silence of an owner after which the next in order stands", set: func(p *Props, v any) { p.PactSilence = v.(time.Duration) }},
+	{key: "pact.losses", kind: "int", fallback: "1", low: "1", high: "4", doc: "how many core nodes may be lost at once; a data part has twice as many members and one", set: func(p *Props, v any) { p.PactLosses = v.(int) }},
 	{key: "pact.gone", kind: "duration", fallback: "30s", low: "1s", high: "24h", doc: "how long a core node may be gone before a spare replaces it", set: func(p *Props, v any) { p.PactGone = v.(time.Duration) }},
 	{key: "pact.snapshot", kind: "int", fallback: "2000", low: "10", high: "1000000", doc: "entries between two snapshots of a part", set: func(p *Props, v any) { p.PactSnapshot = v.(int) }},
-	{key: "plan.silence", kind: "duration", fallback: "900ms", low: "200ms", high: "900ms", doc: "silence after which a target is taken out", set: func(p *Props, v any) { p.PlanSilence = v.(time.Duration) }},
+	{key: "plan.silence", kind: "duration", fallback: "900ms", low: "200ms", high: "5m", doc: "silence after which a target is taken out; about three beats", set: func(p *Props, v any) { p.PlanSilence = v.(time.Duration) }},
+	{key: "plan.settle", kind: "duration", fallback: "450ms", low: "50ms", high: "5m", doc: "how long a new owner of a part listens to beats before its word counts", set: func(p *Props, v any) { p.PlanSettle = v.(time.Duration) }},
+	{key: "plan.keep", kind: "bool", fallback: "false", low: "", high: "", doc: "while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address", set: func(p *Props, v any) { p.PlanKeep = v.(bool) }},
+	{key: "plan.strangers", kind: "bool", fallback: "false", low: "", high: "", doc: "keep the beats of services that no configuration names yet", set: func(p *Props, v any) { p.PlanStrangers = v.(bool) }},
+	{key: "plan.beat", kind: "duration", fallback: "300ms", low: "50ms", high: "1m", doc: "pause between two beats of a server, as servers are told", set: func(p *Props, v any) { p.PlanBeat = v.(time.Duration) }},
 	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "400ms", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
 	{key: "flow.pause", kind: "duration", fallback: "200ms", low: "10ms", high: "30s", doc: "pause after a fetch that brought nothing newer", set: func(p *Props, v any) { p.FlowPause = v.(time.Duration) }},
 	{key: "flow.retry", kind: "duration", fallback: "200ms", low: "10ms", high: "5s", doc: "pause between tries after an error", set: func(p *Props, v any) { p.FlowRetry = v.(time.Duration) }},
 	{key: "flow.tries", kind: "int", fallback: "3", low: "1", high: "100", doc: "tries before the long pause", set: func(p *Props, v any) { p.FlowTries = v.(int) }},
 	{key: "flow.cool", kind: "duration", fallback: "2s", low: "100ms", high: "5m", doc: "the long pause", set: func(p *Props, v any) { p.FlowCool = v.(time.Duration) }},
-	{key: "flow.pulse", kind: "duration", fallback: "250ms", low: "20ms", high: "400ms", doc: "pause between two renewals of freshness", set: func(p *Props, v any) { p.FlowPulse = v.(time.Duration) }},
-	{key: "flow.fresh", kind: "duration", fallback: "900ms", low: "100ms", high: "900ms", doc: "age above which a proxy hands nothing over", set: func(p *Props, v any) { p.FlowFresh = v.(time.Duration) }},
+	{key: "flow.pulse", kind: "duration", fallback: "250ms", low: "20ms", high: "10s", doc: "pause between two renewals of freshness", set: func(p *Props, v any) { p.FlowPulse = v.(time.Duration) }},
+	{key: "flow.fresh", kind: "duration", fallback: "900ms", low: "100ms", high: "24h", doc: "age above which a proxy hands nothing over; above 900ms a proxy that is cut off serves its last epoch for longer than two seconds after a change", set: func(p *Props, v any) { p.FlowFresh = v.(time.Duration) }},
 	{key: "gate.deadline", kind: "duration", fallback: "10s", low: "100ms", high: "10m", doc: "deadline of a request whose mapping names none", set: func(p *Props, v any) { p.GateDeadline = v.(time.Duration) }},
 	{key: "gate.body", kind: "int", fallback: "4194304", low: "1024", high: "1073741824", doc: "largest answer that is buffered, in bytes", set: func(p *Props, v any) { p.GateBody = v.(int) }},
 	{key: "gate.request", kind: "int", fallback: "67108864", low: "1024", high: "1073741824", doc: "largest request body, in bytes", set: func(p *Props, v any) { p.GateRequest = v.(int) }},
@@ -81,4 +105,18 @@
 	{key: "wire.line", kind: "int", fallback: "33554432", low: "65536", high: "1073741824", doc: "longest message between processes, in bytes", set: func(p *Props, v any) { p.WireLine = v.(int) }},
 	{key: "stop.grace", kind: "duration", fallback: "5s", low: "100ms", high: "60s", doc: "time for a planned stop", set: func(p *Props, v any) { p.StopGrace = v.(time.Duration) }},
 	{key: "debug.address", kind: "address", fallback: "", low: "", high: "", doc: "address for profiles (pprof); none if empty; keep it inside", set: func(p *Props, v any) { p.DebugAddress = v.(string) }},
+	{key: "gate.seal", kind: "string", fallback: "keyed", low: "", high: "", doc: "keyed: an answer bears the server's seal under the service's key; opaque: a success bears a mark that only the caller can judge, and every answer names its request", set: func(p *Props, v any) { p.GateSeal = v.(string) }},
+	{key: "gate.ids", kind: "string", fallback: "own", low: "", high: "", doc: "own: a request gets an id here; caller: it bears one, and the answer names it", set: func(p *Props, v any) { p.GateIds = v.(string) }},
+	{key: "gate.linger", kind: "duration", fallback: "0s", low: "0s", high: "60s", doc: "how long a stopping proxy still takes new requests, while those who ask are told that it is not ready", set: func(p *Props, v any) { p.GateLinger = v.(time.Duration) }},
+	{key: "gate.idle", kind: "duration", fallback: "20s", low: "100ms", high: "10m", doc: "how long a pipe to a target is kept idle, unless the target names less", set: func(p *Props, v any) { p.GateIdle = v.(time.Duration) }},
+	{key: "gate.spill", kind: "int", fallback: "30", low: "0", high: "100", doc: "by how many hundredths of its aim a request may be slower before it goes to another zone", set: func(p *Props, v any) { p.GateSpill = v.(int) }},
+	{key: "extra.percent", kind: "int", fallback: "19", low: "0", high: "100", doc: "extra tries that a hundred first requests of a service pay for", set: func(p *Props, v any) { p.ExtraPercent = v.(int) }},
+	{key: "extra.base", kind: "int", fallback: "50", low: "0", high: "100000", doc: "extra tries of a service beside these, in any extra.window, of all proxies together", set: func(p *Props, v any) { p.ExtraBase = v.(int) }},
+	{key: "extra.window", kind: "duration", fallback: "10s", low: "1s", high: "10m", doc: "the window of the budget of extra tries", set: func(p *Props, v any) { p.ExtraWindow = v.(time.Duration) }},
+	{key: "header.request", kind: "string", fallback: "Sumac-Request", low: "", high: "", doc: "header that names the request, both ways", set: func(p *Props, v any) { p.HeaderRequest = v.(string) }},
+	{key: "header.deadline", kind: "string", fallback: "Sumac-Deadline", low: "", high: "", doc: "header with the milliseconds that the caller will wait, and that are left for the target", set: func(p *Props, v any) { p.HeaderDeadline = v.(string) }},
+	{key: "header.expect", kind: "string", fallback: "Sumac-Instance", low: "", high: "", doc: "header to the target that names the instance meant", set: func(p *Props, v any) { p.HeaderExpect = v.(string) }},
+	{key: "header.seal", kind: "string", fallback: "Sumac-Seal", low: "", high: "", doc: "header with the server's seal", set: func(p *Props, v any) { p.HeaderSeal = v.(string) }},
+	{key: "header.unrun", kind: "string", fallback: "Sumac-Not-Run", low: "", high: "", doc: "header by which a target says that it did not run the request", set: func(p *Props, v any) { p.HeaderUnrun = v.(string) }},
+	{key: "header.weight", kind: "string", fallback: "Sumac-Weight", low: "", high: "", doc: "header by which a target tells what it has to do: requests running, waiting, and its slots", set: func(p *Props, v any) { p.HeaderWeight = v.(string) }},
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -197,14 +197,19 @@
 	Zone     string `json:"zone"`
 	Weight   int    `json:"weight"`
 	State    string `json:"state"`
+	Slots    int    `json:"slots,omitempty"`
+	Cold     int64  `json:"cold,omitempty"`
+	Build    string `json:"build,omitempty"`
 }
 
-// Target is one server of a service in an epoch.
+// Target is one server of a service in an epoch; cold is for how many milliseconds it is slow after its first beat.
 type Target struct {
 	Instance string `json:"instance"`
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
 	Weight   int    `json:"weight"`
+	Slots    int    `json:"slots,omitempty"`
+	Cold     int64  `json:"cold,omitempty"`
 }
 
 // Listed is a target in a part's news, with the age of its first beat.
@@ -213,6 +218,8 @@
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
 	Weight   int    `json:"weight"`
+	Slots    int    `json:"slots,omitempty"`
+	Cold     int64  `json:"cold,omitempty"`
 	Since    int64  `json:"since"`
 	Out      string `json:"out,omitempty"`
 }
@@ -228,6 +235,7 @@
 	Term   mark.Term           `json:"term"`
 	Digest string              `json:"digest"`
 	Age    int64               `json:"age"`
+	Young  bool                `json:"young,omitempty"`
 	Lists  map[string][]Listed `json:"lists"`
 }
 
@@ -292,6 +300,7 @@
 	Name    string          `json:"name"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	If      *mark.Stamp     `json:"if,omitempty"`
+	Rev     *mark.Stamp     `json:"rev,omitempty"`
 	Delta   int64           `json:"delta,omitempty"`
 	Holder  string          `json:"holder,omitempty"`
 	Ttl     int64           `json:"ttl,omitempty"`
@@ -302,11 +311,12 @@
 	Records []BondRecord    `json:"records,omitempty"`
 }
 
-// BondReceipt is the receipt of such a call; the code is zero when it was done.
+// BondReceipt is the receipt of such a call; the code is zero when it was done; rev is the space's own count.
 type BondReceipt struct {
 	Code   int             `json:"code,omitempty"`
 	Note   string          `json:"note,omitempty"`
 	Stamp  mark.Stamp      `json:"stamp"`
+	Rev    mark.Stamp      `json:"rev,omitempty"`
 	Value  json.RawMessage `json:"value,omitempty"`
 	Count  int64           `json:"count,omitempty"`
 	Holder string          `json:"holder,omitempty"`
@@ -319,6 +329,7 @@
 // BondEvent is one change that a watch sees.
 type BondEvent struct {
 	Stamp mark.Stamp      `json:"stamp"`
+	Rev   mark.Stamp      `json:"rev,omitempty"`
 	Name  string          `json:"name"`
 	Kind  string          `json:"kind"`
 	Value json.RawMessage `json:"value,omitempty"`
@@ -335,6 +346,7 @@
 	Fence  mark.Stamp      `json:"fence,omitempty"`
 	Ttl    int64           `json:"ttl,omitempty"`
 	Seq    uint64          `json:"seq,omitempty"`
+	Rev    mark.Stamp      `json:"rev,omitempty"`
 	Stamp  mark.Stamp      `json:"stamp"`
 }
 
@@ -346,11 +358,12 @@
 
 // BondState is the whole state of a data part.
 type BondState struct {
-	Records []BondRecord `json:"records"`
-	Seen    []BondSeen   `json:"seen"`
-	Events  []BondEvent  `json:"events"`
-	Start   mark.Stamp   `json:"start"`
-	Applied mark.Stamp   `json:"applied"`
+	Records []BondRecord          `json:"records"`
+	Seen    []BondSeen            `json:"seen"`
+	Events  []BondEvent           `json:"events"`
+	Starts  map[string]mark.Stamp `json:"starts,omitempty"`
+	Start   mark.Stamp            `json:"start"`
+	Applied mark.Stamp            `json:"applied"`
 }
 
 // Split is one service's weight in a mapping.
@@ -361,20 +374,27 @@
 
 // Mapping leads requests to services.
 type Mapping struct {
-	Name       string   `json:"name"`
-	Host       string   `json:"host,omitempty"`
-	Path       string   `json:"path"`
-	Methods    []string `json:"methods,omitempty"`
-	To         []Split  `json:"to"`
-	Repeatable bool     `json:"repeatable,omitempty"`
-	Once       *bool    `json:"once,omitempty"`
-	Deadline   int64    `json:"deadline,omitempty"`
-}
-
-// Service is a group of servers that answer alike.
+	Name       string          `json:"name"`
+	Host       string          `json:"host,omitempty"`
+	Path       string          `json:"path"`
+	Methods    []string        `json:"methods,omitempty"`
+	To         []Split         `json:"to"`
+	Repeatable bool            `json:"repeatable,omitempty"`
+	Once       *bool           `json:"once,omitempty"`
+	Deadline   int64           `json:"deadline,omitempty"`
+	Aim        int64           `json:"aim,omitempty"`
+	Priority   int             `json:"priority,omitempty"`
+	Tries      int             `json:"tries,omitempty"`
+	Source     json.RawMessage `json:"source,omitempty"`
+}
+
+// Service is a group of servers that answer alike; pipes bounds the connections to each of them from all proxies together.
 type Service struct {
-	Name string `json:"name"`
-	Key  string `json:"key,omitempty"`
+	Name   string          `json:"name"`
+	Key    string          `json:"key,omitempty"`
+	Pipes  int             `json:"pipes,omitempty"`
+	Probe  string          `json:"probe,omitempty"`
+	Source json.RawMessage `json:"source,omitempty"`
 }
 
 // Limit bounds a service over the whole fleet.
@@ -385,11 +405,21 @@
 	ExtraBase    *int   `json:"extra_base,omitempty"`
 }
 
+// Manners is what callers may send: bytes of a head and of a body, milliseconds for a head and of idling.
+type Manners struct {
+	Header     int             `json:"header,omitempty"`
+	Body       int64           `json:"body,omitempty"`
+	HeaderTime int64           `json:"header_time,omitempty"`
+	IdleTime   int64           `json:"idle_time,omitempty"`
+	Source     json.RawMessage `json:"source,omitempty"`
+}
+
 // Config is a whole configuration.
 type Config struct {
 	Mappings []Mapping `json:"mappings,omitempty"`
 	Services []Service `json:"services,omitempty"`
 	Limits   []Limit   `json:"limits,omitempty"`
+	Manners  *Manners  `json:"manners,omitempty"`
 }
 
 // Drops names what a change set takes out.
@@ -401,20 +431,23 @@
 
 // Change is a change set: all of it is taken, or none.
 type Change struct {
-	Id    string     `json:"id"`
-	Base  mark.Epoch `json:"base"`
-	Whole bool       `json:"whole,omitempty"`
-	Put   Config     `json:"put,omitempty"`
-	Drop  Drops      `json:"drop,omitempty"`
-	Note  string     `json:"note,omitempty"`
+	Id      string        `json:"id"`
+	Base    mark.Epoch    `json:"base"`
+	Whole   bool          `json:"whole,omitempty"`
+	Version mark.Version  `json:"version,omitempty"`
+	Over    *mark.Version `json:"over,omitempty"`
+	Put     Config        `json:"put,omitempty"`
+	Drop    Drops         `json:"drop,omitempty"`
+	Note    string        `json:"note,omitempty"`
 }
 
 // ChangeReceipt tells what became of a change set.
 type ChangeReceipt struct {
-	Id     string     `json:"id"`
-	State  string     `json:"state"`
-	Epoch  mark.Epoch `json:"epoch"`
-	Digest string     `json:"digest"`
+	Id      string       `json:"id"`
+	State   string       `json:"state"`
+	Epoch   mark.Epoch   `json:"epoch"`
+	Digest  string       `json:"digest"`
+	Version mark.Version `json:"version,omitempty"`
 }
 
 // Planned is one entry of the configuration part: a whole epoch, as what differs from the one before.
@@ -429,6 +462,7 @@
 type LedgerState struct {
 	Epoch   mark.Epoch       `json:"epoch"`
 	Changed mark.Epoch       `json:"changed"`
+	Version mark.Version     `json:"version,omitempty"`
 	Groups  map[string]Group `json:"groups"`
 	Changes []ChangeReceipt  `json:"changes"`
 }
@@ -443,6 +477,23 @@
 	Shares   map[mark.Name]int   `json:"shares"`
 }
 
+// ConfigView is the operators' configuration as they sent it, with their own version.
+type ConfigView struct {
+	Version mark.Version `json:"version"`
+	Epoch   mark.Epoch   `json:"epoch"`
+	Config  Config       `json:"config"`
+}
+
+// WhoseAsk asks which service an instance serves.
+type WhoseAsk struct {
+	Instance string `json:"instance"`
+}
+
+// WhoseReceipt names the service of an instance; none if it is not known.
+type WhoseReceipt struct {
+	Service string `json:"service,omitempty"`
+}
+
 // SeenAsk tells other proxies of orders that were handed over and got no answer, by the hash of method, path and caller's key.
 type SeenAsk struct {
 	Keys []uint64 `json:"keys"`
