--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -18,6 +18,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/platform"
 )
 
 // Version is set when a release is built.
@@ -44,6 +45,7 @@
 			{Name: "ask", Usage: "ask what became of a change set", ArgsUsage: "ID", Flags: []cli.Flag{apiFlag(true)}, Action: runAsk},
 			{Name: "epoch", Usage: "print the epoch in force", Flags: []cli.Flag{apiFlag(true)}, Action: runEpoch},
 			{Name: "shell", Usage: "query the fleet's state", ArgsUsage: "[QUERY]", Flags: []cli.Flag{apiFlag(true)}, Action: runShell},
+			platform.Command(),
 			{Name: "judge", Usage: "replay a recorded history through the checkers", ArgsUsage: "FILE", Action: runJudge},
 		},
 	}
--- a/internal/bond/book.go
+++ b/internal/bond/book.go
@@ -23,6 +23,7 @@
 	Count = "count"
 	Mark  = "mark"
 	Claim = "claim"
+	Space = "space"
 
 	seenKept   = 8192
 	eventsKept = 60 * time.Second
@@ -37,11 +38,12 @@
 	events  []wire.BondEvent
 	times   []time.Time
 	start   mark.Stamp
+	starts  map[string]mark.Stamp
 	applied mark.Stamp
 }
 
 func NewBook() *Book {
-	return &Book{records: map[string]map[string]wire.BondRecord{}, seen: map[string]wire.BondReceipt{}}
+	return &Book{records: map[string]map[string]wire.BondRecord{}, seen: map[string]wire.BondReceipt{}, starts: map[string]mark.Stamp{}}
 }
 
 // of is the records of one kind, so that looking through one kind does not cost
@@ -69,13 +71,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.applied = index
+	if op.Op == "set" {
+		op.Id = setId(&op)
+	}
 	if op.Id != "" {
 		if first, ok := b.seen[op.Id]; ok {
 			return &first
 		}
 	}
 	receipt := b.fold(index, &op)
-	if op.Id != "" {
+	if op.Id != "" && (op.Op != "set" || receipt.Code == 0) {
 		b.seen[op.Id] = *receipt
 		b.order = append(b.order, op.Id)
 		if len(b.order) > seenKept {
@@ -89,7 +94,7 @@
 
 func (b *Book) fold(index mark.Stamp, op *wire.BondOp) *wire.BondReceipt {
 	refuse := func(code fault.Code, old wire.BondRecord) *wire.BondReceipt {
-		return &wire.BondReceipt{Code: code.No, Stamp: old.Stamp, Holder: old.Holder, Fence: old.Fence, Ttl: old.Ttl}
+		return &wire.BondReceipt{Code: code.No, Stamp: old.Stamp, Rev: old.Rev, Holder: old.Holder, Fence: old.Fence, Ttl: old.Ttl}
 	}
 	switch op.Op {
 	case "put", "drop":
@@ -106,6 +111,14 @@
 		}
 		b.set(wire.BondRecord{Name: op.Name, Kind: Key, Value: op.Value, Stamp: index})
 		return &wire.BondReceipt{Stamp: index, Value: op.Value}
+	case "set":
+		old, ok := b.of(Key)[op.Name]
+		if op.Rev != nil && (*op.Rev != old.Rev || ok && *op.Rev == 0) {
+			return refuse(fault.StampDiffers, old)
+		}
+		rev := b.rise(index, spaceOf(op.Name))
+		b.set(wire.BondRecord{Name: op.Name, Kind: Key, Value: op.Value, Rev: rev, Stamp: index})
+		return &wire.BondReceipt{Stamp: index, Rev: rev}
 	case "add":
 		old := b.of(Count)[op.Name]
 		count := old.Count + op.Delta
@@ -117,10 +130,18 @@
 			return refuse(fault.Held, old)
 		}
 		if ok {
-			return &wire.BondReceipt{Stamp: old.Stamp, Holder: old.Holder, Fence: old.Fence, Ttl: old.Ttl, Value: old.Value}
+			b.stretch(old, op.Ttl)
+			return &wire.BondReceipt{Stamp: old.Stamp, Holder: old.Holder, Fence: old.Fence, Ttl: op.Ttl, Value: old.Value}
 		}
 		b.set(wire.BondRecord{Name: op.Name, Kind: Lock, Holder: op.Holder, Fence: index, Ttl: op.Ttl, Value: op.Value, Stamp: index})
 		return &wire.BondReceipt{Stamp: index, Holder: op.Holder, Fence: index, Ttl: op.Ttl, Value: op.Value}
+	case "stretch":
+		old, ok := b.of(Lock)[op.Name]
+		if !ok || old.Fence != op.Fence || old.Holder != op.Holder {
+			return refuse(fault.NotHeld, old)
+		}
+		b.stretch(old, op.Ttl)
+		return &wire.BondReceipt{Stamp: old.Stamp, Holder: old.Holder, Fence: old.Fence, Ttl: op.Ttl}
 	case "release", "expire":
 		old, ok := b.of(Lock)[op.Name]
 		if !ok || old.Fence != op.Fence || op.Op == "release" && old.Holder != op.Holder {
@@ -154,7 +175,14 @@
 	if record.Kind == Count {
 		value, _ = json.Marshal(record.Count)
 	}
-	b.tell(wire.BondEvent{Stamp: record.Stamp, Name: record.Name, Kind: record.Kind, Value: value})
+	b.tell(wire.BondEvent{Stamp: record.Stamp, Rev: record.Rev, Name: record.Name, Kind: record.Kind, Value: value})
+}
+
+// stretch raises the time that a lock's grant starts with under a new owner; it
+// never falls, for a call that asked for more may still count on it.
+func (b *Book) stretch(lock wire.BondRecord, ttl int64) {
+	lock.Ttl = max(lock.Ttl, ttl)
+	b.of(Lock)[lock.Name] = lock
 }
 
 func (b *Book) remove(index mark.Stamp, record wire.BondRecord) {
@@ -175,6 +203,11 @@
 	}
 	if n > 0 {
 		b.start = b.events[n-1].Stamp
+		for _, e := range b.events[:n] {
+			if space := spaceOf(e.Name); e.Rev > b.starts[space] {
+				b.starts[space] = e.Rev
+			}
+		}
 		b.events = append([]wire.BondEvent(nil), b.events[n:]...)
 		b.times = append([]time.Time(nil), b.times[n:]...)
 	}
@@ -188,6 +221,13 @@
 	return record, ok
 }
 
+// Size is how many records of a kind there are.
+func (b *Book) Size(kind string) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return len(b.records[kind])
+}
+
 // Seen is the receipt kept for a request id.
 func (b *Book) Seen(id string) (wire.BondReceipt, bool) {
 	b.mu.RLock()
@@ -235,6 +275,7 @@
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	state := wire.BondState{Events: b.events, Start: b.start, Applied: b.applied}
+	state.Starts = b.starts
 	for _, kind := range b.records {
 		for _, record := range kind {
 			state.Records = append(state.Records, record)
@@ -264,6 +305,10 @@
 		b.order = append(b.order, s.Id)
 	}
 	b.events, b.start, b.applied = state.Events, state.Start, state.Applied
+	b.starts = state.Starts
+	if b.starts == nil {
+		b.starts = map[string]mark.Stamp{}
+	}
 	b.times = make([]time.Time, len(b.events))
 	for i := range b.times {
 		b.times[i] = time.Now()
--- a/internal/bond/claim.go
+++ b/internal/bond/claim.go
@@ -29,6 +29,40 @@
 	err     error
 }
 
+// moment is how far a part had come at a time.
+type moment struct {
+	at    time.Time
+	stamp mark.Stamp
+}
+
+// ClaimsKept is how long the claim on an order's key stands, at least.
+const ClaimsKept = 10 * time.Minute
+
+// sweep takes out claims that are older than that.
+func (d *Desk) sweep(no mark.Part) {
+	if !d.p.Part(no).IsServing() {
+		d.past[no] = nil
+		return
+	}
+	claims, stamp := d.books[no].All(Claim, "")
+	d.past[no] = append(d.past[no], moment{d.r.Now(), stamp})
+	old := mark.Stamp(0)
+	for len(d.past[no]) > 0 && d.r.Since(d.past[no][0].at) > ClaimsKept {
+		old = d.past[no][0].stamp
+		d.past[no] = d.past[no][1:]
+	}
+	for _, claim := range claims {
+		if claim.Stamp <= old {
+			d.r.Go(func() {
+				ctx, end := context.WithTimeout(d.r, 5*time.Second)
+				defer end()
+				d.p.Part(no).Propose(ctx, &wire.BondOp{Op: "sweep", Name: "claims", Fence: old})
+			})
+			return
+		}
+	}
+}
+
 // claim joins the gathering of the part, and picks its own receipt out of it.
 func (d *Desk) claim(ctx context.Context, no mark.Part, op *wire.BondOp) (*wire.BondReceipt, error) {
 	if !d.p.Part(no).IsServing() {
--- a/internal/bond/desk.go
+++ b/internal/bond/desk.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	fence     mark.Stamp
 	until     time.Time
 	isGoingBy bool
+	going     chan struct{}
 }
 
 // Desk is one core node's.
@@ -54,40 +56,6 @@
 	})
 }
 
-// moment is how far a part had come at a time.
-type moment struct {
-	at    time.Time
-	stamp mark.Stamp
-}
-
-// ClaimsKept is how long the claim on an order's key stands, at least.
-const ClaimsKept = 10 * time.Minute
-
-// sweep takes out claims that are older than that.
-func (d *Desk) sweep(no mark.Part) {
-	if !d.p.Part(no).IsServing() {
-		d.past[no] = nil
-		return
-	}
-	claims, stamp := d.books[no].All(Claim, "")
-	d.past[no] = append(d.past[no], moment{d.r.Now(), stamp})
-	old := mark.Stamp(0)
-	for len(d.past[no]) > 0 && d.r.Since(d.past[no][0].at) > ClaimsKept {
-		old = d.past[no][0].stamp
-		d.past[no] = d.past[no][1:]
-	}
-	for _, claim := range claims {
-		if claim.Stamp <= old {
-			d.r.Go(func() {
-				ctx, end := context.WithTimeout(d.r, 5*time.Second)
-				defer end()
-				d.p.Part(no).Propose(ctx, &wire.BondOp{Op: "sweep", Name: "claims", Fence: old})
-			})
-			return
-		}
-	}
-}
-
 // Do carries out one call on a part owned here.
 func (d *Desk) Do(ctx context.Context, op *wire.BondOp) (*wire.BondReceipt, error) {
 	if problem := check(op); problem != nil {
@@ -96,7 +64,7 @@
 	no := mark.PartOf(op.Name)
 	part, book := d.p.Part(no), d.books[no]
 	switch op.Op {
-	case "get", "list", "watch", "renew":
+	case "get", "list", "watch", "follow", "renew":
 		began := d.r.Now()
 		term, _, isServing := part.Serving()
 		if !isServing {
@@ -113,13 +81,20 @@
 			return &wire.BondReceipt{Stamp: stamp, Keys: keys}, nil
 		case "watch":
 			return d.watch(ctx, part, book, op)
+		case "follow":
+			return d.follow(ctx, part, book, op)
 		}
-		return d.renew(no, term, op)
-	}
-	if op.Op == "claim" {
+		return d.renew(ctx, no, term, op)
+	case "claim":
 		return d.claim(ctx, no, op)
+	case "acquire":
+		return d.acquire(ctx, no, op)
 	}
-	_, receipt, err := part.Propose(ctx, op)
+	return d.propose(ctx, no, op)
+}
+
+func (d *Desk) propose(ctx context.Context, no mark.Part, op *wire.BondOp) (*wire.BondReceipt, error) {
+	_, receipt, err := d.p.Part(no).Propose(ctx, op)
 	if err != nil {
 		return nil, err
 	}
@@ -127,9 +102,6 @@
 	if !ok {
 		return nil, fault.New(fault.Unsure, "part %d", no)
 	}
-	if op.Op == "acquire" && got.Code == 0 {
-		return d.acquired(no, op, got)
-	}
 	return got, nil
 }
 
@@ -141,20 +113,36 @@
 	if len(op.Value) > 64<<10 {
 		paths = append(paths, "value: is larger than 64 KiB")
 	}
+	isTimed := op.Ttl >= 10 && op.Ttl <= 3600_000
+	space, rest, hasSlash := strings.Cut(op.Name, "/")
 	switch op.Op {
 	case "get", "list", "watch", "put", "drop", "mark", "unmark", "expire", "claim", "unclaim", "settle":
 	case "add":
+	case "set":
+		if space == "" || rest == "" {
+			paths = append(paths, "name: is not of the form space/rest")
+		}
+		if len(op.Value) == 0 {
+			paths = append(paths, "value: is missing")
+		}
+	case "follow":
+		if space == "" || !hasSlash || rest != "" {
+			paths = append(paths, "name: is not of the form space/")
+		}
 	case "acquire":
 		if op.Holder == "" {
 			paths = append(paths, "holder: is missing")
 		}
-		if op.Ttl < 1000 || op.Ttl > 3600_000 {
-			paths = append(paths, "ttl: is outside 1 s to 1 h")
+		if !isTimed {
+			paths = append(paths, "ttl: is outside 10 ms to 1 h")
 		}
 	case "release", "renew":
 		if op.Holder == "" || op.Fence == 0 {
 			paths = append(paths, "holder, fence: are missing")
 		}
+		if op.Op == "renew" && op.Ttl != 0 && !isTimed {
+			paths = append(paths, "ttl: is outside 10 ms to 1 h")
+		}
 	default:
 		paths = append(paths, "op: "+op.Op+" is not known")
 	}
@@ -176,53 +164,64 @@
 	if !ok {
 		return &wire.BondReceipt{Code: fault.NoKey.No}, nil
 	}
-	return &wire.BondReceipt{Stamp: record.Stamp, Value: record.Value, Count: record.Count, Holder: record.Holder, Fence: record.Fence, Ttl: record.Ttl}, nil
+	return &wire.BondReceipt{Stamp: record.Stamp, Rev: record.Rev, Value: record.Value, Count: record.Count, Holder: record.Holder, Fence: record.Fence, Ttl: record.Ttl}, nil
 }
 
-// watch holds the call until something under the name happens.
-func (d *Desk) watch(ctx context.Context, part *pact.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
-	if op.From == 0 {
-		keys, stamp := book.All(Key, op.Name)
-		return &wire.BondReceipt{Stamp: stamp, Keys: keys}, nil
-	}
-	hold := time.NewTimer(time.Duration(op.Hold) * time.Millisecond)
-	defer hold.Stop()
-	for {
-		change := part.Watch()
-		events, next, isKept := book.Since(op.Name, op.From, 256)
-		if !isKept {
-			return &wire.BondReceipt{Code: fault.StampTooOld.No, Stamp: next}, nil
-		}
-		if len(events) > 0 {
-			return &wire.BondReceipt{Stamp: next, Events: events}, nil
-		}
-		if !part.IsServing() {
-			return nil, fault.New(fault.NotOwner, "part changed its owner")
-		}
-		select {
-		case <-change:
-		case <-hold.C:
-			return &wire.BondReceipt{Stamp: next}, nil
-		case <-ctx.Done():
-			return &wire.BondReceipt{Stamp: next}, nil
-		}
-	}
-}
-
-// under returns the grants of the part for this term, emptied at a new one.
+// under returns the grants of the part for this term, emptied at a new one; nil
+// if a newer one has begun.
 func (d *Desk) under(no mark.Part, term mark.Term) map[string]*grant {
+	if term.Less(d.terms[no]) {
+		return nil
+	}
 	if d.terms[no] != term || d.grants[no] == nil {
 		d.terms[no], d.grants[no] = term, map[string]*grant{}
 	}
 	return d.grants[no]
 }
 
-// acquired starts the grant's time; a repeat of a request whose grant has
-// passed meanwhile is told so, rather than handed the old receipt as valid.
-func (d *Desk) acquired(no mark.Part, op *wire.BondOp, got *wire.BondReceipt) (*wire.BondReceipt, error) {
-	record, ok := d.books[no].Get(Lock, op.Name)
-	if !ok || record.Fence != got.Fence {
-		return &wire.BondReceipt{Code: fault.NotHeld.No, Fence: got.Fence}, nil
+// see is the grant of a lock as the book has it while d.mu is held; one that this
+// owner sees for the first time starts at full length.
+func (d *Desk) see(grants map[string]*grant, lock wire.BondRecord) *grant {
+	if g := grants[lock.Name]; g == nil || g.fence != lock.Fence {
+		grants[lock.Name] = &grant{fence: lock.Fence, until: d.r.Now().Add(time.Duration(lock.Ttl) * time.Millisecond)}
+	}
+	return grants[lock.Name]
+}
+
+// acquire writes nothing while another's grant lasts, and has one whose time is
+// over taken back first.
+func (d *Desk) acquire(ctx context.Context, no mark.Part, op *wire.BondOp) (*wire.BondReceipt, error) {
+	began, part, book := d.r.Now(), d.p.Part(no), d.books[no]
+	_, isRepeat := book.Seen(op.Id)
+	for !isRepeat {
+		term, _, isServing := part.Serving()
+		if !isServing {
+			return nil, fault.New(fault.NotOwner, "part %d", no)
+		}
+		if lock, ok := book.Get(Lock, op.Name); !ok || lock.Holder == op.Holder {
+			break
+		}
+		if err := part.Confirm(ctx, began); err != nil {
+			return nil, err
+		}
+		held, going := d.holding(no, term, op)
+		if held != nil {
+			return held, nil
+		}
+		if going == nil {
+			continue
+		}
+		select {
+		case <-going:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil || d.r.IsOver() {
+			return nil, fault.New(fault.NoOwner, "part %d: the old grant can't be taken back", no)
+		}
+	}
+	got, err := d.propose(ctx, no, op)
+	if err != nil || got.Code != 0 {
+		return got, err
 	}
 	renewed, err := d.extend(no, op.Name, got.Fence, got.Ttl)
 	if err != nil || renewed.Code != 0 {
@@ -231,7 +230,25 @@
 	return got, nil
 }
 
-func (d *Desk) renew(no mark.Part, term mark.Term, op *wire.BondOp) (*wire.BondReceipt, error) {
+// holding is the refusal while another holds the lock, or else what ends when
+// its grant has been taken back.
+func (d *Desk) holding(no mark.Part, term mark.Term, op *wire.BondOp) (*wire.BondReceipt, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	grants := d.under(no, term)
+	lock, ok := d.books[no].Get(Lock, op.Name)
+	if grants == nil || !ok || lock.Holder == op.Holder {
+		return nil, nil
+	}
+	if g := d.see(grants, lock); g.isGoingBy || !d.r.Now().Before(g.until) {
+		return nil, d.goBy(no, term, lock, g)
+	}
+	return &wire.BondReceipt{Code: fault.Held.No, Stamp: lock.Stamp, Holder: lock.Holder, Fence: lock.Fence, Ttl: lock.Ttl}, nil
+}
+
+// renew extends the grant; a time above the lock's own is written first, so that
+// a new owner does not end the grant early.
+func (d *Desk) renew(ctx context.Context, no mark.Part, term mark.Term, op *wire.BondOp) (*wire.BondReceipt, error) {
 	record, ok := d.books[no].Get(Lock, op.Name)
 	if !ok || record.Holder != op.Holder || record.Fence != op.Fence {
 		return &wire.BondReceipt{Code: fault.NotHeld.No, Fence: record.Fence}, nil
@@ -239,9 +256,24 @@
 	if now, _, isServing := d.p.Part(no).Serving(); !isServing || now != term {
 		return nil, fault.New(fault.NotOwner, "part %d", no)
 	}
-	return d.extend(no, op.Name, op.Fence, record.Ttl)
+	ttl := op.Ttl
+	if ttl == 0 {
+		ttl = record.Ttl
+	}
+	if ttl > record.Ttl {
+		if got, err := d.extend(no, op.Name, op.Fence, record.Ttl); err != nil || got.Code != 0 {
+			return got, err
+		}
+		stretch := &wire.BondOp{Op: "stretch", Name: op.Name, Holder: op.Holder, Fence: op.Fence, Ttl: ttl}
+		if got, err := d.propose(ctx, no, stretch); err != nil || got.Code != 0 {
+			return got, err
+		}
+	}
+	return d.extend(no, op.Name, op.Fence, ttl)
 }
 
+// extend makes the grant last, unless it has passed meanwhile; it is never cut
+// shorter than an earlier call made it.
 func (d *Desk) extend(no mark.Part, name string, fence mark.Stamp, ttl int64) (*wire.BondReceipt, error) {
 	term, _, isServing := d.p.Part(no).Serving()
 	if !isServing {
@@ -250,42 +282,75 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	grants := d.under(no, term)
-	g := grants[name]
-	if g == nil || g.fence != fence {
-		g = &grant{fence: fence}
-		grants[name] = g
+	if grants == nil {
+		return nil, fault.New(fault.Unsure, "part %d", no)
+	}
+	lock, ok := d.books[no].Get(Lock, name)
+	if !ok || lock.Fence != fence {
+		return &wire.BondReceipt{Code: fault.NotHeld.No, Fence: fence}, nil
 	}
+	g := d.see(grants, lock)
 	if g.isGoingBy {
 		return &wire.BondReceipt{Code: fault.NotHeld.No, Fence: fence}, nil
 	}
-	g.until = d.r.Now().Add(time.Duration(ttl) * time.Millisecond)
+	if until := d.r.Now().Add(time.Duration(ttl) * time.Millisecond); until.After(g.until) {
+		g.until = until
+	}
 	return &wire.BondReceipt{Fence: fence, Ttl: ttl, Stamp: fence}, nil
 }
 
-// expire takes back the grants of a part whose time is over.
+// goBy has a grant taken back, by one entry at a time; the grant can't be renewed
+// from then on, also if the entry has to be tried again.
+func (d *Desk) goBy(no mark.Part, term mark.Term, lock wire.BondRecord, g *grant) <-chan struct{} {
+	g.isGoingBy = true
+	if g.going != nil {
+		return g.going
+	}
+	done := make(chan struct{})
+	g.going = done
+	d.r.Go(func() {
+		ctx, end := context.WithTimeout(d.r, 5*time.Second)
+		defer end()
+		if now, _, isServing := d.p.Part(no).Serving(); isServing && now == term {
+			d.p.Part(no).Propose(ctx, &wire.BondOp{Op: "expire", Name: lock.Name, Fence: lock.Fence})
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		g.going = nil
+		close(done)
+	})
+	return done
+}
+
+// expire takes back the grants of a part whose time is over, and forgets those
+// whose locks are gone.
 func (d *Desk) expire(no mark.Part) {
 	term, _, isServing := d.p.Part(no).Serving()
 	if !isServing {
 		return
 	}
-	locks, _ := d.books[no].All(Lock, "")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.books[no].Size(Lock) == 0 {
+		clear(d.grants[no])
+		return
+	}
 	grants := d.under(no, term)
+	if grants == nil {
+		return
+	}
+	locks, _ := d.books[no].All(Lock, "")
 	for _, lock := range locks {
-		g := grants[lock.Name]
-		if g == nil || g.fence != lock.Fence {
-			grants[lock.Name] = &grant{fence: lock.Fence, until: d.r.Now().Add(time.Duration(lock.Ttl) * time.Millisecond)}
-			continue
+		if g := d.see(grants, lock); g.isGoingBy || !d.r.Now().Before(g.until) {
+			d.goBy(no, term, lock, g)
 		}
-		if d.r.Now().Before(g.until) || g.isGoingBy {
-			continue
+	}
+	if len(grants) == len(locks) {
+		return
+	}
+	for name := range grants {
+		if _, ok := d.books[no].Get(Lock, name); !ok {
+			delete(grants, name)
 		}
-		g.isGoingBy = true
-		d.r.Go(func() {
-			ctx, end := context.WithTimeout(d.r, 5*time.Second)
-			defer end()
-			d.p.Part(no).Propose(ctx, &wire.BondOp{Op: "expire", Name: lock.Name, Fence: lock.Fence})
-		})
 	}
 }
--- /dev/null
+++ b/internal/bond/desk_test.go
@@ -0,0 +1,253 @@
+// The desk on a simulated fleet: locks by the owner's clock, with short times and
+// without an entry for a refusal, and followers through a change of owner.
+package bond_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/dream"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+type desks struct {
+	*testing.T
+	f *dream.Fleet
+}
+
+// owner is the node that serves the part of a name.
+func (d *desks) owner(name string) (owner *dream.Machine) {
+	d.Helper()
+	isThere := d.f.Until(30*time.Second, func() bool {
+		for _, m := range d.f.Cores() {
+			if n := m.Node(); n != nil && n.Pact.Part(mark.PartOf(name)).IsServing() {
+				owner = m
+				return true
+			}
+		}
+		return false
+	})
+	if !isThere {
+		d.Fatal("no owner")
+	}
+	return owner
+}
+
+func (d *desks) do(op wire.BondOp) *wire.BondReceipt {
+	d.Helper()
+	ctx, end := context.WithTimeout(context.Background(), 5*time.Second)
+	defer end()
+	receipt, err := d.owner(op.Name).Node().Desk.Do(ctx, &op)
+	if err != nil {
+		d.Fatal(op.Op, err)
+	}
+	return receipt
+}
+
+func (d *desks) last(name string) mark.Stamp {
+	return d.owner(name).Node().Pact.Part(mark.PartOf(name)).Outline().Last
+}
+
+func (d *desks) expect(got *wire.BondReceipt, code fault.Code) *wire.BondReceipt {
+	d.Helper()
+	if got.Code != code.No {
+		d.Fatalf("%+v; wanted %s", got, code.Name)
+	}
+	return got
+}
+
+var done fault.Code
+
+func on(t *testing.T, test func(d *desks)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := dream.NewFleet(1, dream.Small(), io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		test(&desks{t, f})
+	})
+}
+
+func TestShortLocks(t *testing.T) {
+	on(t, func(d *desks) {
+		acquire := func(holder string, ttl int64) *wire.BondReceipt {
+			d.Helper()
+			return d.do(wire.BondOp{Op: "acquire", Name: "l", Holder: holder, Ttl: ttl})
+		}
+		renew := func(fence mark.Stamp, ttl int64) *wire.BondReceipt {
+			d.Helper()
+			return d.do(wire.BondOp{Op: "renew", Name: "l", Holder: "a", Fence: fence, Ttl: ttl})
+		}
+		one := d.expect(acquire("a", 1000), done)
+		before := d.last("l")
+		for range 10 {
+			if held := d.expect(acquire("b", 1000), fault.Held); held.Holder != "a" || held.Fence != one.Fence {
+				d.Fatal(held)
+			}
+		}
+		d.expect(renew(one.Fence, 400), done)
+		d.expect(renew(one.Fence, 0), done)
+		if d.last("l") != before {
+			d.Fatal("a refusal or a renewal was written")
+		}
+		if got := d.expect(acquire("a", 20), done); got.Fence != one.Fence || got.Ttl != 20 {
+			d.Fatal(got)
+		}
+		time.Sleep(800 * time.Millisecond)
+		d.expect(acquire("b", 1000), fault.Held)
+		if got := d.expect(renew(one.Fence, 5000), done); got.Ttl != 5000 {
+			d.Fatal(got)
+		}
+		time.Sleep(4800 * time.Millisecond)
+		d.expect(acquire("b", 1000), fault.Held)
+		time.Sleep(300 * time.Millisecond)
+		two := d.expect(acquire("b", 10), done)
+		if two.Fence <= one.Fence {
+			d.Fatal(one, two)
+		}
+		d.expect(renew(one.Fence, 0), fault.NotHeld)
+		d.expect(d.do(wire.BondOp{Op: "release", Name: "l", Holder: "a", Fence: one.Fence}), fault.NotHeld)
+		time.Sleep(10 * time.Millisecond)
+		if three := d.expect(acquire("a", 50), done); three.Fence <= two.Fence {
+			d.Fatal(two, three)
+		}
+		time.Sleep(time.Second)
+		d.expect(d.do(wire.BondOp{Op: "get", Name: "l", Holder: "lock"}), fault.NoKey)
+	})
+}
+
+func TestManyWantOneShortLock(t *testing.T) {
+	on(t, func(d *desks) {
+		const ttl = 30 * time.Millisecond
+		type holding struct {
+			from, to time.Time
+			fence    mark.Stamp
+		}
+		holdings := make(chan holding, 10000)
+		ended := make(chan struct{})
+		for i := range 6 {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				for n := range 60 {
+					sent := time.Now()
+					ctx, end := context.WithTimeout(context.Background(), 5*time.Second)
+					receipt, err := d.owner("l").Node().Desk.Do(ctx, &wire.BondOp{Op: "acquire", Name: "l", Holder: fmt.Sprint(i, "/", n), Ttl: ttl.Milliseconds()})
+					end()
+					if got := time.Now(); err == nil && receipt.Code == 0 && got.Before(sent.Add(ttl)) {
+						holdings <- holding{got, sent.Add(ttl), receipt.Fence}
+					}
+					time.Sleep(7 * time.Millisecond)
+				}
+			}()
+		}
+		for range 6 {
+			<-ended
+		}
+		close(holdings)
+		var all []holding
+		for h := range holdings {
+			all = append(all, h)
+		}
+		if len(all) < 10 {
+			d.Fatal("held only", len(all), "times")
+		}
+		for i, a := range all {
+			for _, z := range all[:i] {
+				if a.from.Before(z.to) && z.from.Before(a.to) {
+					d.Fatal("two held it at once", a, z)
+				}
+				if a.fence == z.fence || (a.fence < z.fence) != a.from.Before(z.from) {
+					d.Fatal("fences do not rise", a, z)
+				}
+			}
+		}
+	})
+}
+
+func TestANewOwnerDoesNotEndAStretchedGrantEarly(t *testing.T) {
+	on(t, func(d *desks) {
+		one := d.expect(d.do(wire.BondOp{Op: "acquire", Name: "l", Holder: "a", Ttl: 100}), done)
+		d.expect(d.do(wire.BondOp{Op: "renew", Name: "l", Holder: "a", Fence: one.Fence, Ttl: 60_000}), done)
+		sent := time.Now()
+		old := d.owner("l")
+		old.Kill(false)
+		for time.Since(sent) < 59*time.Second {
+			d.expect(d.do(wire.BondOp{Op: "acquire", Name: "l", Holder: "b", Ttl: 100}), fault.Held)
+			time.Sleep(3 * time.Second)
+		}
+		if d.owner("l") == old {
+			d.Fatal("the owner did not change")
+		}
+		time.Sleep(30 * time.Second)
+		if two := d.expect(d.do(wire.BondOp{Op: "acquire", Name: "l", Holder: "b", Ttl: 100}), done); two.Fence <= one.Fence {
+			d.Fatal(one, two)
+		}
+	})
+}
+
+func TestAFollowerIsAnsweredAtTheNextSet(t *testing.T) {
+	on(t, func(d *desks) {
+		set := func(value int) *wire.BondReceipt {
+			return d.expect(d.do(wire.BondOp{Op: "set", Name: "s/a", Value: json.RawMessage(fmt.Sprint(value))}), done)
+		}
+		follow := func(from mark.Stamp, hold int64) *wire.BondReceipt {
+			return d.expect(d.do(wire.BondOp{Op: "follow", Name: "s/", From: from, Hold: hold}), done)
+		}
+		set(1)
+		if got := d.do(wire.BondOp{Op: "get", Name: "s/a"}); got.Rev != 1 || string(got.Value) != "1" {
+			d.Fatal(got)
+		}
+		if got := follow(0, 1000); got.Rev != 1 || len(got.Events) != 0 {
+			d.Fatal(got)
+		}
+		began := time.Now()
+		if got := follow(1, 1000); got.Rev != 1 || len(got.Events) != 0 || time.Since(began) < time.Second {
+			d.Fatal(got)
+		}
+		if got := follow(9, 100); got.Rev != 9 || len(got.Events) != 0 {
+			d.Fatal(got)
+		}
+		answer := make(chan *wire.BondReceipt)
+		began = time.Now()
+		go func() { answer <- follow(1, 4000) }()
+		time.Sleep(500 * time.Millisecond)
+		set(2)
+		if got := <-answer; got.Rev != 2 || len(got.Events) != 1 || got.Events[0].Rev != 2 || time.Since(began) > time.Second {
+			d.Fatal(got)
+		}
+		d.owner("s/").Kill(false)
+		set(3)
+		if got := follow(1, 100); got.Rev != 3 || len(got.Events) != 2 {
+			d.Fatal("a change of owner lost a set", got)
+		}
+	})
+}
+
+func TestCallsThatCantBeRead(t *testing.T) {
+	on(t, func(d *desks) {
+		for _, op := range []wire.BondOp{
+			{Op: "set", Name: "s", Value: json.RawMessage("1")},
+			{Op: "set", Name: "s/", Value: json.RawMessage("1")},
+			{Op: "set", Name: "/a", Value: json.RawMessage("1")},
+			{Op: "set", Name: "s/a"},
+			{Op: "follow", Name: "s"},
+			{Op: "follow", Name: "s/a"},
+			{Op: "acquire", Name: "l", Holder: "a", Ttl: 9},
+			{Op: "acquire", Name: "l", Holder: "a", Ttl: 3600_001},
+			{Op: "renew", Name: "l", Holder: "a", Fence: 1, Ttl: 9},
+			{Op: "stretch", Name: "l", Holder: "a", Fence: 1, Ttl: 100},
+		} {
+			if _, err := d.owner(op.Name).Node().Desk.Do(context.Background(), &op); !fault.Is(err, fault.BadCall) {
+				d.Error(op, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/bond/space.go
@@ -0,0 +1,67 @@
+// Spaces: what stands before the first slash of a name has a count of its own,
+// which rises by one with each set, so that a key's revision says how the sets of
+// its space follow one another and a follower sees that it missed none.
+package bond
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func spaceOf(name string) string {
+	space, _, _ := strings.Cut(name, "/")
+	return space
+}
+
+// setId is what a set is known by: its name and value, so that a repeat is known
+// for one whatever revision it names.
+func setId(op *wire.BondOp) string {
+	sum := sha256.Sum256([]byte(op.Name + "\x00" + string(op.Value)))
+	return "set/" + hex.EncodeToString(sum[:16])
+}
+
+// rise counts one more set in a space.
+func (b *Book) rise(index mark.Stamp, space string) mark.Stamp {
+	count := b.of(Space)[space].Count + 1
+	b.of(Space)[space] = wire.BondRecord{Name: space, Kind: Space, Count: count, Stamp: index}
+	return mark.Stamp(count)
+}
+
+// Follow is the sets of a space after a revision, and the revision to go on from.
+// They must follow it without a gap, also on a copy whose count was mended.
+func (b *Book) Follow(space string, from mark.Stamp, most int) (list []wire.BondEvent, rev mark.Stamp, isKept bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	rev = mark.Stamp(b.records[Space][space].Count)
+	if from == 0 || rev <= from {
+		return nil, max(rev, from), true
+	}
+	if from < b.starts[space] {
+		return nil, rev, false
+	}
+	at := len(b.events)
+	for i := at - 1; i >= 0; i-- {
+		if e := &b.events[i]; e.Rev > 0 && spaceOf(e.Name) == space {
+			if e.Rev <= from {
+				break
+			}
+			at = i
+		}
+	}
+	for _, e := range b.events[at:] {
+		if e.Rev == 0 || spaceOf(e.Name) != space {
+			continue
+		}
+		if e.Rev != from+mark.Stamp(len(list))+1 {
+			return nil, rev, false
+		}
+		if list = append(list, e); len(list) == most {
+			return list, e.Rev, true
+		}
+	}
+	return list, rev, from+mark.Stamp(len(list)) == rev
+}
--- /dev/null
+++ b/internal/bond/space_test.go
@@ -0,0 +1,227 @@
+// A space's count rises by one with each set and with nothing else; a repeat gets
+// the first revision; a follower sees every set in order or is told that it can't;
+// all this outlives dumps and repairs.
+package bond
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func set(b *Book, index mark.Stamp, name, value string, rev ...mark.Stamp) *wire.BondReceipt {
+	op := wire.BondOp{Op: "set", Name: name, Value: json.RawMessage(value)}
+	if len(rev) > 0 {
+		op.Rev = &rev[0]
+	}
+	return apply(b, index, op)
+}
+
+func TestASpaceCountsItsSets(t *testing.T) {
+	b := NewBook()
+	expect := func(got *wire.BondReceipt, code int, rev mark.Stamp) {
+		t.Helper()
+		if got.Code != code || got.Rev != rev {
+			t.Fatalf("code %d, rev %d; wanted %d, %d", got.Code, got.Rev, code, rev)
+		}
+	}
+	expect(set(b, 10, "s/a", "1", 0), 0, 1)
+	expect(set(b, 11, "s/b", "1"), 0, 2)
+	expect(set(b, 12, "s/a", "2", 0), fault.StampDiffers.No, 1)
+	expect(set(b, 13, "s/a", "2", 2), fault.StampDiffers.No, 1)
+	expect(set(b, 14, "s/c", "1", 1), fault.StampDiffers.No, 0)
+	expect(set(b, 15, "s/a", "2", 1), 0, 3)
+	expect(set(b, 16, "other/a", "1"), 0, 1)
+	apply(b, 17, wire.BondOp{Op: "put", Name: "s/put", Value: json.RawMessage("1")})
+	expect(set(b, 18, "s/put", "2", 0), fault.StampDiffers.No, 0)
+	expect(set(b, 19, "s/c", "1", 0), 0, 4)
+	if record, ok := b.Get(Key, "s/a"); !ok || record.Rev != 3 || record.Stamp != 15 || string(record.Value) != "2" {
+		t.Fatal(record)
+	}
+	if keys, _ := b.All(Key, "s"); len(keys) != 4 {
+		t.Fatal("a listing of keys shows", keys)
+	}
+}
+
+func TestARepeatedSetGetsItsFirstRevision(t *testing.T) {
+	b := NewBook()
+	set(b, 1, "s/a", `"x"`, 0)
+	set(b, 2, "s/a", `"y"`, 1)
+	for i, again := range []*wire.BondReceipt{set(b, 3, "s/a", `"x"`, 0), set(b, 4, "s/a", `"x"`), set(b, 5, "s/a", `"x"`, 7)} {
+		if again.Code != 0 || again.Rev != 1 || again.Stamp != 1 {
+			t.Fatal(i, again)
+		}
+	}
+	if record, _ := b.Get(Key, "s/a"); string(record.Value) != `"y"` || record.Rev != 2 {
+		t.Fatal("a repeat wrote", record)
+	}
+	if no := set(b, 6, "s/a", `"z"`, 1); no.Code != fault.StampDiffers.No || no.Rev != 2 {
+		t.Fatal(no)
+	}
+	if yes := set(b, 7, "s/a", `"z"`, 2); yes.Code != 0 || yes.Rev != 3 {
+		t.Fatal("a failure was remembered", yes)
+	}
+	if b.Size(Space) != 1 {
+		t.Fatal(b.Size(Space))
+	}
+}
+
+func TestAFollowerSeesEverySetInOrder(t *testing.T) {
+	b := NewBook()
+	if list, rev, ok := b.Follow("s", 0, 10); !ok || len(list) != 0 || rev != 0 {
+		t.Fatal(list, rev, ok)
+	}
+	for i := range 9 {
+		index := mark.Stamp(3 * i)
+		set(b, index+1, fmt.Sprint("s/", i), "1")
+		set(b, index+2, fmt.Sprint("t/", i), "1")
+		apply(b, index+3, wire.BondOp{Op: "add", Name: "s/n", Delta: 1})
+	}
+	if list, rev, ok := b.Follow("s", 0, 10); !ok || len(list) != 0 || rev != 9 {
+		t.Fatal(list, rev, ok)
+	}
+	for from := mark.Stamp(1); from <= 12; from++ {
+		list, rev, ok := b.Follow("s", from, 4)
+		if wanted := min(4, 9-min(int(from), 9)); !ok || len(list) != wanted {
+			t.Fatal(from, list, ok)
+		}
+		for i, e := range list {
+			if e.Rev != from+mark.Stamp(i)+1 || e.Name != fmt.Sprint("s/", e.Rev-1) || e.Kind != Key || string(e.Value) != "1" {
+				t.Fatal(from, i, e)
+			}
+		}
+		if len(list) == 4 && rev != list[3].Rev || len(list) < 4 && rev != max(9, from) {
+			t.Fatal(from, rev)
+		}
+	}
+}
+
+func TestAFollowerFromBeforeTheKeptSetsIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBook()
+		set(b, 1, "s/a", "1")
+		set(b, 2, "s/b", "1")
+		set(b, 3, "t/a", "1")
+		time.Sleep(40 * time.Second)
+		set(b, 4, "s/a", "2")
+		time.Sleep(30 * time.Second)
+		set(b, 5, "s/a", "3")
+		check := func(b *Book) {
+			t.Helper()
+			if _, rev, ok := b.Follow("s", 1, 10); ok || rev != 4 {
+				t.Fatal("a follower that missed a set was not told", rev, ok)
+			}
+			if list, rev, ok := b.Follow("s", 2, 10); !ok || rev != 4 || len(list) != 2 || list[0].Rev != 3 {
+				t.Fatal(list, rev, ok)
+			}
+			if list, rev, ok := b.Follow("t", 1, 10); !ok || rev != 1 || len(list) != 0 {
+				t.Fatal(list, rev, ok)
+			}
+		}
+		check(b)
+		raw, err := b.Dump()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := NewBook()
+		if err := other.Load(raw); err != nil {
+			t.Fatal(err)
+		}
+		check(other)
+		if other.starts["s"] != 2 || other.starts["t"] != 1 {
+			t.Fatal(other.starts)
+		}
+		if next := set(other, 6, "s/a", "4", 4); next.Code != 0 || next.Rev != 5 {
+			t.Fatal(next)
+		}
+		if again := set(other, 7, "s/a", "1"); again.Rev != 1 {
+			t.Fatal("a loaded state forgot a set", again)
+		}
+		if err := other.Load(json.RawMessage(`{"records":[],"seen":[],"events":[],"start":0,"applied":0}`)); err != nil {
+			t.Fatal(err)
+		}
+		set(other, 8, "s/a", "1")
+		time.Sleep(61 * time.Second)
+		if next := set(other, 9, "s/a", "2"); next.Rev != 2 || other.starts["s"] != 1 {
+			t.Fatal(next, other.starts)
+		}
+	})
+}
+
+func TestRepairBringsBackASpacesCount(t *testing.T) {
+	right, wrong := NewBook(), NewBook()
+	for i := range 5 {
+		set(right, mark.Stamp(i+1), "s/a", fmt.Sprint(i))
+		set(wrong, mark.Stamp(i+1), "s/a", fmt.Sprint(i))
+	}
+	wrong.of(Space)["s"] = wire.BondRecord{Name: "s", Kind: Space, Count: 1, Stamp: 5}
+	set(right, 6, "s/b", "1")
+	set(wrong, 6, "s/b", "1")
+	differing, digests := 0, wrong.Digests()
+	for name, digest := range right.Digests() {
+		if digests[name] == digest {
+			continue
+		}
+		differing++
+		data, err := right.Range(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := wrong.Mend(name, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if differing == 0 {
+		t.Fatal("the digests do not show a count that differs")
+	}
+	if _, _, ok := wrong.Follow("s", 5, 10); ok {
+		t.Fatal("a set that the copy told under another revision was passed over in silence")
+	}
+	if a, b := set(right, 7, "s/c", "1"), set(wrong, 7, "s/c", "1"); a.Rev != 7 || b.Rev != 7 {
+		t.Fatal(a, b)
+	}
+	if list, _, ok := wrong.Follow("s", 6, 10); !ok || len(list) != 1 {
+		t.Fatal(list, ok)
+	}
+}
+
+func TestALocksTimeOnlyGrows(t *testing.T) {
+	b := NewBook()
+	first := apply(b, 5, wire.BondOp{Op: "acquire", Name: "l", Holder: "a", Ttl: 1000})
+	expect := func(ttl int64) {
+		t.Helper()
+		if lock, ok := b.Get(Lock, "l"); !ok || lock.Ttl != ttl || lock.Fence != first.Fence || lock.Holder != "a" {
+			t.Fatal(lock, ok)
+		}
+	}
+	if again := apply(b, 6, wire.BondOp{Op: "acquire", Name: "l", Holder: "a", Ttl: 50}); again.Fence != first.Fence || again.Ttl != 50 {
+		t.Fatal(again)
+	}
+	expect(1000)
+	if again := apply(b, 7, wire.BondOp{Op: "acquire", Name: "l", Holder: "a", Ttl: 2000}); again.Fence != first.Fence || again.Ttl != 2000 {
+		t.Fatal(again)
+	}
+	expect(2000)
+	for _, op := range []wire.BondOp{{Holder: "b", Fence: 5}, {Holder: "a", Fence: 4}} {
+		op.Op, op.Name, op.Ttl = "stretch", "l", 9000
+		if no := apply(b, 8, op); no.Code != fault.NotHeld.No {
+			t.Fatal(no)
+		}
+	}
+	expect(2000)
+	if held := apply(b, 9, wire.BondOp{Op: "acquire", Name: "l", Holder: "b", Ttl: 9000}); held.Code != fault.Held.No || held.Ttl != 2000 {
+		t.Fatal(held)
+	}
+	for _, ttl := range []int64{3000, 100} {
+		if got := apply(b, 10, wire.BondOp{Op: "stretch", Name: "l", Holder: "a", Fence: 5, Ttl: ttl}); got.Code != 0 || got.Ttl != ttl {
+			t.Fatal(got)
+		}
+		expect(3000)
+	}
+}
--- /dev/null
+++ b/internal/bond/watch.go
@@ -0,0 +1,69 @@
+// Calls that are held until something happens: a watch goes by the part's own
+// stamps and sees every kind under a prefix; a follow goes by a space's count and
+// sees what was set there.
+package bond
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/pact"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// watch holds the call until something under the name happens.
+func (d *Desk) watch(ctx context.Context, part *pact.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
+	if op.From == 0 {
+		keys, stamp := book.All(Key, op.Name)
+		return &wire.BondReceipt{Stamp: stamp, Keys: keys}, nil
+	}
+	hold := time.NewTimer(time.Duration(op.Hold) * time.Millisecond)
+	defer hold.Stop()
+	for {
+		change := part.Watch()
+		events, next, isKept := book.Since(op.Name, op.From, 256)
+		if !isKept {
+			return &wire.BondReceipt{Code: fault.StampTooOld.No, Stamp: next}, nil
+		}
+		if len(events) > 0 {
+			return &wire.BondReceipt{Stamp: next, Events: events}, nil
+		}
+		if !part.IsServing() {
+			return nil, fault.New(fault.NotOwner, "part changed its owner")
+		}
+		select {
+		case <-change:
+		case <-hold.C:
+			return &wire.BondReceipt{Stamp: next}, nil
+		case <-ctx.Done():
+			return &wire.BondReceipt{Stamp: next}, nil
+		}
+	}
+}
+
+// follow holds the call until something is set in the space.
+func (d *Desk) follow(ctx context.Context, part *pact.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
+	hold := time.NewTimer(time.Duration(op.Hold) * time.Millisecond)
+	defer hold.Stop()
+	for {
+		change := part.Watch()
+		events, rev, isKept := book.Follow(spaceOf(op.Name), op.From, 256)
+		if !isKept {
+			return &wire.BondReceipt{Code: fault.StampTooOld.No, Rev: rev}, nil
+		}
+		if len(events) > 0 || op.From == 0 {
+			return &wire.BondReceipt{Rev: rev, Events: events}, nil
+		}
+		if !part.IsServing() {
+			return nil, fault.New(fault.NotOwner, "part changed its owner")
+		}
+		select {
+		case <-change:
+		case <-hold.C:
+			return &wire.BondReceipt{Rev: rev}, nil
+		case <-ctx.Done():
+			return &wire.BondReceipt{Rev: rev}, nil
+		}
+	}
+}
--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -123,7 +123,7 @@
 				continue
 			}
 			o := part.Outline()
-			isOwned = o.Last == o.Commit && len(o.Group) == pact.Size(mark.Part(no), len(f.Cores()))
+			isOwned = o.Last == o.Commit && len(o.Group) == pact.Size(mark.Part(no), len(f.Cores()), 1)
 			for _, peer := range o.Group {
 				isOwned = isOwned && births[peer]
 			}
--- a/internal/fault/codes_gen.go
+++ b/internal/fault/codes_gen.go
@@ -47,6 +47,7 @@
 	OrderRan        = Code{No: 1016, Name: "OrderRan", Status: 409, Outcome: "ran", Text: "an order under this key ran already"}
 	OrderUnknown    = Code{No: 1017, Name: "OrderUnknown", Status: 409, Outcome: "unknown", Text: "an order under this key was handed over, and it is not known how it ended"}
 	OrderUnderWay   = Code{No: 1018, Name: "OrderUnderWay", Status: 409, Outcome: "unknown", Text: "an order under this key is under way"}
+	TargetRefused   = Code{No: 1019, Name: "TargetRefused", Status: 503, Outcome: "not run", Text: "every target that was asked turned the request away without running it"}
 )
 
 // Codes holds every code by its number.
@@ -95,4 +96,5 @@
 	1016: OrderRan,
 	1017: OrderUnknown,
 	1018: OrderUnderWay,
+	1019: TargetRefused,
 }
--- a/internal/flow/cache.go
+++ b/internal/flow/cache.go
@@ -26,6 +26,7 @@
 	Routes   map[string][]wire.Mapping
 	Services map[string]wire.Service
 	Limits   map[string]wire.Limit
+	Manners  *wire.Manners
 	Targets  map[string][]wire.Target
 	Shares   map[mark.Name]int
 	groups   map[string]wire.Group
@@ -189,6 +190,9 @@
 	if err := read(plan.Shares, &chart.Shares); err != nil {
 		return nil, err
 	}
+	if err := read(plan.Manners, &chart.Manners); err != nil {
+		return nil, err
+	}
 	for _, s := range services {
 		chart.Services[s.Name] = s
 	}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -260,7 +260,7 @@
 		return false
 	}
 	held := c.ages.Load()
-	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
+	no, bound := mark.PartOf(service), max(c.r.Props.FlowFresh, c.r.Props.FlowStay)
 	for _, a := range []*Ages{&held.Newest, &held.Before} {
 		if a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || c.r.Since(a.Parts[no]) < bound) {
 			return true
@@ -275,7 +275,7 @@
 // tell writes an event when freshness of the configuration is lost or back.
 func (c *Client) tell() {
 	chart, ages := c.Cache.Chart(), c.Ages()
-	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < c.r.Props.FlowFresh
+	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < max(c.r.Props.FlowFresh, c.r.Props.FlowStay)
 	if isFresh != c.isFresh {
 		c.isFresh = isFresh
 		if isFresh {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,13 +88,14 @@
 
 func differ(sheet *plan.Sheet, ask *wire.ListenAsk) *wire.ListenReceipt {
 	receipt := &wire.ListenReceipt{Epoch: sheet.Epoch, Changed: map[string]wire.Held{}}
-	for name, group := range sheet.Groups {
-		if have, ok := ask.Have[name]; !ok || have.Digest != group.Digest {
-			receipt.Changed[name] = wire.Held{Digest: group.Digest, Stamp: group.Stamp}
+	manifest := sheet.Manifest()
+	for name, held := range manifest {
+		if have, ok := ask.Have[name]; !ok || have.Digest != held.Digest {
+			receipt.Changed[name] = held
 		}
 	}
 	for name := range ask.Have {
-		if _, ok := sheet.Groups[name]; !ok {
+		if _, ok := manifest[name]; !ok {
 			receipt.Removed = append(receipt.Removed, name)
 		}
 	}
@@ -102,12 +105,13 @@
 func (s *Server) fetch(ask *wire.FetchAsk) *wire.FetchReceipt {
 	sheet := s.ledger.Sheet()
 	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
-	if len(ask.Groups) == 0 {
-		receipt.Manifest, receipt.Groups = sheet.Manifest(), sheet.Groups
-		return receipt
+	names := ask.Groups
+	if len(names) == 0 {
+		receipt.Manifest = sheet.Manifest()
+		names = slices.Collect(maps.Keys(receipt.Manifest))
 	}
-	for _, name := range ask.Groups {
-		if group, ok := sheet.Groups[name]; ok {
+	for _, name := range names {
+		if group, ok := sheet.Carried(name); ok {
 			receipt.Groups[name] = group
 		}
 	}
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -14,10 +14,7 @@
 	"time"
 )
 
-const (
-	window  = 10 * time.Second
-	debtMax = -200
-)
+const debtMax = -200
 
 // bucket is one service's: the tries it holds, and the orders lost without all
 // other proxies' having heard of it, of which some still may.
@@ -34,6 +31,7 @@
 
 // Budget counts for all services of one proxy.
 type Budget struct {
+	window   time.Duration
 	mu       sync.Mutex
 	services map[string]*bucket
 	keys     map[uint64]seenKey
@@ -55,8 +53,9 @@
 	until time.Time
 }
 
-func NewBudget() *Budget {
-	return &Budget{services: map[string]*bucket{}, keys: map[uint64]seenKey{}}
+// NewBudget counts over windows of that length.
+func NewBudget(window time.Duration) *Budget {
+	return &Budget{window: window, services: map[string]*bucket{}, keys: map[uint64]seenKey{}}
 }
 
 // Fleet notes how many proxies there are. For the length of the window the part
@@ -71,7 +70,7 @@
 		if f.until.IsZero() {
 			f.until = now
 		}
-		if now.Sub(f.until) <= window {
+		if now.Sub(f.until) <= b.window {
 			kept = append(kept, f)
 		}
 	}
@@ -81,7 +80,7 @@
 func (b *Budget) proxies() int {
 	most := 1
 	for _, f := range b.fleets {
-		if f.until.IsZero() || time.Since(f.until) <= window {
+		if f.until.IsZero() || time.Since(f.until) <= b.window {
 			most = max(most, f.n)
 		}
 	}
@@ -98,7 +97,7 @@
 	}
 	part := float64(bounds.Base) / 2 / float64(b.proxies())
 	if l.tries < part {
-		l.tries = min(l.tries+part*now.Sub(l.at).Seconds()/window.Seconds(), part)
+		l.tries = min(l.tries+part*now.Sub(l.at).Seconds()/b.window.Seconds(), part)
 	}
 	l.at = now
 	if paid := min(l.debt, max(0, l.tries)); paid > 0 {
@@ -143,12 +142,12 @@
 
 func (b *Budget) sweep() {
 	now := time.Now()
-	if now.Sub(b.swept) < window {
+	if now.Sub(b.swept) < b.window {
 		return
 	}
 	b.swept = now
 	for k, seen := range b.keys {
-		if now.Sub(seen.at) > 3*window {
+		if now.Sub(seen.at) > 3*b.window {
 			delete(b.keys, k)
 		}
 	}
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -21,7 +21,10 @@
 	chart        *flow.Chart
 	mapping      *wire.Mapping
 	service      wire.Service
-	targets      []wire.Target
+	crew         *crew
+	tried        []*post
+	sharers      int
+	aim          time.Duration
 	deadline     time.Time
 	isRepeatable bool
 	key          uint64
@@ -34,10 +37,12 @@
 	chart  *flow.Chart
 	paths  map[string][]*wire.Mapping
 	places map[string]bool
+	crews  map[string]*crew
+	near   int
 }
 
-func newTable(chart *flow.Chart, old *table) *table {
-	t := &table{chart: chart, places: map[string]bool{}}
+func (g *Gate) newTable(chart *flow.Chart, old *table) *table {
+	t := &table{chart: chart, places: map[string]bool{}, crews: map[string]*crew{}, near: g.near(chart)}
 	if t.isSameRoutes(old) {
 		t.paths = old.paths
 	} else {
@@ -49,7 +54,13 @@
 			}
 		}
 	}
+	now := time.Now()
 	for service, list := range chart.Targets {
+		var before *crew
+		if old != nil {
+			before = old.crews[service]
+		}
+		t.crews[service] = g.newCrew(service, list, before, now)
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
@@ -73,16 +84,22 @@
 // find takes the longest path that fits, one with a host before one without.
 func (t *table) find(r *http.Request) *wire.Mapping {
 	host := r.Host
-	if bare, _, err := net.SplitHostPort(host); err == nil {
-		host = bare
+	if strings.IndexByte(host, ':') >= 0 {
+		if bare, _, err := net.SplitHostPort(host); err == nil {
+			host = bare
+		}
 	}
-	path := strings.TrimSuffix(r.URL.Path, "/")
+	whole := r.URL.Path
+	path := strings.TrimSuffix(whole, "/")
 	for {
 		var found *wire.Mapping
 		for _, m := range t.paths[path] {
 			if m.Host != "" && m.Host != host || !allows(m, r.Method) {
 				continue
 			}
+			if len(whole) < len(m.Path) && len(m.Path) > 1 && strings.HasSuffix(m.Path, "/") {
+				continue
+			}
 			if found == nil || found.Host == "" && m.Host != "" {
 				found = m
 			}
@@ -135,7 +152,10 @@
 	if t == nil {
 		return nil, fault.New(fault.NotFresh, "no plan yet")
 	}
-	c := &course{id: id, chart: t.chart, key: orderOf(r), mapping: t.find(r)}
+	c := &course{id: id, chart: t.chart, mapping: t.find(r)}
+	if !g.isPlain {
+		c.key = orderOf(r)
+	}
 	if c.mapping == nil {
 		if !g.flow.IsFresh(t.chart, "") {
 			return c, fault.New(fault.NotFresh, "epoch %d", t.chart.Epoch)
@@ -150,71 +170,26 @@
 	if isOnce := c.mapping.Once == nil || *c.mapping.Once; c.key != 0 && isOnce && !c.isRepeatable {
 		c.claim = claimName(r)
 	}
-	c.deadline = time.Now().Add(g.r.Props.GateDeadline)
+	now := time.Now()
+	c.deadline = now.Add(g.r.Props.GateDeadline)
 	if c.mapping.Deadline > 0 {
-		c.deadline = time.Now().Add(time.Duration(c.mapping.Deadline) * time.Millisecond)
+		c.deadline = now.Add(time.Duration(c.mapping.Deadline) * time.Millisecond)
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(g.r.Props.HeaderDeadline), 10, 64); err == nil && ms >= 0 && ms < 3600_000 {
+		if theirs := now.Add(time.Duration(ms) * time.Millisecond); theirs.Before(c.deadline) {
+			c.deadline = theirs
+		}
+	}
+	c.aim = time.Duration(c.mapping.Aim) * time.Millisecond
+	if c.aim <= 0 {
+		c.aim = c.deadline.Sub(now) / 4
 	}
 	if !g.flow.IsFresh(t.chart, service.Name) {
 		return c, fault.New(fault.NotFresh, "epoch %d", t.chart.Epoch)
 	}
-	c.targets = g.order(service.Name, t.chart.Targets[service.Name])
-	if len(c.targets) == 0 {
+	c.crew, c.sharers = t.crews[service.Name], t.near
+	if c.crew == nil || len(c.crew.posts) == 0 {
 		return c, fault.New(fault.NoTarget, "%s", service.Name)
 	}
 	return c, nil
 }
-
-// order puts own zone first, and within a zone draws by weight, the better of
-// two draws by requests under way.
-func (g *Gate) order(service string, list []wire.Target) []wire.Target {
-	var near, far []wire.Target
-	for _, t := range list {
-		if t.Weight <= 0 {
-			continue
-		}
-		if t.Zone == g.r.Props.Zone {
-			near = append(near, t)
-		} else {
-			far = append(far, t)
-		}
-	}
-	ordered := make([]wire.Target, 0, 4)
-	for _, group := range [][]wire.Target{near, far} {
-		for len(group) > 0 && len(ordered) < 4 {
-			a, b := draw(group), draw(group)
-			if g.loadOf(service, group[b]) < g.loadOf(service, group[a]) {
-				a = b
-			}
-			ordered = append(ordered, group[a])
-			group[a] = group[len(group)-1]
-			group = group[:len(group)-1]
-		}
-	}
-	return ordered
-}
-
-func draw(group []wire.Target) int {
-	total := 0
-	for _, t := range group {
-		total += t.Weight
-	}
-	n := rand.IntN(total)
-	for i, t := range group {
-		if n -= t.Weight; n < 0 {
-			return i
-		}
-	}
-	return 0
-}
-
-func (g *Gate) loadOf(service string, t wire.Target) float64 {
-	return float64(g.counter(place(service, t.Instance, t.Address)).Load()) / float64(t.Weight)
-}
-
-func (g *Gate) counter(key string) *atomic.Int64 {
-	if found, ok := g.counters.Load(key); ok {
-		return found.(*atomic.Int64)
-	}
-	found, _ := g.counters.LoadOrStore(key, new(atomic.Int64))
-	return found.(*atomic.Int64)
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,10 +26,9 @@
 const (
 	smallBody = 64 << 10
 
-	// A little under the fifth and the sixty of the rule, for the repeats that
-	// come to another proxy before it was told of the first.
-	extraPercent = 19
-	extraBase    = 50
+	// targetsMost is how many targets one request is sent to, if its mapping names
+	// no number.
+	targetsMost = 4
 )
 
 // Gate is one proxy's.
@@ -40,35 +40,35 @@
 	budget   *Budget
 	orders   *Orders
 	counters sync.Map
+	isPlain  bool // answers bear an opaque seal, and nothing of ours is added
 	inflight atomic.Int64
 	isGoing  atomic.Bool
-	gossip   *gossip
-	kin      *kin.Kin
-	wire     *wire.Wire
-	settles  chan settled
-	bond     func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)
-	Outcomes sync.Map
+	// isLeaving is set while a stopping proxy still serves whoever comes.
+	isLeaving atomic.Bool
+	gossip    *gossip
+	kin       *kin.Kin
+	wire      *wire.Wire
+	settles   chan settled
+	bond      func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)
+	Outcomes  sync.Map
 }
 
 func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
-	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(), orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
-		t := newTable(chart, g.table.Load())
+		t := g.newTable(chart, g.table.Load())
 		g.table.Store(t)
 		g.budget.Fleet(len(chart.Shares))
 		g.pool.prune(func(at string) bool { return t.places[at] })
-		g.counters.Range(func(key, n any) bool {
-			if at := key.(string); n.(*atomic.Int64).Load() == 0 && !t.places[at] {
-				g.counters.Delete(key)
-			}
-			return true
-		})
 	})
 	return g
 }
 
+// Linger serves on, and has every connection closed after its next answer.
+func (g *Gate) Linger() { g.isLeaving.Store(true) }
+
 // Stop refuses what comes from now on.
 func (g *Gate) Stop() { g.isGoing.Store(true) }
 
@@ -81,8 +81,18 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := g.inflight.Add(1)
 	defer g.inflight.Add(-1)
-	id := mark.NewID()
-	w.Header().Set(HeaderRequest, id)
+	id := ""
+	if g.r.Props.GateIds == "caller" {
+		id = r.Header.Get(g.r.Props.HeaderRequest)
+	} else {
+		id = mark.NewID()
+	}
+	if id != "" {
+		w.Header().Set(g.r.Props.HeaderRequest, id)
+	}
+	if g.isLeaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	c, got, err := g.handle(w, r, id, n)
 	if err != nil {
 		g.refuse(w, orderOf(r), err)
@@ -104,7 +114,7 @@
 		return nil, nil, fault.New(fault.RequestTooLarge, "%d bytes", r.ContentLength)
 	}
 	c, err := g.course(r, id)
-	if c != nil {
+	if c != nil && !g.isPlain {
 		w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
 	}
 	if err != nil {
@@ -177,7 +187,7 @@
 	if _, ok := c.chart.Shares[g.r.Name]; !ok {
 		return fault.New(fault.Overload, "epoch %d does not name this proxy yet", c.chart.Epoch)
 	}
-	if !g.budget.MayLose(c.service.Name, bounds(c)) {
+	if !g.budget.MayLose(c.service.Name, g.bounds(c)) {
 		return fault.New(fault.Overload, "%s: orders were lost of which not all proxies know", c.service.Name)
 	}
 	return nil
@@ -196,8 +206,16 @@
 	return max(1, int64(whole)*int64(mine)/int64(total))
 }
 
-func bounds(c *course) Bounds {
-	b := Bounds{Percent: extraPercent, Base: extraBase}
+func (g *Gate) counter(key string) *atomic.Int64 {
+	if found, ok := g.counters.Load(key); ok {
+		return found.(*atomic.Int64)
+	}
+	found, _ := g.counters.LoadOrStore(key, new(atomic.Int64))
+	return found.(*atomic.Int64)
+}
+
+func (g *Gate) bounds(c *course) Bounds {
+	b := Bounds{Percent: g.r.Props.ExtraPercent, Base: g.r.Props.ExtraBase}
 	limit := c.chart.Limits[c.service.Name]
 	if limit.ExtraPercent != nil {
 		b.Percent = min(b.Percent, *limit.ExtraPercent)
@@ -208,33 +226,48 @@
 	return b
 }
 
-func (g *Gate) extra(c *course) bool { return g.budget.Extra(c.service.Name, bounds(c)) }
+func (g *Gate) extra(c *course) bool { return g.budget.Extra(c.service.Name, g.bounds(c)) }
 
-// carry tries the targets in order. A try that wrote nothing may be followed by
-// another; one that wrote may only if the request may be repeated.
+// carry tries targets until one answers. A try that ran nothing, as far as is
+// known for certain, may be followed by another; one that may have run something
+// only if the request may be repeated. Each target that a request was sent to,
+// beyond the first, is paid from the budget of extra tries.
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
 	ctx, end := context.WithDeadline(g.r, c.deadline)
 	defer end()
-	body, isWhole, err := g.body(r)
+	body, isWhole, err := g.body(c, r)
 	if err != nil {
 		return nil, err
 	}
+	most := targetsMost
+	if c.mapping.Tries > 0 {
+		most = c.mapping.Tries
+	}
 	var problem error
+	sent, misses := 0, 0
 	isWritten := false
-	for i, target := range c.targets {
-		if i > 0 && (!g.extra(c) || time.Now().After(c.deadline)) {
+	for sent < most && misses < targetsMost {
+		p := g.assign(c, r.ContentLength)
+		if p == nil || sent > 0 && (time.Now().After(c.deadline) || !g.extra(c)) {
 			break
 		}
-		got, wrote, err := g.try(ctx, c, r, target, body, i)
+		c.tried = append(c.tried, p)
+		got, wrote, err := g.try(ctx, c, r, p, body, sent)
 		if err == nil {
 			return got, nil
 		}
-		isWritten = isWritten || wrote
-		g.r.Sign.Say(sign.TryFailed, "request", c.id, "service", c.service.Name, "instance", target.Instance, "wrote", wrote, "cause", err.Error())
-		if !isWritten || wrote {
+		isRun := wrote && got == nil
+		isWritten = isWritten || isRun
+		if wrote {
+			sent++
+		} else {
+			misses++
+		}
+		g.r.Sign.Say(sign.TryFailed, "request", c.id, "service", c.service.Name, "instance", p.target.Instance, "wrote", wrote, "cause", err.Error())
+		if !isWritten || isRun {
 			problem = err
 		}
-		if wrote && (!c.isRepeatable || !isWhole) || fault.Is(err, fault.NotFresh) || fault.Is(err, fault.BodyCut) {
+		if isRun && !c.isRepeatable || wrote && !isWhole || fault.Is(err, fault.NotFresh) || fault.Is(err, fault.BodyCut) {
 			break
 		}
 	}
@@ -249,12 +282,20 @@
 	for name, values := range got.response.Header {
 		h[name] = values
 	}
+	for _, word := range strings.Split(got.response.Header.Get("Connection"), ",") {
+		h.Del(strings.TrimSpace(word))
+	}
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	h.Set(HeaderRequest, c.id)
-	h.Set(HeaderOutcome, "ran")
-	h.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+	if g.isLeaving.Load() {
+		h.Set("Connection", "close")
+	}
+	if !g.isPlain {
+		h.Set(g.r.Props.HeaderRequest, c.id)
+		h.Set(HeaderOutcome, "ran")
+		h.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+	}
 	if got.response.StatusCode != http.StatusNoContent && got.response.StatusCode != http.StatusNotModified && got.response.Request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(got.body)))
 	}
@@ -281,10 +322,12 @@
 	g.note(p.Code.Name)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderCode, strconv.Itoa(p.Code.No))
-	h.Set(HeaderOutcome, p.Code.Outcome)
+	if !g.isPlain {
+		h.Set(HeaderCode, strconv.Itoa(p.Code.No))
+		h.Set(HeaderOutcome, p.Code.Outcome)
+	}
 	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests || p.Code.Status == http.StatusConflict {
-		h.Set("Retry-After", strconv.Itoa(1+rand.IntN(3)))
+		h.Set("Retry-After", comeBack(g.r.Props.GateReturn))
 	}
 	status := p.Code.Status
 	if status == 499 {
@@ -293,3 +336,13 @@
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
 }
+
+// comeBack spreads the time to come back over one to three times the least, in
+// seconds; below a second it is told in fractions.
+func comeBack(least time.Duration) string {
+	if least >= time.Second {
+		return strconv.Itoa(int(least/time.Second) * (1 + rand.IntN(3)))
+	}
+	spread := least + time.Duration(rand.Int64N(int64(2*least)+1))
+	return strconv.FormatFloat(spread.Seconds(), 'f', 3, 64)
+}
--- a/internal/gate/orders.go
+++ b/internal/gate/orders.go
@@ -16,6 +16,9 @@
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 )
 
+// window is how long an order is remembered, three times over.
+const window = 10 * time.Second
+
 // What can be known of an order.
 const (
 	unheardOf = ""
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -11,6 +11,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +22,7 @@
 
 const (
 	idleMost = 64
-	idleTime = 20 * time.Second
+	surplus  = 3 // answers to other requests that are read past
 )
 
 var errTooLarge = errors.New("answer too large")
@@ -34,6 +36,9 @@
 type pipe struct {
 	conn  net.Conn
 	since time.Time
+	keep  time.Duration // how long it may idle
+	given time.Duration // the patience that the system was told
+	names string        // the header by which an answer names its request; none if empty
 
 	mu     sync.Mutex
 	asked  *http.Request
@@ -61,7 +66,7 @@
 			out <- answer{err: err}
 			return
 		}
-		got := read(reader, request, limit, more)
+		got := read(reader, request, limit, more, p.names)
 		isOver := got.err != nil || got.response.Close || reader.Buffered() > 0
 		p.mu.Lock()
 		p.asked = nil
@@ -74,10 +79,12 @@
 	}
 }
 
-func read(reader *bufio.Reader, request *http.Request, limit int, more chan struct{}) answer {
+// read takes the next answer. One that is whole but names another request is a
+// surplus one that came late; it belongs to nobody, and the next is awaited.
+func read(reader *bufio.Reader, request *http.Request, limit int, more chan struct{}, names string) answer {
 	tell := sync.OnceFunc(func() { close(more) })
 	defer tell()
-	for {
+	for past := 0; ; {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
 			return answer{err: err}
@@ -91,18 +98,62 @@
 			}
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+		body, err := whole(response, limit)
 		if err != nil {
 			return answer{err: err}
 		}
-		if len(body) > limit {
-			return answer{err: errTooLarge}
-		}
 		response.Body.Close()
+		if names != "" && response.Header.Get(names) != request.Header.Get(names) && past < surplus && !response.Close {
+			past++
+			continue
+		}
 		return answer{response: response, body: body}
 	}
 }
 
+// whole is the body of an answer, which must not be larger than the limit.
+func whole(response *http.Response, limit int) ([]byte, error) {
+	if n := response.ContentLength; n >= 0 {
+		if n > int64(limit) {
+			return nil, errTooLarge
+		}
+		if response.Request != nil && response.Request.Method == http.MethodHead {
+			return nil, nil
+		}
+		body := make([]byte, n)
+		_, err := io.ReadFull(response.Body, body)
+		if err == io.EOF && n == 0 {
+			err = nil
+		}
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = errTooLarge
+	}
+	return body, err
+}
+
+// giveUpAfter tells the system once how long sent bytes may stay unacknowledged.
+func (p *pipe) giveUpAfter(d time.Duration) {
+	if p.given != d {
+		p.given = d
+		giveUpAfter(p.conn, d)
+	}
+}
+
+// keepFor heeds what a target says of idle connections, a little early.
+func (p *pipe) keepFor(word string) {
+	_, text, ok := strings.Cut(word, "timeout=")
+	if !ok {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	if seconds, err := strconv.Atoi(strings.TrimSpace(text)); err == nil && seconds >= 0 && seconds < 86400 {
+		p.keep = min(p.keep, time.Duration(seconds)*time.Second*9/10)
+	}
+}
+
 func (p *pipe) kill() {
 	p.mu.Lock()
 	p.isDead = true
@@ -137,7 +188,7 @@
 	defer wakeup.Stop()
 	select {
 	case <-more:
-		giveUpAfter(p.conn, ackTimeStream)
+		p.giveUpAfter(ackTimeStream)
 		return nil
 	case <-wakeup.C:
 		return errors.New("the server did not take the head in time")
@@ -171,7 +222,7 @@
 		p := list[len(list)-1]
 		o.idle[at] = list[:len(list)-1]
 		o.mu.Unlock()
-		if p.isIdle() && time.Since(p.since) < idleTime {
+		if p.isIdle() && time.Since(p.since) < p.keep {
 			return p, nil
 		}
 		p.kill()
@@ -182,7 +233,10 @@
 	if err != nil {
 		return nil, fault.New(fault.NotWritten, "%s: %v", address, err)
 	}
-	p := &pipe{conn: conn}
+	p := &pipe{conn: conn, keep: o.r.Props.GateIdle}
+	if o.r.Props.GateSeal == "opaque" {
+		p.names = o.r.Props.HeaderRequest
+	}
 	o.r.Go(p.run)
 	return p, nil
 }
@@ -209,7 +263,7 @@
 	for at, list := range o.idle {
 		kept := list[:0]
 		for _, p := range list {
-			if isIn(at) && p.isIdle() && time.Since(p.since) < idleTime {
+			if isIn(at) && p.isIdle() && time.Since(p.since) < p.keep {
 				kept = append(kept, p)
 			} else {
 				p.kill()
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"reflect"
 	"strconv"
 	"strings"
@@ -20,19 +21,38 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-// body reads small bodies, so that they can be sent again; others stream.
-func (g *Gate) body(r *http.Request) (func() io.Reader, bool, error) {
+// body reads small bodies, so that they can be sent again; others stream. Where
+// targets can't be asked whether they want a body, it is read whole in any case.
+func (g *Gate) body(c *course, r *http.Request) (func() io.Reader, bool, error) {
+	most := int64(g.r.Props.GateRequest)
+	if manners := c.chart.Manners; manners != nil && manners.Body > 0 {
+		most = min(most, manners.Body)
+	}
+	if r.ContentLength > most {
+		return nil, false, fault.New(fault.RequestTooLarge, "%d bytes", r.ContentLength)
+	}
 	if r.ContentLength == 0 {
 		return func() io.Reader { return nil }, true, nil
 	}
-	if r.ContentLength > 0 && r.ContentLength <= smallBody {
+	if r.ContentLength > 0 && (r.ContentLength <= smallBody || g.isPlain) {
 		whole := make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, whole); err != nil {
 			return nil, false, fault.New(fault.BadRequest, "the body ended early; nothing was handed over")
 		}
 		return func() io.Reader { return bytes.NewReader(whole) }, true, nil
 	}
-	stream := &streamed{from: r.Body, left: int64(g.r.Props.GateRequest)}
+	if g.isPlain {
+		whole, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+		if err != nil {
+			return nil, false, fault.New(fault.BadRequest, "the body ended early; nothing was handed over")
+		}
+		if int64(len(whole)) > most {
+			return nil, false, fault.New(fault.RequestTooLarge, "over %d bytes", most)
+		}
+		r.ContentLength = int64(len(whole))
+		return func() io.Reader { return bytes.NewReader(whole) }, true, nil
+	}
+	stream := &streamed{from: r.Body, left: most}
 	return func() io.Reader { return stream }, false, nil
 }
 
@@ -62,14 +82,16 @@
 	return n, err
 }
 
-// try is one write of the request to one target, at most.
-func (g *Gate) try(ctx context.Context, c *course, r *http.Request, target wire.Target, body func() io.Reader, no int) (*answer, bool, error) {
-	at := place(c.service.Name, target.Instance, target.Address)
-	under := g.counter(at)
-	under.Add(1)
-	defer under.Add(-1)
-	p, err := g.pool.get(ctx, at, target.Address)
+// try is one write of the request to one target, at most. An answer beside a
+// problem is a target's word that it did not run the request.
+func (g *Gate) try(ctx context.Context, c *course, r *http.Request, to *post, body func() io.Reader, no int) (*answer, bool, error) {
+	began := time.Now()
+	to.begin(began)
+	defer to.end()
+	target := to.target
+	p, err := g.pool.get(ctx, to.at, target.Address)
 	if err != nil {
+		to.strike(time.Now(), true)
 		return nil, false, err
 	}
 	request := g.request(c, r, target, body(), no)
@@ -77,53 +99,81 @@
 	if !ok {
 		return nil, false, fault.New(fault.NotWritten, "%s: the pipe died", target.Address)
 	}
-	if t := g.table.Load(); !t.places[at] || !g.flow.IsFresh(t.chart, c.service.Name) {
+	if t := g.table.Load(); !t.places[to.at] || !g.flow.IsFresh(t.chart, c.service.Name) {
 		p.kill()
 		return nil, false, fault.New(fault.NotFresh, "epoch %d", t.chart.Epoch)
 	}
 	if t := g.table.Load(); t.chart != c.chart {
-		if m := t.find(r); m == nil || !reflect.DeepEqual(m, c.mapping) {
+		if m := t.find(r); m == nil || m != c.mapping && !reflect.DeepEqual(m, c.mapping) {
 			p.kill()
 			return nil, false, fault.New(fault.NotFresh, "the mapping changed in epoch %d", t.chart.Epoch)
 		}
 	}
 	p.conn.SetDeadline(c.deadline)
-	giveUpAfter(p.conn, ackTime)
-	g.budget.Seen(c.service.Name, bounds(c), c.key, c.isRepeat || no > 0)
+	p.giveUpAfter(ackTime)
+	g.budget.Seen(c.service.Name, g.bounds(c), c.key, c.isRepeat || no > 0)
 	counted := &counted{to: p.conn}
+	sent := time.Now()
 	if err := g.write(ctx, p, request, counted); err != nil {
 		select {
 		case got := <-out:
 			// The server answered before it had read everything.
 			if got.err == nil && g.verify(c, target, &got) == nil {
 				p.kill()
-				return &got, true, nil
+				return g.judge(c, to, &got, sent)
 			}
 		default:
 		}
 		p.kill()
+		to.strike(time.Now(), true)
 		return nil, counted.n > 0 || request.ContentLength != 0, broken(request, counted.n, err)
 	}
 	select {
 	case got := <-out:
 		if got.err != nil {
 			p.kill()
+			to.strike(time.Now(), false)
 			return nil, true, lost(&got, target.Instance)
 		}
 		if err := g.verify(c, target, &got); err != nil {
 			p.kill()
+			to.strike(time.Now(), false)
 			return nil, true, err
 		}
 		g.count(target, counted.n+len(got.body))
 		p.conn.SetDeadline(time.Time{})
-		g.pool.put(at, p)
-		return &got, true, nil
+		p.keepFor(got.response.Header.Get("Keep-Alive"))
+		g.pool.put(to.at, p)
+		return g.judge(c, to, &got, sent)
 	case <-ctx.Done():
 		p.kill()
+		to.strike(time.Now(), false)
 		return nil, true, fault.New(fault.DeadlinePassed, "%s", target.Instance)
 	}
 }
 
+// judge tells an answer that ran from a target's word that nothing did.
+func (g *Gate) judge(c *course, to *post, got *answer, sent time.Time) (*answer, bool, error) {
+	now, h := time.Now(), got.response.Header
+	status := got.response.StatusCode
+	isUnrun := h.Get(g.r.Props.HeaderUnrun) != "" && status >= 400
+	isElsewhere := status == http.StatusMisdirectedRequest && g.isPlain
+	took := now.Sub(sent)
+	to.answered(now, took, !isUnrun && !isElsewhere, h.Get(g.r.Props.HeaderWeight))
+	switch {
+	case isElsewhere:
+		to.bar()
+		return got, true, fault.New(fault.TargetRefused, "%s: another instance has the address", to.target.Instance)
+	case isUnrun:
+		to.isFull(now, c.crew.typical())
+		return got, true, fault.New(fault.TargetRefused, "%s: %d", to.target.Instance, status)
+	}
+	if status < 500 {
+		c.crew.learn(took)
+	}
+	return got, true, nil
+}
+
 // write writes the request, once. A body that streams follows its head only when
 // the server has said that it wants it (100 Continue): a head that a cut holds back
 // is given up within the short patience, and without its body nothing runs.
@@ -211,22 +261,41 @@
 			out.Header.Del(name)
 		}
 	}
-	out.Header.Set(HeaderRequest, c.id)
-	out.Header.Set(HeaderTry, strconv.Itoa(no+1))
-	out.Header.Set(HeaderService, c.service.Name)
-	out.Header.Set(HeaderInstance, target.Instance)
-	out.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
-	out.Header.Set(HeaderProxy, string(g.r.Name))
+	if g.isPlain {
+		out.URL = &url.URL{Opaque: r.RequestURI, Host: r.Host}
+		if out.Header.Get("User-Agent") == "" {
+			out.Header["User-Agent"] = []string{""}
+		}
+	} else {
+		out.Header.Set(g.r.Props.HeaderRequest, c.id)
+		out.Header.Set(HeaderTry, strconv.Itoa(no+1))
+		out.Header.Set(HeaderService, c.service.Name)
+		out.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
+		out.Header.Set(HeaderProxy, string(g.r.Name))
+	}
+	if left := time.Until(c.deadline).Milliseconds(); g.isPlain || r.Header.Get(g.r.Props.HeaderDeadline) != "" {
+		out.Header.Set(g.r.Props.HeaderDeadline, strconv.FormatInt(max(left, 0), 10))
+	}
+	out.Header.Set(g.r.Props.HeaderExpect, target.Instance)
 	if body != nil {
 		out.Body = wrapped{body}
 	}
 	return out
 }
 
-// verify holds an answer against the server's seal.
+// verify holds an answer against the server's seal. An opaque one can only be
+// seen to be there; then the answer must name its request, and its length.
 func (g *Gate) verify(c *course, target wire.Target, got *answer) error {
 	h := got.response.Header
-	if !IsSealed(h.Get(HeaderSeal), c.service.Key, c.id, c.service.Name, target.Instance, got.response.StatusCode, got.body) {
+	seal := h.Get(g.r.Props.HeaderSeal)
+	isSealed := false
+	if g.isPlain {
+		isSuccess := got.response.StatusCode < 300
+		isSealed = h.Get(g.r.Props.HeaderRequest) == c.id && (!isSuccess || seal != "") && (got.response.ContentLength >= 0 || len(got.response.TransferEncoding) > 0)
+	} else {
+		isSealed = IsSealed(seal, c.service.Key, c.id, c.service.Name, target.Instance, got.response.StatusCode, got.body)
+	}
+	if !isSealed {
 		g.r.Sign.Say(sign.SealRefused, "request", c.id, "service", c.service.Name, "instance", target.Instance, "address", target.Address, "status", got.response.StatusCode)
 		return fault.New(fault.SealBroken, "%s", target.Instance)
 	}
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -51,6 +51,7 @@
 	zones   atomic.Pointer[map[string]string]
 
 	isPresenting atomic.Bool
+	seeds        atomic.Pointer[[]string]
 }
 
 // Standing is a member and since when it stands as it does.
@@ -63,6 +64,7 @@
 	me.Incarnation, me.State = 1, Alive
 	k := &Kin{r: r, w: w, me: me, members: map[mark.Name]*known{}, acks: map[uint64]chan struct{}{}}
 	k.publish()
+	k.Reseed(r.Props.Seeds)
 	w.Handle("kin.sync", func(c *wire.Call) (any, error) {
 		var ask wire.KinSync
 		if err := c.Read(&ask); err != nil {
@@ -88,6 +90,9 @@
 	return nil
 }
 
+// Reseed takes other seeds into use, as the settings may change while a node runs.
+func (k *Kin) Reseed(seeds []string) { k.seeds.Store(&seeds) }
+
 func hostOf(address string) string {
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		return host
@@ -284,8 +289,9 @@
 	isIn := false
 	for {
 		var addresses []string
+		seeds := *k.seeds.Load()
 		if !isIn {
-			addresses = k.r.Props.Seeds
+			addresses = seeds
 		} else {
 			for name, s := range k.View() {
 				if name != k.r.Name && rank(s.State) < 2 {
@@ -299,8 +305,8 @@
 			if lost := k.lost(); len(lost) > 0 {
 				addresses = append(addresses, lost[rand.IntN(len(lost))])
 			}
-			if len(k.r.Props.Seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
-				addresses = append(addresses, k.r.Props.Seeds[rand.IntN(len(k.r.Props.Seeds))])
+			if len(seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
+				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
 		for _, address := range addresses {
--- a/internal/pact/found.go
+++ b/internal/pact/found.go
@@ -188,7 +188,7 @@
 	for _, t := range p.parts {
 		t.mu.Lock()
 		if t.base.Index == 0 && len(t.base.Group) == 0 {
-			t.base.Group = Placement(t.no, charter.Members)
+			t.base.Group = Placement(t.no, charter.Members, t.p.r.Props.PactLosses)
 			t.regroup()
 		}
 		t.since = t.p.r.Now()
--- a/internal/pact/group.go
+++ b/internal/pact/group.go
@@ -67,7 +67,7 @@
 		if t.teach(*spare) {
 			t.regroupTo(without(group, *lost))
 		}
-	case lost == nil && spare != nil && len(group) < Size(t.no, len(cores)):
+	case lost == nil && spare != nil && len(group) < Size(t.no, len(cores), t.p.r.Props.PactLosses):
 		if t.teach(*spare) {
 			t.regroupTo(append(append([]wire.Peer(nil), group...), *spare))
 		}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -283,14 +283,14 @@
 }
 
 // Placement picks the group of a part: spread over zones first, then by order.
-func Placement(no mark.Part, members []wire.Member) []wire.Peer {
+func Placement(no mark.Part, members []wire.Member, losses int) []wire.Peer {
 	var all []wire.Peer
 	zones := map[mark.Name]string{}
 	for _, m := range members {
 		all = append(all, wire.Peer{Name: m.Name, Birth: m.Birth})
 		zones[m.Name] = m.Zone
 	}
-	size := Size(no, len(all))
+	size := Size(no, len(all), losses)
 	var group []wire.Peer
 	used := map[string]int{}
 	order := Order(no, all)
@@ -308,15 +308,12 @@
 // Size is how many members a part has in a fleet of so many core nodes. It is
 // odd where it can be: a fourth member would have to be heard for a majority
 // and would leave nobody to take a lost one's place.
-func Size(no mark.Part, cores int) int {
-	size := 3
+func Size(no mark.Part, cores, losses int) int {
+	size := 2*losses + 1
 	if no == mark.Config && cores >= 5 {
-		size = 5
+		size = max(size, 5)
 	}
-	if size > cores {
-		size = cores
-	}
-	return size
+	return min(size, cores)
 }
 
 func holds(group []wire.Peer, peer wire.Peer) bool {
--- a/internal/plan/check.go
+++ b/internal/plan/check.go
@@ -32,20 +32,23 @@
 	next.Mappings = lay(config.Mappings, change.Put.Mappings, change.Drop.Mappings, func(m wire.Mapping) string { return m.Name }, "mappings", fail)
 	next.Services = lay(config.Services, change.Put.Services, change.Drop.Services, func(s wire.Service) string { return s.Name }, "services", fail)
 	next.Limits = lay(config.Limits, change.Put.Limits, change.Drop.Limits, func(l wire.Limit) string { return l.Service }, "limits", fail)
+	next.Manners = config.Manners
+	if change.Put.Manners != nil {
+		next.Manners = change.Put.Manners
+	}
 	sortConfig(&next)
 	checkConfig(&next, fail)
 	return next, paths
 }
 
 func lay[T any](old, put []T, drop []string, name func(T) string, kind string, fail func(string, ...any)) []T {
-	gone := map[string]bool{}
+	there, gone := map[string]bool{}, map[string]bool{}
+	for _, item := range old {
+		there[name(item)] = true
+	}
 	for i, d := range drop {
 		gone[d] = true
-		isThere := false
-		for _, item := range old {
-			isThere = isThere || name(item) == d
-		}
-		if !isThere {
+		if !there[d] {
 			fail("drop.%s.%d: there is no %q", kind, i, d)
 		}
 	}
@@ -80,6 +83,9 @@
 		if s.Name == "" || strings.ContainsAny(s.Name, "/ \t\r\n") || len(s.Name) > 128 {
 			fail("services.%s.name: is empty, too long, or holds a slash or a space", s.Name)
 		}
+		if s.Pipes < 0 {
+			fail("services.%s.pipes: is below zero", s.Name)
+		}
 		services[s.Name] = true
 	}
 	taken := map[string]string{}
@@ -110,6 +116,17 @@
 		if m.Deadline < 0 || m.Deadline > 600_000 {
 			fail("%s.deadline: is outside 0 to 600000 ms", at)
 		}
+		if m.Aim < 0 || m.Aim > 600_000 {
+			fail("%s.aim: is outside 0 to 600000 ms", at)
+		} else if m.Aim > 0 && m.Deadline > 0 && m.Aim >= m.Deadline+60_000 {
+			fail("%s.aim: is a minute or more above the deadline", at)
+		}
+		if m.Priority < 0 || m.Priority > 100 {
+			fail("%s.priority: is outside 0 to 100", at)
+		}
+		if m.Tries < 0 || m.Tries > 16 {
+			fail("%s.tries: is outside 0 to 16", at)
+		}
 		if m.Once != nil && *m.Once && m.Repeatable {
 			fail("%s.once: makes no sense for a repeatable mapping", at)
 		}
@@ -142,4 +159,23 @@
 			fail("limits.%s.extra_base: is outside 0 to 60", l.Service)
 		}
 	}
+	checkManners(c.Manners, fail)
+}
+
+func checkManners(m *wire.Manners, fail func(string, ...any)) {
+	if m == nil {
+		return
+	}
+	if m.Header != 0 && (m.Header < 1<<10 || m.Header > 1<<20) {
+		fail("manners.header: is neither 0 nor within 1024 to 1048576")
+	}
+	if m.Body < 0 {
+		fail("manners.body: is below zero")
+	}
+	if m.HeaderTime < 0 || m.HeaderTime > 600_000 {
+		fail("manners.header_time: is outside 0 to 600000 ms")
+	}
+	if m.IdleTime < 0 || m.IdleTime > 600_000 {
+		fail("manners.idle_time: is outside 0 to 600000 ms")
+	}
 }
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -10,8 +10,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"sort"
-	"strings"
 	"sync"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
@@ -24,6 +22,7 @@
 	Services = "services"
 	Limits   = "limits"
 	Shares   = "shares"
+	Manners  = "manners"
 	Targets  = "targets/"
 
 	routeBuckets = 16
@@ -40,6 +39,7 @@
 type Sheet struct {
 	Epoch   mark.Epoch
 	Changed mark.Epoch
+	Version mark.Version
 	Groups  map[string]wire.Group
 	Changes []wire.ChangeReceipt
 }
@@ -71,7 +71,7 @@
 		l.mu.Unlock()
 		return false
 	}
-	sheet := &Sheet{Epoch: planned.Epoch, Changed: old.Changed, Groups: maps.Clone(old.Groups), Changes: old.Changes}
+	sheet := &Sheet{Epoch: planned.Epoch, Changed: old.Changed, Version: old.Version, Groups: maps.Clone(old.Groups), Changes: old.Changes}
 	for name, data := range planned.Put {
 		sheet.Groups[name] = wire.Group{Digest: Digest(data), Stamp: mark.Stamp(planned.Epoch), Data: data}
 	}
@@ -80,6 +80,9 @@
 	}
 	if planned.Change != nil {
 		sheet.Changed = planned.Epoch
+		if planned.Change.Version > 0 {
+			sheet.Version = planned.Change.Version
+		}
 		changes := append([]wire.ChangeReceipt(nil), old.Changes...)
 		if len(changes) >= changesKept {
 			changes = changes[1:]
@@ -103,7 +106,7 @@
 
 func (l *Ledger) Dump() (json.RawMessage, error) {
 	s := l.Sheet()
-	return json.Marshal(wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Groups: s.Groups, Changes: s.Changes})
+	return json.Marshal(wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Version: s.Version, Groups: s.Groups, Changes: s.Changes})
 }
 
 func (l *Ledger) Load(raw json.RawMessage) error {
@@ -115,72 +118,7 @@
 		state.Groups = map[string]wire.Group{}
 	}
 	l.mu.Lock()
-	l.sheet = &Sheet{Epoch: state.Epoch, Changed: state.Changed, Groups: state.Groups, Changes: state.Changes}
+	l.sheet = &Sheet{Epoch: state.Epoch, Changed: state.Changed, Version: state.Version, Groups: state.Groups, Changes: state.Changes}
 	l.mu.Unlock()
 	return nil
 }
-
-// Find is the receipt of an accepted change set.
-func (s *Sheet) Find(id string) (wire.ChangeReceipt, bool) {
-	for i := len(s.Changes) - 1; i >= 0; i-- {
-		if s.Changes[i].Id == id {
-			return s.Changes[i], true
-		}
-	}
-	return wire.ChangeReceipt{}, false
-}
-
-// Has tells whether there is a service of that name.
-func (s *Sheet) Has(service string) bool {
-	_, ok := s.Groups[Targets+service]
-	return ok
-}
-
-// Manifest names every group of the epoch with its digest and stamp.
-func (s *Sheet) Manifest() map[string]wire.Held {
-	manifest := make(map[string]wire.Held, len(s.Groups))
-	for name, group := range s.Groups {
-		manifest[name] = wire.Held{Digest: group.Digest, Stamp: group.Stamp}
-	}
-	return manifest
-}
-
-// Config is the operators' part of the epoch.
-func (s *Sheet) Config() (config wire.Config) {
-	for name, group := range s.Groups {
-		if strings.HasPrefix(name, Routes) {
-			var some []wire.Mapping
-			json.Unmarshal(group.Data, &some)
-			config.Mappings = append(config.Mappings, some...)
-		}
-	}
-	sort.Slice(config.Mappings, func(i, j int) bool { return config.Mappings[i].Name < config.Mappings[j].Name })
-	json.Unmarshal(s.Groups[Services].Data, &config.Services)
-	json.Unmarshal(s.Groups[Limits].Data, &config.Limits)
-	return config
-}
-
-// View is the epoch as operators see it.
-func (s *Sheet) View() *wire.EpochView {
-	view := &wire.EpochView{Epoch: s.Epoch, Changed: s.Changed, Manifest: s.Manifest(), Config: s.Config(), Targets: map[string][]wire.Target{}, Shares: map[mark.Name]int{}}
-	for name, group := range s.Groups {
-		if service, ok := strings.CutPrefix(name, Targets); ok {
-			var list []wire.Target
-			json.Unmarshal(group.Data, &list)
-			view.Targets[service] = list
-		}
-	}
-	json.Unmarshal(s.Groups[Shares].Data, &view.Shares)
-	for i := range view.Config.Services {
-		if view.Config.Services[i].Key != "" {
-			view.Config.Services[i].Key = "(kept secret)"
-		}
-	}
-	return view
-}
-
-func sortConfig(c *wire.Config) {
-	sort.Slice(c.Mappings, func(i, j int) bool { return c.Mappings[i].Name < c.Mappings[j].Name })
-	sort.Slice(c.Services, func(i, j int) bool { return c.Services[i].Name < c.Services[j].Name })
-	sort.Slice(c.Limits, func(i, j int) bool { return c.Limits[i].Service < c.Limits[j].Service })
-}
--- /dev/null
+++ b/internal/plan/ledger_test.go
@@ -0,0 +1,134 @@
+// The ledger keeps the operators' version and text; proxies get neither.
+package plan
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// commit lays a change set over a ledger and applies the epoch.
+func commit(t *testing.T, l *Ledger, change *wire.Change) *Sheet {
+	t.Helper()
+	sheet := l.Sheet()
+	config, paths := Lay(sheet.Config(), change)
+	if len(paths) > 0 {
+		t.Fatal(paths)
+	}
+	planned := &wire.Planned{Epoch: sheet.Epoch + 1, Put: map[string]json.RawMessage{}, Change: &wire.ChangeReceipt{Id: change.Id, Epoch: sheet.Epoch + 1, Version: change.Version}}
+	differ(planned, sheet, groupsOf(config))
+	raw, err := json.Marshal(planned)
+	if err != nil || l.Apply(mark.Stamp(planned.Epoch), raw) != true {
+		t.Fatal("not applied", err)
+	}
+	return l.Sheet()
+}
+
+func mappingFrom(name, source string) wire.Mapping {
+	return wire.Mapping{Name: name, Path: "/" + name, To: []wire.Split{{Service: "s", Weight: 1}}, Source: json.RawMessage(source)}
+}
+
+func sourcesOf(s *Sheet) map[string]string {
+	texts := map[string]string{}
+	c := s.Config()
+	for _, m := range c.Mappings {
+		texts["mappings/"+m.Name] = string(m.Source)
+	}
+	for _, s := range c.Services {
+		texts["services/"+s.Name] = string(s.Source)
+	}
+	if c.Manners != nil {
+		texts["manners"] = string(c.Manners.Source)
+	}
+	return texts
+}
+
+func wantSources(t *testing.T, s *Sheet, want map[string]string) {
+	t.Helper()
+	if got := sourcesOf(s); !reflect.DeepEqual(got, want) {
+		t.Errorf("sources %v, want %v", got, want)
+	}
+	kept := 0
+	for _, text := range want {
+		if text != "" {
+			kept++
+		}
+	}
+	if got := len(s.sources()); got != kept {
+		t.Errorf("%d texts are kept, want %d", got, kept)
+	}
+	for name := range s.Manifest() {
+		if strings.HasPrefix(name, Sources) {
+			t.Errorf("the manifest has %s", name)
+		}
+	}
+	for name := range s.Groups {
+		group, ok := s.Carried(name)
+		if ok == strings.HasPrefix(name, Sources) || ok && strings.Contains(string(group.Data), "source") {
+			t.Errorf("%s is carried: %v %s", name, ok, group.Data)
+		}
+	}
+	if raw, _ := json.Marshal(s.View()); strings.Contains(string(raw), `"source"`) {
+		t.Errorf("the view shows a source: %s", raw)
+	}
+}
+
+func TestSourcesComeBackAndAreNotCarried(t *testing.T) {
+	l := NewLedger()
+	put := wire.Config{
+		Mappings: []wire.Mapping{mappingFrom("a", `{"x":1}`), mappingFrom("b", `{"x":2}`), mappingFrom("c", "")},
+		Services: []wire.Service{{Name: "s", Source: json.RawMessage(`{"y":1}`)}, {Name: "t"}},
+		Manners:  &wire.Manners{Body: 1, Source: json.RawMessage(`{"z":1}`)},
+	}
+	want := map[string]string{"mappings/a": `{"x":1}`, "mappings/b": `{"x":2}`, "mappings/c": "", "services/s": `{"y":1}`, "services/t": "", "manners": `{"z":1}`}
+	sheet := commit(t, l, &wire.Change{Id: "1", Put: put})
+	wantSources(t, sheet, want)
+	if string(put.Mappings[0].Source) == "" || string(put.Manners.Source) == "" {
+		t.Error("the change set itself was written to")
+	}
+	sheet = commit(t, l, &wire.Change{Id: "2", Put: wire.Config{Mappings: []wire.Mapping{mappingFrom("a", `{"x":9}`)}}})
+	want["mappings/a"] = `{"x":9}`
+	wantSources(t, sheet, want)
+	sheet = commit(t, l, &wire.Change{Id: "3", Put: wire.Config{Mappings: []wire.Mapping{mappingFrom("a", "")}}, Drop: wire.Drops{Mappings: []string{"b"}}})
+	want["mappings/a"] = ""
+	delete(want, "mappings/b")
+	wantSources(t, sheet, want)
+	other := NewLedger()
+	raw, err := l.Dump()
+	if err != nil || other.Load(raw) != nil {
+		t.Fatal(err)
+	}
+	wantSources(t, other.Sheet(), want)
+	sheet = commit(t, l, &wire.Change{Id: "4", Whole: true, Put: wire.Config{Services: []wire.Service{{Name: "s"}}}})
+	wantSources(t, sheet, map[string]string{"services/s": ""})
+	for name := range sheet.Groups {
+		if strings.HasPrefix(name, Sources) || name == Manners {
+			t.Errorf("%s is left", name)
+		}
+	}
+}
+
+func TestTheVersionIsKept(t *testing.T) {
+	l := NewLedger()
+	for i, c := range []struct{ sent, want mark.Version }{{0, 0}, {3, 3}, {0, 3}, {8, 8}} {
+		if got := commit(t, l, &wire.Change{Id: string(rune('a' + i)), Version: c.sent}).Version; got != c.want {
+			t.Errorf("%d: version %d, want %d", i, got, c.want)
+		}
+	}
+	raw, _ := l.Dump()
+	head, _ := l.Range(headRange)
+	loaded, mended := NewLedger(), NewLedger()
+	if loaded.Load(raw) != nil || mended.Mend(headRange, head) != nil {
+		t.Fatal("not taken")
+	}
+	if loaded.Sheet().Version != 8 || mended.Sheet().Version != 8 {
+		t.Errorf("loaded %d, mended %d", loaded.Sheet().Version, mended.Sheet().Version)
+	}
+	if loaded.Digests()[headRange] != l.Digests()[headRange] {
+		t.Error("the heads differ")
+	}
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -9,7 +9,6 @@
 	"context"
 	"encoding/json"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -41,13 +40,15 @@
 	mu       sync.Mutex
 	term     mark.Term
 	news     map[mark.Part]*news
+	elders   map[mark.Part]map[string]bool
 	reflects map[mark.Part]time.Time
-	clashes  map[string]bool
+	settled  *Sheet
+	clashes  map[clash]bool
 	zero     time.Time
 }
 
 func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *Ledger) *Planner {
-	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[string]bool{}, zero: r.Now(), planning: realm.NewTurn()}
+	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[clash]bool{}, zero: r.Now(), planning: realm.NewTurn()}
 	l.reset(mark.Term{})
 	return l
 }
@@ -55,6 +56,7 @@
 func (l *Planner) reset(term mark.Term) {
 	l.term = term
 	l.news, l.reflects = map[mark.Part]*news{}, map[mark.Part]time.Time{}
+	l.elders, l.settled = map[mark.Part]map[string]bool{}, nil
 }
 
 // Open starts the planner's task.
@@ -125,22 +127,27 @@
 		if old != nil && p.Term.Less(old.Term) {
 			continue
 		}
-		if p.Lists == nil {
-			if old == nil || old.Digest != p.Digest {
-				continue
-			}
-			p.Lists = old.Lists
-		} else {
-			for _, list := range p.Lists {
-				for i := range list {
-					list[i].Since = sent.Sub(l.zero).Microseconds() - list[i].Since
-				}
-			}
+		if p.Lists == nil && (old == nil || old.Digest != p.Digest) {
+			continue
 		}
 		asOf := sent.Add(-time.Duration(p.Age) * time.Microsecond)
 		if old != nil && old.Term == p.Term && asOf.Before(old.asOf) {
 			continue
 		}
+		if old == nil || old.Term != p.Term {
+			l.elders[p.Part] = nil
+			if p.Young {
+				l.elders[p.Part] = elders(l.ledger.Sheet(), p.Part)
+			}
+		}
+		if p.Lists != nil || old.Young != p.Young {
+			l.settled = nil
+		}
+		if p.Lists == nil {
+			p.Lists = old.Lists
+		} else {
+			date(&p, sent.Sub(l.zero).Microseconds(), l.elders[p.Part])
+		}
 		l.news[p.Part] = &news{PartNews: p, asOf: asOf, got: sent}
 	}
 }
@@ -164,20 +171,15 @@
 	for no, n := range l.news {
 		asOf[no] = n.asOf
 	}
-	want := l.want(sheet, config)
-	l.mu.Unlock()
+	shares := l.shares()
 	planned := &wire.Planned{Epoch: sheet.Epoch + 1, Change: change, Put: map[string]json.RawMessage{}}
-	for name, data := range want {
-		if old, ok := sheet.Groups[name]; !ok || !bytes.Equal(old.Data, data) {
-			planned.Put[name] = data
-		}
-	}
-	for name := range sheet.Groups {
-		if _, ok := want[name]; !ok {
-			planned.Drop = append(planned.Drop, name)
+	if change != nil || l.settled != sheet || !bytes.Equal(sheet.Groups[Shares].Data, shares) {
+		differ(planned, sheet, l.want(sheet, config, shares))
+		if len(planned.Put)+len(planned.Drop) == 0 {
+			l.settled = sheet
 		}
 	}
-	sort.Strings(planned.Drop)
+	l.mu.Unlock()
 	if change != nil {
 		change.Epoch = planned.Epoch
 	}
@@ -202,189 +204,64 @@
 	return nil
 }
 
+// differ puts into an epoch what is wanted and isn't in the one in force.
+func differ(planned *wire.Planned, sheet *Sheet, want map[string]json.RawMessage) {
+	for name, data := range want {
+		if old, ok := sheet.Groups[name]; !ok || !bytes.Equal(old.Data, data) {
+			planned.Put[name] = data
+		}
+	}
+	for name := range sheet.Groups {
+		if _, ok := want[name]; !ok {
+			planned.Drop = append(planned.Drop, name)
+		}
+	}
+	sort.Strings(planned.Drop)
+}
+
+// shares is the strength of every proxy that is there.
+func (l *Planner) shares() json.RawMessage {
+	shares := map[mark.Name]int{}
+	for name, m := range l.k.View() {
+		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect) {
+			shares[name] = m.Strength
+		}
+	}
+	raw, _ := json.Marshal(shares)
+	return raw
+}
+
 // want is what every group of the next epoch should hold. Without a change set
 // the operators' groups are taken over as they are.
-func (l *Planner) want(sheet *Sheet, config *wire.Config) map[string]json.RawMessage {
+func (l *Planner) want(sheet *Sheet, config *wire.Config, shares json.RawMessage) map[string]json.RawMessage {
 	want := map[string]json.RawMessage{}
-	put := func(name string, value any) { want[name], _ = json.Marshal(value) }
 	var services []wire.Service
 	if config == nil {
 		for name, group := range sheet.Groups {
-			if name == Services || name == Limits || strings.HasPrefix(name, Routes) {
+			if isOperators(name) {
 				want[name] = group.Data
 			}
 		}
 		json.Unmarshal(want[Services], &services)
 	} else {
 		services = config.Services
-		put(Services, orEmpty(config.Services))
-		put(Limits, orEmpty(config.Limits))
-		buckets := map[string][]wire.Mapping{}
-		for _, m := range config.Mappings {
-			buckets[bucket(m.Name)] = append(buckets[bucket(m.Name)], m)
-		}
-		for name, some := range buckets {
-			put(name, some)
-		}
+		want = groupsOf(*config)
 	}
-	shares := map[mark.Name]int{}
-	for name, m := range l.k.View() {
-		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect) {
-			shares[name] = m.Strength
+	want[Shares] = shares
+	targets, clashes := settle(sheet, services, l.news)
+	for _, c := range clashes {
+		if !l.clashes[c] {
+			l.clashes[c] = true
+			l.r.Sign.Say(sign.AddressClash, "address", c.address, "one", c.one, "two", c.two)
 		}
 	}
-	put(Shares, shares)
-	lists, owners := l.settleAddresses(sheet)
 	for _, s := range services {
-		no := mark.PartOf(s.Name)
-		list := lists[s.Name]
-		if l.news[no] == nil {
-			if old, ok := sheet.Groups[Targets+s.Name]; ok {
-				want[Targets+s.Name] = old.Data
-				continue
-			}
-		}
-		kept := []wire.Target{}
-		for _, t := range list {
-			if owners[t.Address] == s.Name+"/"+t.Instance {
-				kept = append(kept, wire.Target{Instance: t.Instance, Address: t.Address, Zone: t.Zone, Weight: t.Weight})
-			}
-		}
-		put(Targets+s.Name, kept)
-	}
-	return want
-}
-
-// settleAddresses gives each address to one instance. The newest claim stands
-// and older ones go out in the same epoch; an address that another service
-// holds in the epoch in force comes in only once that epoch is past.
-func (l *Planner) settleAddresses(sheet *Sheet) (map[string][]wire.Listed, map[string]string) {
-	lists := map[string][]wire.Listed{}
-	owners, newest := map[string]string{}, map[string]int64{}
-	services := map[string]string{}
-	for _, n := range l.news {
-		for service, list := range n.Lists {
-			for _, t := range list {
-				since := t.Since
-				if t.Out == "" {
-					lists[service] = append(lists[service], t)
-				}
-				if t.Out == "silent" || t.Out == Leaving {
-					continue
-				}
-				id := service + "/" + t.Instance
-				if other, ok := owners[t.Address]; ok {
-					if clash := t.Address + " " + min(other, id) + " " + max(other, id); !l.clashes[clash] {
-						l.clashes[clash] = true
-						l.r.Sign.Say(sign.AddressClash, "address", t.Address, "one", other, "two", id)
-					}
-					if newest[t.Address] > since || newest[t.Address] == since && other > id {
-						continue
-					}
-				}
-				owners[t.Address], newest[t.Address], services[t.Address] = id, since, service
-			}
-		}
-	}
-	for name, group := range sheet.Groups {
-		if len(name) <= len(Targets) || name[:len(Targets)] != Targets {
+		old, isOld := sheet.Groups[Targets+s.Name]
+		if isOld && l.news[mark.PartOf(s.Name)] == nil {
+			want[Targets+s.Name] = old.Data
 			continue
 		}
-		var held []wire.Target
-		json.Unmarshal(group.Data, &held)
-		for _, t := range held {
-			if now, ok := services[t.Address]; ok && now != name[len(Targets):] {
-				owners[t.Address] = ""
-			}
-		}
-	}
-	return lists, owners
-}
-
-func orEmpty[T any](list []T) []T {
-	if list == nil {
-		return []T{}
-	}
-	return list
-}
-
-// Submit takes a change set whole, or not at all.
-func (l *Planner) Submit(ctx context.Context, change *wire.Change) (*wire.ChangeReceipt, error) {
-	l.planning.Lock()
-	defer l.planning.Unlock()
-	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
-		return nil, err
-	}
-	raw, _ := json.Marshal(change)
-	digest := Digest(raw)
-	sheet := l.ledger.Sheet()
-	if first, ok := sheet.Find(change.Id); ok {
-		if first.Digest != digest {
-			return nil, fault.New(fault.ChangeReused, "%q", change.Id)
-		}
-		return &first, nil
-	}
-	if change.Base < sheet.Changed || change.Base > sheet.Epoch {
-		l.r.Sign.Say(sign.ChangeRefused, "id", change.Id, "code", fault.ChangeConflict.No)
-		return nil, fault.New(fault.ChangeConflict, "epoch %d was named, the last change set was accepted in epoch %d, epoch %d is in force", change.Base, sheet.Changed, sheet.Epoch)
-	}
-	config, paths := Lay(sheet.Config(), change)
-	if len(paths) > 0 {
-		l.r.Sign.Say(sign.ChangeRefused, "id", change.Id, "code", fault.BadChange.No)
-		return nil, fault.At(fault.BadChange, paths)
-	}
-	receipt := &wire.ChangeReceipt{Id: change.Id, State: "accepted", Digest: digest}
-	if err := l.plan(ctx, receipt, &config); err != nil {
-		if fault.Is(err, fault.NotOwner) {
-			return nil, err
-		}
-		return nil, fault.New(fault.ChangeUnknown, "%v", err)
-	}
-	l.r.Sign.Say(sign.ChangeAccepted, "id", change.Id, "epoch", uint64(receipt.Epoch))
-	return receipt, nil
-}
-
-// AskChange tells what became of a change set. It waits for all that is in the
-// log, so that "absent" can't be followed by a late acceptance.
-func (l *Planner) AskChange(ctx context.Context, id string) (*wire.ChangeReceipt, error) {
-	l.planning.Lock()
-	defer l.planning.Unlock()
-	if err := l.part.Barrier(ctx); err != nil {
-		return nil, err
-	}
-	if receipt, ok := l.ledger.Sheet().Find(id); ok {
-		return &receipt, nil
+		want[Targets+s.Name], _ = json.Marshal(orEmpty(targets[s.Name]))
 	}
-	return nil, fault.New(fault.ChangeAbsent, "%q", id)
-}
-
-// View is the epoch in force, confirmed since the call came.
-func (l *Planner) View(ctx context.Context) (*wire.EpochView, error) {
-	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
-		return nil, err
-	}
-	return l.ledger.Sheet().View(), nil
-}
-
-// Pulse tells the epoch in force and the ages of what it reflects. It asks for
-// no round of its own: the age of the last one is told, and is what counts.
-func (l *Planner) Pulse() (*wire.PulseReceipt, error) {
-	age, isServing := l.part.Age()
-	if !isServing {
-		return nil, fault.New(fault.NotOwner, "configuration part")
-	}
-	began := l.r.Now()
-	term, _, _ := l.part.Serving()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	receipt := &wire.PulseReceipt{Parts: make([]int64, mark.Parts)}
-	for no := range receipt.Parts {
-		receipt.Parts[no] = -1
-		if at, ok := l.reflects[mark.Part(no)]; ok && l.term == term {
-			receipt.Parts[no] = l.r.Since(at).Microseconds() + 1
-		}
-	}
-	receipt.Epoch = l.ledger.Sheet().Epoch
-	receipt.Age = (age + l.r.Since(began)).Microseconds() + 1
-	return receipt, nil
+	return want
 }
--- a/internal/plan/ranges.go
+++ b/internal/plan/ranges.go
@@ -16,7 +16,7 @@
 )
 
 func (l *Ledger) head(s *Sheet) wire.LedgerState {
-	return wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Changes: s.Changes}
+	return wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Version: s.Version, Changes: s.Changes}
 }
 
 // Digests is one digest for each range. A group's is made of its data anew.
@@ -64,7 +64,7 @@
 		if err := json.Unmarshal(data, &head); err != nil {
 			return err
 		}
-		sheet.Epoch, sheet.Changed, sheet.Changes = head.Epoch, head.Changed, head.Changes
+		sheet.Epoch, sheet.Changed, sheet.Version, sheet.Changes = head.Epoch, head.Changed, head.Version, head.Changes
 	}
 	l.sheet = &sheet
 	return nil
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -1,16 +1,14 @@
 // The Roll holds what servers report, in memory, at the owner of the service's
 // part. Drains and sign-offs are committed in the part before the beat is
-// answered; all else is only what was heard, and a new owner counts a server
-// only after it has heard from it.
+// answered; all else is only what was heard.
 package plan
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
-	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/bond"
@@ -26,13 +24,14 @@
 	Serving  = "serving"
 	Draining = "draining"
 	Leaving  = "leaving"
+	Silent   = "silent"
 
-	settle   = 450 * time.Millisecond
 	markKept = 60 * time.Second
 )
 
 type heard struct {
 	beat  wire.Beat
+	cold  int64
 	first time.Time
 	at    time.Time
 	isIn  bool
@@ -45,13 +44,24 @@
 	books  []*bond.Book
 	ledger *Ledger
 
+	// Stirred is told when a list says something else; set before the first beat.
+	Stirred    func()
+	isStirring atomic.Bool
+
 	mu    sync.Mutex
-	beats map[string]map[string]*heard
+	beats map[mark.Part]map[string]map[string]*heard
 	terms map[mark.Part]mark.Term
+	told  map[mark.Part]told
+}
+
+// told is what the last news of a part said, ages aside, and its digest.
+type told struct {
+	lists  map[string][]wire.Listed
+	digest string
 }
 
 func NewRoll(r *realm.Realm, p *pact.Pact, books []*bond.Book, ledger *Ledger) *Roll {
-	return &Roll{r: r, p: p, books: books, ledger: ledger, beats: map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}}
+	return &Roll{r: r, p: p, books: books, ledger: ledger, beats: map[mark.Part]map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}, told: map[mark.Part]told{}}
 }
 
 // CheckBeat names what is wrong with a beat.
@@ -69,6 +79,12 @@
 	if b.Weight < 0 || b.Weight > 1_000_000 {
 		paths = append(paths, "weight: is outside 0 to 1000000")
 	}
+	if b.Slots < 0 {
+		paths = append(paths, "slots: is below zero")
+	}
+	if b.Cold < 0 {
+		paths = append(paths, "cold: is below zero")
+	}
 	if b.State != Serving && b.State != Draining && b.State != Leaving {
 		paths = append(paths, "state: is none of serving, draining, leaving")
 	}
@@ -90,7 +106,7 @@
 	if !isServing {
 		return fault.New(fault.NotOwner, "part %d", no)
 	}
-	if sheet := l.ledger.Sheet(); sheet.Epoch > 0 && !sheet.Has(b.Service) {
+	if sheet := l.ledger.Sheet(); !l.r.Props.PlanStrangers && sheet.Epoch > 0 && !sheet.Has(b.Service) {
 		l.r.Sign.Say(sign.BeatRefused, "service", b.Service, "instance", b.Instance, "cause", "no such service")
 		return fault.New(fault.UnknownService, "%q", b.Service)
 	}
@@ -98,10 +114,13 @@
 	marked, isMarked := l.books[no].Get(bond.Mark, name)
 	l.mu.Lock()
 	l.renew(no, term)
-	instances := l.beats[b.Service]
+	if l.beats[no] == nil {
+		l.beats[no] = map[string]map[string]*heard{}
+	}
+	instances := l.beats[no][b.Service]
 	if instances == nil {
 		instances = map[string]*heard{}
-		l.beats[b.Service] = instances
+		l.beats[no][b.Service] = instances
 	}
 	h := instances[b.Instance]
 	isOld := h != nil && b.Seq < h.beat.Seq || isMarked && b.Seq < marked.Seq
@@ -109,8 +128,9 @@
 		l.mu.Unlock()
 		return nil
 	}
+	isNew := h == nil || l.r.Since(h.at) >= l.r.Props.PlanSilence || !isOld && isOther(&h.beat, b)
 	if h == nil {
-		h = &heard{first: l.r.Now()}
+		h = &heard{first: l.r.Now(), cold: b.Cold}
 		instances[b.Instance] = h
 	}
 	h.at = l.r.Now()
@@ -118,15 +138,39 @@
 		h.beat = *b
 	}
 	l.mu.Unlock()
+	var op *wire.BondOp
 	switch {
 	case b.State == Serving && isMarked && marked.Holder == Draining && b.Seq > marked.Seq:
-		return l.propose(ctx, part, &wire.BondOp{Op: "unmark", Name: name, Seq: b.Seq})
+		op = &wire.BondOp{Op: "unmark", Name: name, Seq: b.Seq}
 	case b.State != Serving && (!isMarked || marked.Holder != b.State && marked.Holder != Leaving):
-		return l.propose(ctx, part, &wire.BondOp{Op: "mark", Name: name, Holder: b.State, Seq: b.Seq})
+		op = &wire.BondOp{Op: "mark", Name: name, Holder: b.State, Seq: b.Seq}
+	}
+	if op != nil {
+		if err := l.propose(ctx, part, op); err != nil {
+			return err
+		}
+	}
+	if op != nil || isNew {
+		l.stir()
 	}
 	return nil
 }
 
+// isOther tells whether a beat says of its server what the last did not.
+func isOther(last, b *wire.Beat) bool {
+	return last.State != b.State || last.Address != b.Address || last.Zone != b.Zone || last.Weight != b.Weight || last.Slots != b.Slots
+}
+
+// stir has the change told by a task of its own; many at once are told as one.
+func (l *Roll) stir() {
+	if l.Stirred != nil && l.isStirring.CompareAndSwap(false, true) {
+		l.r.Go(func() {
+			l.isStirring.Store(false)
+			l.Stirred()
+		})
+	}
+}
+
 func (l *Roll) propose(ctx context.Context, part *pact.Part, op *wire.BondOp) error {
 	_, _, err := part.Propose(ctx, op)
 	return err
@@ -138,115 +182,65 @@
 		return
 	}
 	l.terms[no] = term
-	for service := range l.beats {
-		if mark.PartOf(service) == no {
-			delete(l.beats, service)
-		}
-	}
+	delete(l.beats, no)
 }
 
-// News is the lists of all parts owned here, each with an age that proves that
-// everything known at that time is in the list.
-func (l *Roll) News(ctx context.Context, ask *wire.NewsAsk) *wire.NewsReceipt {
-	began := l.r.Now()
-	receipt := &wire.NewsReceipt{}
-	for no := range l.books {
-		part := l.p.Part(mark.Part(no))
-		term, since, isServing := part.Serving()
-		if !isServing || l.r.Since(since) < settle || part.Confirm(ctx, began) != nil {
-			continue
-		}
-		lists := l.lists(mark.Part(no), term)
-		digest := digestOf(lists)
-		news := wire.PartNews{Part: mark.Part(no), Term: term, Digest: digest, Age: l.r.Since(began).Microseconds() + 1}
-		if ask.Known[mark.Part(no)] != digest {
-			news.Lists = lists
+// Whose is the service of an instance, by the beats heard here, the marks kept
+// here, or the epoch in force; empty if none names it.
+func (l *Roll) Whose(instance string) string {
+	if service := l.heardAs(instance); service != "" {
+		return service
+	}
+	for _, book := range l.books {
+		marks, _ := book.All(bond.Mark, "")
+		for _, m := range marks {
+			if service, name, _ := strings.Cut(m.Name, "/"); name == instance {
+				return service
+			}
 		}
-		receipt.Parts = append(receipt.Parts, news)
-	}
-	return receipt
-}
-
-func (l *Roll) lists(no mark.Part, term mark.Term) map[string][]wire.Listed {
-	marks, _ := l.books[no].All(bond.Mark, "")
-	marked := map[string]wire.BondRecord{}
-	for _, m := range marks {
-		marked[m.Name] = m
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.renew(no, term)
-	lists := map[string][]wire.Listed{}
-	for service, instances := range l.beats {
-		if mark.PartOf(service) != no {
+	sheet := l.ledger.Sheet()
+	for name := range sheet.Groups {
+		service, isTargets := strings.CutPrefix(name, Targets)
+		if !isTargets {
 			continue
 		}
-		for instance, h := range instances {
-			out := ""
-			m, isMarked := marked[service+"/"+instance]
-			silence := l.r.Since(h.at)
-			switch {
-			case isMarked:
-				out = m.Holder
-			case h.beat.State != Serving:
-				out = h.beat.State
-			case silence >= l.r.Props.PlanSilence:
-				out = "silent"
+		for _, t := range sheet.Targets(service) {
+			if t.Instance == instance {
+				return service
 			}
-			if isIn := out == ""; isIn != h.isIn {
-				h.isIn = isIn
-				event := sign.TargetOut
-				if isIn {
-					event = sign.TargetIn
-				}
-				l.r.Sign.Say(event, "service", service, "instance", instance, "address", h.beat.Address, "why", out)
-			}
-			if silence > markKept {
-				if isMarked {
-					l.r.Go(func() {
-						limited, end := context.WithTimeout(l.r, time.Second)
-						defer end()
-						l.propose(limited, l.p.Part(no), &wire.BondOp{Op: "unmark", Name: service + "/" + instance, Seq: m.Seq})
-					})
-				}
-				delete(instances, instance)
-				continue
-			}
-			lists[service] = append(lists[service], wire.Listed{Instance: instance, Address: h.beat.Address, Zone: h.beat.Zone, Weight: h.beat.Weight, Since: l.r.Since(h.first).Microseconds(), Out: out})
-		}
-		if len(instances) == 0 {
-			delete(l.beats, service)
 		}
-		sort.Slice(lists[service], func(i, j int) bool { return lists[service][i].Instance < lists[service][j].Instance })
 	}
-	return lists
+	return ""
 }
 
-// digestOf leaves out the ages, which change all the time.
-func digestOf(lists map[string][]wire.Listed) string {
-	bare := make(map[string][]wire.Listed, len(lists))
-	for service, list := range lists {
-		list = append([]wire.Listed(nil), list...)
-		for i := range list {
-			list[i].Since = 0
+func (l *Roll) heardAs(instance string) (name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var last time.Time
+	for _, services := range l.beats {
+		for service, instances := range services {
+			if h := instances[instance]; h != nil && (name == "" || h.at.After(last)) {
+				name, last = service, h.at
+			}
 		}
-		bare[service] = list
 	}
-	raw, _ := json.Marshal(bare)
-	return Digest(raw)
+	return name
 }
 
 // Rows is what the shell shows of the targets heard here.
 func (l *Roll) Rows() (rows [][]any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for service, instances := range l.beats {
-		for instance, h := range instances {
-			state := "out"
-			if h.isIn {
-				state = "in"
+	for _, services := range l.beats {
+		for service, instances := range services {
+			for instance, h := range instances {
+				state := "out"
+				if h.isIn {
+					state = "in"
+				}
+				rows = append(rows, []any{service, instance, h.beat.Address, h.beat.Zone, h.beat.Weight, state + " (" + h.beat.State + ")", l.r.Since(h.at).Round(time.Millisecond)})
 			}
-			rows = append(rows, []any{service, instance, h.beat.Address, h.beat.Zone, h.beat.Weight, state + " (" + h.beat.State + ")", l.r.Since(h.at).Round(time.Millisecond)})
 		}
 	}
 	return rows
--- /dev/null
+++ b/internal/plan/settle.go
@@ -0,0 +1,129 @@
+// Making the target lists of an epoch out of the parts' news. While a part's
+// owner is young, the targets of the epoch in force stay in, but for those that
+// the news names as out and those whose address was passed on.
+package plan
+
+import (
+	"math"
+	"sort"
+	"strings"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// elder is the first beat of whatever was in the epoch in force when the part
+// changed its owner: older than all that the new owner heard for the first time.
+const elder = math.MinInt64
+
+type clash struct{ address, one, two string }
+
+// merge adds to a young list the targets held that it doesn't name at all.
+func merge(held []wire.Target, list []wire.Listed) []wire.Listed {
+	named := map[string]bool{}
+	for _, t := range list {
+		named[t.Instance] = true
+	}
+	merged := append([]wire.Listed(nil), list...)
+	for _, t := range held {
+		if !named[t.Instance] {
+			merged = append(merged, wire.Listed{Instance: t.Instance, Address: t.Address, Zone: t.Zone, Weight: t.Weight, Slots: t.Slots, Cold: t.Cold, Since: elder})
+		}
+	}
+	return merged
+}
+
+// settle gives each address to one instance, and lists for every service of
+// which there is news the targets that are in. The newest claim stands and older
+// ones go out in the same epoch; an address that another service holds in the
+// epoch in force comes in only once that epoch is past.
+func settle(sheet *Sheet, services []wire.Service, all map[mark.Part]*news) (map[string][]wire.Target, []clash) {
+	lists := map[string][]wire.Listed{}
+	owners, newest := map[string]string{}, map[string]int64{}
+	holders := map[string]string{}
+	var clashes []clash
+	for _, s := range services {
+		n := all[mark.PartOf(s.Name)]
+		if n == nil {
+			continue
+		}
+		list := n.Lists[s.Name]
+		if n.Young {
+			list = merge(sheet.Targets(s.Name), list)
+		}
+		lists[s.Name] = list
+		for _, t := range list {
+			if t.Address == "" || t.Out == Silent || t.Out == Leaving {
+				continue
+			}
+			id := s.Name + "/" + t.Instance
+			if other, ok := owners[t.Address]; ok {
+				clashes = append(clashes, clash{t.Address, min(other, id), max(other, id)})
+				if newest[t.Address] > t.Since || newest[t.Address] == t.Since && other > id {
+					continue
+				}
+			}
+			owners[t.Address], newest[t.Address], holders[t.Address] = id, t.Since, s.Name
+		}
+	}
+	for name := range sheet.Groups {
+		service, ok := strings.CutPrefix(name, Targets)
+		if !ok {
+			continue
+		}
+		for _, t := range sheet.Targets(service) {
+			if now, ok := holders[t.Address]; ok && now != service {
+				owners[t.Address] = ""
+			}
+		}
+	}
+	targets := map[string][]wire.Target{}
+	for service, list := range lists {
+		targets[service] = []wire.Target{}
+		for _, t := range list {
+			if t.Out == "" && t.Address != "" && owners[t.Address] == service+"/"+t.Instance {
+				targets[service] = append(targets[service], wire.Target{Instance: t.Instance, Address: t.Address, Zone: t.Zone, Weight: t.Weight, Slots: t.Slots, Cold: t.Cold})
+			}
+		}
+		sort.Slice(targets[service], func(i, j int) bool { return targets[service][i].Instance < targets[service][j].Instance })
+	}
+	return targets, clashes
+}
+
+// elders names the targets of a part that are in an epoch.
+func elders(sheet *Sheet, no mark.Part) map[string]bool {
+	names := map[string]bool{}
+	for name := range sheet.Groups {
+		if service, ok := strings.CutPrefix(name, Targets); ok && mark.PartOf(service) == no {
+			for _, t := range sheet.Targets(service) {
+				names[claimName(service, t.Instance, t.Address)] = true
+			}
+		}
+	}
+	return names
+}
+
+func claimName(service, instance, address string) string {
+	return service + "/" + instance + " " + address
+}
+
+// date turns the ages of first beats into times since the planner's zero, and
+// forgets the elders that a settled owner doesn't know.
+func date(p *wire.PartNews, sent int64, known map[string]bool) {
+	named := map[string]bool{}
+	for service, list := range p.Lists {
+		for i, t := range list {
+			name := claimName(service, t.Instance, t.Address)
+			named[name] = true
+			list[i].Since = sent - t.Since
+			if known[name] {
+				list[i].Since = elder
+			}
+		}
+	}
+	for name := range known {
+		if !p.Young && !named[name] {
+			delete(known, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/plan/submit.go
@@ -0,0 +1,106 @@
+// What operators ask of the planner: to take a change set whole, to tell what
+// became of one, and to show the epoch in force.
+package plan
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Submit takes a change set whole, or not at all.
+func (l *Planner) Submit(ctx context.Context, change *wire.Change) (*wire.ChangeReceipt, error) {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
+		return nil, err
+	}
+	raw, _ := json.Marshal(change)
+	digest := Digest(raw)
+	sheet := l.ledger.Sheet()
+	first, err := sheet.Judge(change, digest)
+	if first != nil {
+		return first, nil
+	}
+	var config wire.Config
+	if err == nil {
+		var paths []string
+		if config, paths = Lay(sheet.Config(), change); len(paths) > 0 {
+			err = fault.At(fault.BadChange, paths)
+		}
+	}
+	if err != nil {
+		if !fault.Is(err, fault.ChangeReused) {
+			l.r.Sign.Say(sign.ChangeRefused, "id", change.Id, "code", fault.Of(err).Code.No)
+		}
+		return nil, err
+	}
+	receipt := &wire.ChangeReceipt{Id: change.Id, State: "accepted", Digest: digest, Version: change.Version}
+	if err := l.plan(ctx, receipt, &config); err != nil {
+		if fault.Is(err, fault.NotOwner) {
+			return nil, err
+		}
+		return nil, fault.New(fault.ChangeUnknown, "%v", err)
+	}
+	l.r.Sign.Say(sign.ChangeAccepted, "id", change.Id, "epoch", uint64(receipt.Epoch))
+	return receipt, nil
+}
+
+// AskChange tells what became of a change set. It waits for all that is in the
+// log, so that "absent" can't be followed by a late acceptance.
+func (l *Planner) AskChange(ctx context.Context, id string) (*wire.ChangeReceipt, error) {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	if err := l.part.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	if receipt, ok := l.ledger.Sheet().Find(id); ok {
+		return &receipt, nil
+	}
+	return nil, fault.New(fault.ChangeAbsent, "%q", id)
+}
+
+// View is the epoch in force, confirmed since the call came.
+func (l *Planner) View(ctx context.Context) (*wire.EpochView, error) {
+	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
+		return nil, err
+	}
+	return l.ledger.Sheet().View(), nil
+}
+
+// Config is the operators' configuration as they sent it, keys and all,
+// confirmed since the call came.
+func (l *Planner) Config(ctx context.Context) (*wire.ConfigView, error) {
+	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
+		return nil, err
+	}
+	sheet := l.ledger.Sheet()
+	return &wire.ConfigView{Version: sheet.Version, Epoch: sheet.Epoch, Config: sheet.Config()}, nil
+}
+
+// Pulse tells the epoch in force and the ages of what it reflects. It asks for
+// no round of its own: the age of the last one is told, and is what counts.
+func (l *Planner) Pulse() (*wire.PulseReceipt, error) {
+	age, isServing := l.part.Age()
+	if !isServing {
+		return nil, fault.New(fault.NotOwner, "configuration part")
+	}
+	began := l.r.Now()
+	term, _, _ := l.part.Serving()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	receipt := &wire.PulseReceipt{Parts: make([]int64, mark.Parts)}
+	for no := range receipt.Parts {
+		receipt.Parts[no] = -1
+		if at, ok := l.reflects[mark.Part(no)]; ok && l.term == term {
+			receipt.Parts[no] = l.r.Since(at).Microseconds() + 1
+		}
+	}
+	receipt.Epoch = l.ledger.Sheet().Epoch
+	receipt.Age = (age + l.r.Since(began)).Microseconds() + 1
+	return receipt, nil
+}
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -12,6 +12,7 @@
 	WireAddress    string        // address for the other processes, TCP and UDP
 	WireAdvertise  string        // address that the others are told for this node, if it is not wire.address
 	ApiAddress     string        // address for back ends, applications and operators (HTTP)
+	ApiAdvertise   string        // address that the others are told for calls to this node, if it is not api.address
 	GateAddress    string        // address for callers (HTTP); a node that has one is a proxy
 	DataFolder     string        // folder for the state; a node that has one is a core node
 	FoundCores     int           // how many empty core nodes found a fleet; 0 is for one that only joins
@@ -38,7 +39,8 @@
 	FlowTries      int           // tries before the long pause
 	FlowCool       time.Duration // the long pause
 	FlowPulse      time.Duration // pause between two renewals of freshness
-	FlowFresh      time.Duration // age above which a proxy hands nothing over; above 900ms a proxy that is cut off serves its last epoch for longer than two seconds after a change
+	FlowFresh      time.Duration // age above which a proxy hands nothing over
+	FlowStay       time.Duration // how long a proxy that is out of touch goes on with its last epoch all the same; above 0 what is promised of older plans holds only for proxies in touch, and targets must tell instances apart
 	GateDeadline   time.Duration // deadline of a request whose mapping names none
 	GateBody       int           // largest answer that is buffered, in bytes
 	GateRequest    int           // largest request body, in bytes
@@ -61,6 +63,7 @@
 	HeaderSeal     string        // header with the server's seal
 	HeaderUnrun    string        // header by which a target says that it did not run the request
 	HeaderWeight   string        // header by which a target tells what it has to do: requests running, waiting, and its slots
+	GateReturn     time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
 }
 
 var table = []entry{
@@ -70,6 +73,7 @@
 	{key: "wire.address", kind: "address", fallback: "", low: "", high: "", doc: "address for the other processes, TCP and UDP", set: func(p *Props, v any) { p.WireAddress = v.(string) }},
 	{key: "wire.advertise", kind: "address", fallback: "", low: "", high: "", doc: "address that the others are told for this node, if it is not wire.address", set: func(p *Props, v any) { p.WireAdvertise = v.(string) }},
 	{key: "api.address", kind: "address", fallback: "", low: "", high: "", doc: "address for back ends, applications and operators (HTTP)", set: func(p *Props, v any) { p.ApiAddress = v.(string) }},
+	{key: "api.advertise", kind: "address", fallback: "", low: "", high: "", doc: "address that the others are told for calls to this node, if it is not api.address", set: func(p *Props, v any) { p.ApiAdvertise = v.(string) }},
 	{key: "gate.address", kind: "address", fallback: "", low: "", high: "", doc: "address for callers (HTTP); a node that has one is a proxy", set: func(p *Props, v any) { p.GateAddress = v.(string) }},
 	{key: "data.folder", kind: "string", fallback: "", low: "", high: "", doc: "folder for the state; a node that has one is a core node", set: func(p *Props, v any) { p.DataFolder = v.(string) }},
 	{key: "found.cores", kind: "int", fallback: "3", low: "0", high: "9", doc: "how many empty core nodes found a fleet; 0 is for one that only joins", set: func(p *Props, v any) { p.FoundCores = v.(int) }},
@@ -96,7 +100,8 @@
 	{key: "flow.tries", kind: "int", fallback: "3", low: "1", high: "100", doc: "tries before the long pause", set: func(p *Props, v any) { p.FlowTries = v.(int) }},
 	{key: "flow.cool", kind: "duration", fallback: "2s", low: "100ms", high: "5m", doc: "the long pause", set: func(p *Props, v any) { p.FlowCool = v.(time.Duration) }},
 	{key: "flow.pulse", kind: "duration", fallback: "250ms", low: "20ms", high: "10s", doc: "pause between two renewals of freshness", set: func(p *Props, v any) { p.FlowPulse = v.(time.Duration) }},
-	{key: "flow.fresh", kind: "duration", fallback: "900ms", low: "100ms", high: "24h", doc: "age above which a proxy hands nothing over; above 900ms a proxy that is cut off serves its last epoch for longer than two seconds after a change", set: func(p *Props, v any) { p.FlowFresh = v.(time.Duration) }},
+	{key: "flow.fresh", kind: "duration", fallback: "900ms", low: "100ms", high: "900ms", doc: "age above which a proxy hands nothing over", set: func(p *Props, v any) { p.FlowFresh = v.(time.Duration) }},
+	{key: "flow.stay", kind: "duration", fallback: "0s", low: "0s", high: "24h", doc: "how long a proxy that is out of touch goes on with its last epoch all the same; above 0 what is promised of older plans holds only for proxies in touch, and targets must tell instances apart", set: func(p *Props, v any) { p.FlowStay = v.(time.Duration) }},
 	{key: "gate.deadline", kind: "duration", fallback: "10s", low: "100ms", high: "10m", doc: "deadline of a request whose mapping names none", set: func(p *Props, v any) { p.GateDeadline = v.(time.Duration) }},
 	{key: "gate.body", kind: "int", fallback: "4194304", low: "1024", high: "1073741824", doc: "largest answer that is buffered, in bytes", set: func(p *Props, v any) { p.GateBody = v.(int) }},
 	{key: "gate.request", kind: "int", fallback: "67108864", low: "1024", high: "1073741824", doc: "largest request body, in bytes", set: func(p *Props, v any) { p.GateRequest = v.(int) }},
@@ -119,4 +124,5 @@
 	{key: "header.seal", kind: "string", fallback: "Sumac-Seal", low: "", high: "", doc: "header with the server's seal", set: func(p *Props, v any) { p.HeaderSeal = v.(string) }},
 	{key: "header.unrun", kind: "string", fallback: "Sumac-Not-Run", low: "", high: "", doc: "header by which a target says that it did not run the request", set: func(p *Props, v any) { p.HeaderUnrun = v.(string) }},
 	{key: "header.weight", kind: "string", fallback: "Sumac-Weight", low: "", high: "", doc: "header by which a target tells what it has to do: requests running, waiting, and its slots", set: func(p *Props, v any) { p.HeaderWeight = v.(string) }},
+	{key: "gate.return", kind: "duration", fallback: "1s", low: "10ms", high: "1m", doc: "the least that Retry-After asks for, spread over three times that; below a second it is told in fractions", set: func(p *Props, v any) { p.GateReturn = v.(time.Duration) }},
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -126,7 +126,10 @@
 // Host is the real network and disk; connections go out from the IP number of
 // the address given, if there is one.
 func Host(from string) Net {
-	var dialer net.Dialer
+	// A peer that went silent is known within seconds, also on an idle connection.
+	alive := net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+	dialer := net.Dialer{KeepAliveConfig: alive}
+	listener := net.ListenConfig{KeepAliveConfig: alive}
 	if ap, err := netip.ParseAddrPort(from); err == nil && !ap.Addr().IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
 	}
@@ -134,7 +137,9 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Listen: func(address string) (net.Listener, error) {
+			return listener.Listen(context.Background(), "tcp", address)
+		},
 		Packet: func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) },
 		Store: func(folder string) (storage.Storage, error) {
 			return storage.OpenFile(folder, false)
--- /dev/null
+++ b/internal/seat/calls.go
@@ -0,0 +1,157 @@
+// The node's calls, as Go verbs: what servers, operators and applications ask of
+// any node, passed on to the owner of its part. The product's own API and any
+// other face of a node are made of these, and of nothing else.
+package seat
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Take folds a server's beat. The address is where later beats are taken without
+// being passed on; it is empty if that is here, or not known.
+func (n *Node) Take(ctx context.Context, beat *wire.Beat) (better string, err error) {
+	limited, end := context.WithTimeout(ctx, beatTime)
+	defer end()
+	if err := plan.CheckBeat(beat); err != nil {
+		n.R.Sign.Say(sign.BeatRefused, "service", beat.Service, "instance", beat.Instance, "cause", err.Error())
+		return "", err
+	}
+	if beat.State != plan.Serving {
+		n.R.Sign.Say(sign.TargetGoing, "service", beat.Service, "instance", beat.Instance, "state", beat.State)
+	}
+	no := mark.PartOf(beat.Service)
+	var done struct{}
+	if err := n.pass(limited, op{no, "beat", beat}, 0, &done); err != nil {
+		return "", err
+	}
+	if n.Pact == nil || !n.Pact.Part(no).IsServing() {
+		better = n.ownerApi(no)
+	}
+	return better, nil
+}
+
+// ownerApi is the API address of the node that owns a part, if it is known.
+func (n *Node) ownerApi(no mark.Part) string {
+	known := n.owners[no].Load()
+	if n.Pact != nil {
+		if name, ok := n.Pact.Owner(no); ok {
+			if m, ok := n.Kin.Of(name); ok {
+				return m.Api
+			}
+		}
+	}
+	if known == nil {
+		return ""
+	}
+	for _, m := range n.Kin.Cores() {
+		if m.Wire == *known {
+			return m.Api
+		}
+	}
+	return ""
+}
+
+// Leave signs an instance off that names itself alone.
+func (n *Node) Leave(ctx context.Context, instance string) error {
+	limited, end := context.WithTimeout(ctx, beatTime)
+	defer end()
+	service := n.whose(limited, instance)
+	if service == "" {
+		return fault.New(fault.UnknownService, "of instance %q", instance)
+	}
+	n.R.Sign.Say(sign.TargetGoing, "service", service, "instance", instance, "state", plan.Leaving)
+	beat := &wire.Beat{Service: service, Instance: instance, Seq: lastSeq, Address: "0.0.0.0:0", State: plan.Leaving}
+	var done struct{}
+	return n.pass(limited, op{mark.PartOf(service), "beat", beat}, 0, &done)
+}
+
+// lastSeq is above every number that an instance gives its beats.
+const lastSeq = 1 << 62
+
+// whose finds the service of an instance: here first, then at all core nodes.
+func (n *Node) whose(ctx context.Context, instance string) string {
+	if n.Roll != nil {
+		if service := n.Roll.Whose(instance); service != "" {
+			return service
+		}
+	}
+	cores := n.Kin.Cores()
+	found := make(chan string, len(cores))
+	var all sync.WaitGroup
+	limited, end := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer end()
+	for _, m := range cores {
+		if m.Name == n.R.Name {
+			continue
+		}
+		all.Add(1)
+		n.R.Go(func() {
+			defer all.Done()
+			var receipt wire.WhoseReceipt
+			if n.Wire.Ask(limited, m.Wire, "plan.whose", &wire.WhoseAsk{Instance: instance}, &receipt) == nil && receipt.Service != "" {
+				found <- receipt.Service
+			}
+		})
+	}
+	n.R.Go(func() { all.Wait(); close(found) })
+	return <-found
+}
+
+// Submit is answered with yes or no by the owner alone: any other node can't know
+// whether the set was accepted when it was sent before under its id.
+func (n *Node) Submit(ctx context.Context, change *wire.Change) (*wire.ChangeReceipt, error) {
+	limited, end := context.WithTimeout(ctx, 2*callTime)
+	defer end()
+	receipt := &wire.ChangeReceipt{}
+	err := n.pass(limited, op{mark.Config, "submit", change}, 0, receipt)
+	if err != nil && fault.Of(err).Code.Outcome != "" {
+		err = fault.New(fault.ChangeUnknown, "%v", err)
+	}
+	return receipt, err
+}
+
+// Config is the configuration in force, as the operators sent it.
+func (n *Node) Config(ctx context.Context) (*wire.ConfigView, error) {
+	limited, end := context.WithTimeout(ctx, callTime)
+	defer end()
+	view := &wire.ConfigView{}
+	return view, n.pass(limited, op{mark.Config, "config", nil}, 0, view)
+}
+
+// Bond passes a coordination call. One under an id may be a repeat of one that
+// was done, so that only an owner can say that it was not.
+func (n *Node) Bond(ctx context.Context, call *wire.BondOp) (*wire.BondReceipt, error) {
+	limited, end := context.WithTimeout(ctx, callTime+time.Duration(call.Hold)*time.Millisecond)
+	defer end()
+	receipt := &wire.BondReceipt{}
+	if err := n.pass(limited, op{mark.PartOf(call.Name), "bond", call}, 0, receipt); err != nil {
+		isNotRun := fault.Of(err).Code.Outcome == "not run"
+		if fault.Is(err, fault.ReplyLost) || isNotRun && call.Id != "" {
+			err = fault.New(fault.Unsure, "%v", err)
+		}
+		return nil, err
+	}
+	return receipt, nil
+}
+
+// Ready tells whether this node can do its work now.
+func (n *Node) Ready() error {
+	if n.isGoing.Load() {
+		return fault.New(fault.Stopping, "")
+	}
+	if n.Flow != nil && !n.Flow.IsFresh(n.Flow.Cache.Chart(), "") {
+		return fault.New(fault.NotFresh, "")
+	}
+	if n.Pact != nil && n.Pact.Charter() == nil {
+		return fault.New(fault.NoOwner, "no fleet yet")
+	}
+	return nil
+}
--- a/internal/seat/desk.go
+++ b/internal/seat/desk.go
@@ -18,8 +18,6 @@
 	"github.com/sumactrestle/sumactrestle/internal/bond"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/plan"
-	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -34,38 +32,24 @@
 var _ api.Handler = (*desk)(nil)
 
 func (d *desk) Beat(ctx context.Context, req *api.Beat) (*api.Taken, error) {
-	limited, end := context.WithTimeout(ctx, beatTime)
-	defer end()
 	beat := &wire.Beat{Service: req.Service, Instance: req.Instance, Seq: req.Seq, Address: req.Address, Zone: req.Zone.Or(""), Weight: req.Weight.Or(100), State: string(req.State)}
-	if err := plan.CheckBeat(beat); err != nil {
-		d.n.R.Sign.Say(sign.BeatRefused, "service", beat.Service, "instance", beat.Instance, "cause", err.Error())
-		return nil, err
-	}
-	if beat.State != plan.Serving {
-		d.n.R.Sign.Say(sign.TargetGoing, "service", beat.Service, "instance", beat.Instance, "state", beat.State)
-	}
-	var done struct{}
-	if err := d.n.pass(limited, op{mark.PartOf(beat.Service), "beat", beat}, 0, &done); err != nil {
+	if _, err := d.n.Take(ctx, beat); err != nil {
 		return nil, err
 	}
-	return &api.Taken{Again: 300}, nil
+	return &api.Taken{Again: int(d.n.R.Props.PlanBeat.Milliseconds())}, nil
 }
 
-// Submit is answered with yes or no by the owner alone: any other node can't know
-// whether the set was accepted when it was sent before under its id.
 func (d *desk) Submit(ctx context.Context, req *api.Change) (*api.ChangeReceipt, error) {
-	limited, end := context.WithTimeout(ctx, 2*callTime)
-	defer end()
 	var change wire.Change
 	if err := recast(req, &change); err != nil {
 		return nil, err
 	}
-	receipt := &api.ChangeReceipt{}
-	err := d.n.pass(limited, op{mark.Config, "submit", &change}, 0, receipt)
-	if err != nil && fault.Of(err).Code.Outcome != "" {
-		err = fault.New(fault.ChangeUnknown, "%v", err)
+	receipt, err := d.n.Submit(ctx, &change)
+	if err != nil {
+		return nil, err
 	}
-	return receipt, err
+	out := &api.ChangeReceipt{}
+	return out, recast(receipt, out)
 }
 
 func (d *desk) AskChange(ctx context.Context, params api.AskChangeParams) (*api.ChangeReceipt, error) {
@@ -82,18 +66,10 @@
 	return view, d.n.pass(limited, op{mark.Config, "epoch", nil}, 0, view)
 }
 
-// bond passes a coordination call; a code in the receipt becomes a problem. One
-// under an id may be a repeat of one that was done, so that only an owner can say
-// that it was not.
+// bond passes a coordination call; a code in the receipt becomes a problem.
 func (d *desk) bond(ctx context.Context, call *wire.BondOp) (*api.Receipt, error) {
-	limited, end := context.WithTimeout(ctx, callTime+time.Duration(call.Hold)*time.Millisecond)
-	defer end()
-	var receipt wire.BondReceipt
-	if err := d.n.pass(limited, op{mark.PartOf(call.Name), "bond", call}, 0, &receipt); err != nil {
-		isNotRun := fault.Of(err).Code.Outcome == "not run"
-		if fault.Is(err, fault.ReplyLost) || isNotRun && call.Id != "" {
-			err = fault.New(fault.Unsure, "%v", err)
-		}
+	receipt, err := d.n.Bond(ctx, call)
+	if err != nil {
 		return nil, err
 	}
 	if receipt.Code != 0 {
@@ -101,10 +77,10 @@
 		if !ok {
 			code = fault.Internal
 		}
-		return nil, &told{fault.Problem{Code: code, Note: receipt.Note}, receipt}
+		return nil, &told{fault.Problem{Code: code, Note: receipt.Note}, *receipt}
 	}
 	out := &api.Receipt{}
-	return out, recast(&receipt, out)
+	return out, recast(receipt, out)
 }
 
 // told is a problem that says more: the stamp, fence and holder in force.
@@ -176,18 +152,11 @@
 
 func (d *desk) Ready(ctx context.Context) (*api.Health, error) {
 	health := &api.Health{Node: string(d.n.R.Name), State: "ready"}
-	if d.n.isGoing.Load() {
-		return nil, fault.New(fault.Stopping, "")
+	if err := d.n.Ready(); err != nil {
+		return nil, err
 	}
 	if d.n.Flow != nil {
-		chart := d.n.Flow.Cache.Chart()
-		if !d.n.Flow.IsFresh(chart, "") {
-			return nil, fault.New(fault.NotFresh, "")
-		}
-		health.Epoch = api.NewOptUint64(uint64(chart.Epoch))
-	}
-	if d.n.Pact != nil && d.n.Pact.Charter() == nil {
-		return nil, fault.New(fault.NoOwner, "no fleet yet")
+		health.Epoch = api.NewOptUint64(uint64(d.n.Flow.Cache.Chart().Epoch))
 	}
 	return health, nil
 }
--- /dev/null
+++ b/internal/seat/pass.go
@@ -0,0 +1,168 @@
+// Passing a call on: to the owner of its part if that is known, else to the core
+// nodes in turn, with a bound on hops and on time; and carrying it out at the owner.
+package seat
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// op is one call that belongs to a part.
+type op struct {
+	part mark.Part
+	name string
+	body any
+}
+
+// pass carries an op out here, if the part is owned here, or passes it on.
+// Until the deadline it looks for the owner again, as long as the op is known
+// not to have run.
+func (n *Node) pass(ctx context.Context, o op, hops int, into any) error {
+	raw, err := json.Marshal(o.body)
+	if err != nil {
+		return fault.New(fault.Internal, "%v", err)
+	}
+	var problem error
+	for try := 0; ctx.Err() == nil; try++ {
+		if n.Pact != nil && n.Pact.Part(o.part).IsServing() {
+			got, err := n.do(ctx, o.part, o.name, raw)
+			if err == nil {
+				return recast(got, into)
+			}
+			problem = err
+		} else if address := n.ownerOf(o.part, try); address != "" {
+			var receipt wire.PassReceipt
+			err := n.Wire.AskHop(ctx, address, "seat.pass", hops+1, &wire.PassAsk{Part: o.part, Op: o.name, Body: raw}, &receipt)
+			if err == nil {
+				n.owners[o.part].Store(&address)
+				return json.Unmarshal(receipt.Body, into)
+			}
+			n.owners[o.part].Store(nil)
+			problem = err
+		}
+		if problem == nil {
+			problem = fault.New(fault.NoOwner, "part %d", o.part)
+		}
+		if hops > 0 || !isRetryable(problem) {
+			return problem
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(time.Duration(try+1)*20*time.Millisecond, 150*time.Millisecond)):
+		}
+	}
+	if problem == nil {
+		problem = fault.New(fault.NoOwner, "part %d", o.part)
+	}
+	return problem
+}
+
+// isRetryable is true only for what certainly did not run.
+func isRetryable(err error) bool {
+	for _, code := range []fault.Code{fault.NotOwner, fault.NoOwner, fault.Unreached, fault.TooManyHops, fault.Stopping} {
+		if fault.Is(err, code) {
+			return true
+		}
+	}
+	return false
+}
+
+// ownerOf is where to send an op: the known owner, or a core node in turn.
+func (n *Node) ownerOf(no mark.Part, try int) string {
+	if n.Pact != nil {
+		if name, ok := n.Pact.Owner(no); ok && name != n.R.Name {
+			if m, ok := n.Kin.Of(name); ok {
+				return m.Wire
+			}
+		}
+	}
+	if known := n.owners[no].Load(); known != nil {
+		return *known
+	}
+	var cores []wire.Member
+	for _, m := range n.Kin.Cores() {
+		if m.Name != n.R.Name {
+			cores = append(cores, m)
+		}
+	}
+	if len(cores) == 0 {
+		return ""
+	}
+	return cores[try%len(cores)].Wire
+}
+
+func (n *Node) passed(c *wire.Call) (any, error) {
+	var ask wire.PassAsk
+	if err := c.Read(&ask); err != nil {
+		return nil, err
+	}
+	if ask.Part < 0 || ask.Part > mark.Config {
+		return nil, fault.New(fault.BadMessage, "no part %d", ask.Part)
+	}
+	if c.Hops > wire.Hops {
+		return nil, fault.New(fault.TooManyHops, "%d", c.Hops)
+	}
+	var body json.RawMessage
+	if err := n.pass(c, op{ask.Part, ask.Op, ask.Body}, c.Hops, &body); err != nil {
+		return nil, err
+	}
+	return &wire.PassReceipt{Body: body}, nil
+}
+
+// do carries an op out at the owner.
+func (n *Node) do(ctx context.Context, no mark.Part, name string, raw json.RawMessage) (any, error) {
+	read := func(into any) error {
+		if err := json.Unmarshal(raw, into); err != nil {
+			return fault.New(fault.BadMessage, "%s: %v", name, err)
+		}
+		return nil
+	}
+	switch name {
+	case "beat":
+		var beat wire.Beat
+		if err := read(&beat); err != nil {
+			return nil, err
+		}
+		return struct{}{}, n.Roll.Take(ctx, &beat)
+	case "bond":
+		var call wire.BondOp
+		if err := read(&call); err != nil {
+			return nil, err
+		}
+		return n.Desk.Do(ctx, &call)
+	case "submit":
+		var change wire.Change
+		if err := read(&change); err != nil {
+			return nil, err
+		}
+		return n.Planner.Submit(ctx, &change)
+	case "change":
+		var id string
+		if err := read(&id); err != nil {
+			return nil, err
+		}
+		return n.Planner.AskChange(ctx, id)
+	case "config":
+		return n.Planner.Config(ctx)
+	case "epoch":
+		return n.Planner.View(ctx)
+	}
+	return nil, fault.New(fault.UnknownKind, "%q", name)
+}
+
+// recast turns one shape of data into another that is written the same.
+func recast(from, into any) error {
+	raw, err := json.Marshal(from)
+	if err == nil {
+		err = json.Unmarshal(raw, into)
+	}
+	if err != nil {
+		return fault.New(fault.Internal, "%v", err)
+	}
+	return nil
+}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,16 +49,27 @@
 	servers []*http.Server
 	owners  [mark.Parts + 1]atomic.Pointer[string]
 	isGoing atomic.Bool
+
+	isStirring atomic.Bool
+}
+
+// Face is a handler of a node's calls, at an address of its own.
+type Face struct {
+	Address string
+	Handler func(*Node) http.Handler
 }
 
-// Start brings a node up.
-func Start(r *realm.Realm) (*Node, error) {
+// Start brings a node up, with faces beside its own API.
+func Start(r *realm.Realm, faces ...Face) (*Node, error) {
 	n := &Node{R: r, Wire: wire.New(r)}
 	p := r.Props
 	me := wire.Member{Name: r.Name, Birth: mark.NewBirth(), Wire: p.WireAddress, Api: p.ApiAddress, Gate: p.GateAddress, Zone: p.Zone, Strength: p.Strength}
 	if p.WireAdvertise != "" {
 		me.Wire = p.WireAdvertise
 	}
+	if p.ApiAdvertise != "" {
+		me.Api = p.ApiAdvertise
+	}
 	if p.DataFolder != "" {
 		var err error
 		if n.Store, err = lore.Open(r); err != nil {
@@ -116,6 +127,11 @@
 			return nil, err
 		}
 	}
+	for _, face := range faces {
+		if err := n.serve(face.Address, "face", face.Handler(n)); err != nil {
+			return nil, err
+		}
+	}
 	r.Sign.Say(sign.NodeStarted, "birth", string(me.Birth), "core", me.Core, "gate", p.GateAddress)
 	return n, nil
 }
@@ -144,6 +160,18 @@
 	n.Roll = plan.NewRoll(n.R, n.Pact, n.Books, n.Ledger)
 	n.Planner = plan.NewPlanner(n.R, n.Wire, n.Kin, n.Pact, n.Ledger)
 	flow.NewServer(n.R, n.Wire, n.Kin, n.Pact, n.Ledger, n.Planner).HandleOwner()
+	n.Wire.Handle("plan.whose", func(c *wire.Call) (any, error) {
+		var ask wire.WhoseAsk
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		return &wire.WhoseReceipt{Service: n.Roll.Whose(ask.Instance)}, nil
+	})
+	n.Wire.Handle("plan.stir", func(c *wire.Call) (any, error) {
+		n.Planner.Kick()
+		return struct{}{}, nil
+	})
+	n.Roll.Stirred = n.stir
 	n.Wire.Handle("plan.news", func(c *wire.Call) (any, error) {
 		var ask wire.NewsAsk
 		if err := c.Read(&ask); err != nil {
@@ -181,23 +209,30 @@
 	return n.serve(n.R.Props.ApiAddress, "api.address", http.MaxBytesHandler(server, apiMost))
 }
 
-// Stop is the planned stop: nothing new is taken, what was handed over is
-// finished, owned parts are passed on, and the others are told.
+// Stop is the planned stop: this node says that it is not ready, and, if it is a
+// proxy, serves on for a moment whoever has not heard; then nothing new is taken,
+// what was handed over is finished, owned parts are passed on, and the others are
+// told.
 func (n *Node) Stop() {
 	n.R.Sign.Say(sign.NodeStopping)
 	n.isGoing.Store(true)
 	ctx, end := context.WithTimeout(n.R, n.R.Props.StopGrace)
 	defer end()
-	if n.Gate != nil {
-		n.Gate.Stop()
-	}
 	if n.Pact != nil {
 		n.Pact.HandOver(ctx)
 	}
+	if n.Gate != nil {
+		n.Gate.Linger()
+		n.R.Pause(n.R.Props.GateLinger)
+		n.Gate.Stop()
+	}
 	n.Kin.Leave()
+	var all sync.WaitGroup
 	for _, server := range n.servers {
-		server.Shutdown(ctx)
+		all.Add(1)
+		n.R.Go(func() { defer all.Done(); server.Shutdown(ctx) })
 	}
+	all.Wait()
 	if n.Gate != nil {
 		n.Gate.Close()
 	}
@@ -205,155 +240,21 @@
 	n.R.End()
 }
 
-// op is one call that belongs to a part.
-type op struct {
-	part mark.Part
-	name string
-	body any
-}
-
-// pass carries an op out here, if the part is owned here, or passes it on.
-// Until the deadline it looks for the owner again, as long as the op is known
-// not to have run.
-func (n *Node) pass(ctx context.Context, o op, hops int, into any) error {
-	raw, err := json.Marshal(o.body)
-	if err != nil {
-		return fault.New(fault.Internal, "%v", err)
-	}
-	var problem error
-	for try := 0; ctx.Err() == nil; try++ {
-		if n.Pact != nil && n.Pact.Part(o.part).IsServing() {
-			got, err := n.do(ctx, o.part, o.name, raw)
-			if err == nil {
-				return recast(got, into)
-			}
-			problem = err
-		} else if address := n.ownerOf(o.part, try); address != "" {
-			var receipt wire.PassReceipt
-			err := n.Wire.AskHop(ctx, address, "seat.pass", hops+1, &wire.PassAsk{Part: o.part, Op: o.name, Body: raw}, &receipt)
-			if err == nil {
-				n.owners[o.part].Store(&address)
-				return json.Unmarshal(receipt.Body, into)
-			}
-			n.owners[o.part].Store(nil)
-			problem = err
-		}
-		if problem == nil {
-			problem = fault.New(fault.NoOwner, "part %d", o.part)
-		}
-		if hops > 0 || !isRetryable(problem) {
-			return problem
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(min(time.Duration(try+1)*20*time.Millisecond, 150*time.Millisecond)):
-		}
+// stir tells the owner of the configuration part that there is news of targets.
+func (n *Node) stir() {
+	if n.Pact.Part(mark.Config).IsServing() {
+		n.Planner.Kick()
+		return
 	}
-	if problem == nil {
-		problem = fault.New(fault.NoOwner, "part %d", o.part)
+	if !n.isStirring.CompareAndSwap(false, true) {
+		return
 	}
-	return problem
-}
-
-// isRetryable is true only for what certainly did not run.
-func isRetryable(err error) bool {
-	for _, code := range []fault.Code{fault.NotOwner, fault.NoOwner, fault.Unreached, fault.TooManyHops, fault.Stopping} {
-		if fault.Is(err, code) {
-			return true
-		}
-	}
-	return false
-}
-
-// ownerOf is where to send an op: the known owner, or a core node in turn.
-func (n *Node) ownerOf(no mark.Part, try int) string {
-	if n.Pact != nil {
-		if name, ok := n.Pact.Owner(no); ok && name != n.R.Name {
-			if m, ok := n.Kin.Of(name); ok {
-				return m.Wire
-			}
-		}
-	}
-	if known := n.owners[no].Load(); known != nil {
-		return *known
-	}
-	var cores []wire.Member
-	for _, m := range n.Kin.Cores() {
-		if m.Name != n.R.Name {
-			cores = append(cores, m)
-		}
-	}
-	if len(cores) == 0 {
-		return ""
-	}
-	return cores[try%len(cores)].Wire
-}
-
-func (n *Node) passed(c *wire.Call) (any, error) {
-	var ask wire.PassAsk
-	if err := c.Read(&ask); err != nil {
-		return nil, err
-	}
-	if ask.Part < 0 || ask.Part > mark.Config {
-		return nil, fault.New(fault.BadMessage, "no part %d", ask.Part)
-	}
-	if c.Hops > wire.Hops {
-		return nil, fault.New(fault.TooManyHops, "%d", c.Hops)
-	}
-	var body json.RawMessage
-	if err := n.pass(c, op{ask.Part, ask.Op, ask.Body}, c.Hops, &body); err != nil {
-		return nil, err
-	}
-	return &wire.PassReceipt{Body: body}, nil
-}
-
-// do carries an op out at the owner.
-func (n *Node) do(ctx context.Context, no mark.Part, name string, raw json.RawMessage) (any, error) {
-	read := func(into any) error {
-		if err := json.Unmarshal(raw, into); err != nil {
-			return fault.New(fault.BadMessage, "%s: %v", name, err)
-		}
-		return nil
-	}
-	switch name {
-	case "beat":
-		var beat wire.Beat
-		if err := read(&beat); err != nil {
-			return nil, err
-		}
-		return struct{}{}, n.Roll.Take(ctx, &beat)
-	case "bond":
-		var call wire.BondOp
-		if err := read(&call); err != nil {
-			return nil, err
-		}
-		return n.Desk.Do(ctx, &call)
-	case "submit":
-		var change wire.Change
-		if err := read(&change); err != nil {
-			return nil, err
-		}
-		return n.Planner.Submit(ctx, &change)
-	case "change":
-		var id string
-		if err := read(&id); err != nil {
-			return nil, err
+	n.R.Go(func() {
+		defer n.isStirring.Store(false)
+		if address := n.ownerOf(mark.Config, 0); address != "" {
+			ctx, end := context.WithTimeout(n.R, 500*time.Millisecond)
+			defer end()
+			n.Wire.Ask(ctx, address, "plan.stir", struct{}{}, nil)
 		}
-		return n.Planner.AskChange(ctx, id)
-	case "epoch":
-		return n.Planner.View(ctx)
-	}
-	return nil, fault.New(fault.UnknownKind, "%q", name)
-}
-
-// recast turns one shape of data into another that is written the same.
-func recast(from, into any) error {
-	raw, err := json.Marshal(from)
-	if err == nil {
-		err = json.Unmarshal(raw, into)
-	}
-	if err != nil {
-		return fault.New(fault.Internal, "%v", err)
-	}
-	return nil
+	})
 }
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -36,4 +36,6 @@
 	TryFailed      = Event{No: 602, Name: "TryFailed", Level: "debug", Text: "a try failed"}
 	MessageRefused = Event{No: 701, Name: "MessageRefused", Level: "warn", Text: "a message was refused"}
 	BeatRefused    = Event{No: 702, Name: "BeatRefused", Level: "warn", Text: "a beat was refused"}
+	PropsReread    = Event{No: 801, Name: "PropsReread", Level: "info", Text: "the settings were read again"}
+	PropsRefused   = Event{No: 802, Name: "PropsRefused", Level: "warn", Text: "changed settings are faulty; the old ones stay"}
 )
