--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -36,6 +36,7 @@
 	k     *kin.Kin
 	Cache *Cache
 	ages  atomic.Pointer[Vouched]
+	word  atomic.Pointer[time.Time] // when anything last came from a control node
 	born  time.Time
 	began atomic.Bool
 
@@ -81,6 +82,7 @@
 		if receipt.Epoch == 0 {
 			continue
 		}
+		c.heard()
 		c.Cache.Stage(receipt.Groups)
 		if ok, err := c.Cache.Swap(receipt.Epoch, receipt.Manifest); ok && err == nil {
 			return true
@@ -194,7 +196,7 @@
 // pulse renews freshness through one control node, the nearest that answers.
 func (c *Client) pulse() {
 	pick := 0
-	for c.r.Pause(realm.Jitter(c.r.Props.FlowPulse)) {
+	for c.r.Pause(realm.Jitter(c.pulsePause())) {
 		cores := c.k.Cores()
 		if len(cores) == 0 {
 			continue
@@ -202,7 +204,7 @@
 		for try := 0; try < 2; try++ {
 			m := cores[pick%len(cores)]
 			sent := c.r.Now()
-			ctx, end := context.WithTimeout(c.r, c.r.Props.FlowPulse+100*time.Millisecond)
+			ctx, end := context.WithTimeout(c.r, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond)
 			var receipt wire.PulseReceipt
 			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
 			end()
@@ -216,10 +218,25 @@
 	}
 }
 
+// pulsePause is short until the first word has come.
+func (c *Client) pulsePause() time.Duration {
+	if c.Ages().Epoch == 0 {
+		return min(c.r.Props.FlowPulse, 150*time.Millisecond)
+	}
+	return c.r.Props.FlowPulse
+}
+
+// heard notes word from a control node.
+func (c *Client) heard() {
+	now := c.r.Now()
+	c.word.Store(&now)
+}
+
 // renew takes over what a pulse brought. Ages that name an epoch newer than the
 // one in use can't vouch for it, but those held before still do until they are
 // too old; so both are kept.
 func (c *Client) renew(sent time.Time, receipt *wire.PulseReceipt) {
+	c.heard()
 	held := c.ages.Load()
 	if receipt.Epoch < held.Newest.Epoch || len(receipt.Parts) != mark.Parts {
 		return
@@ -259,8 +276,12 @@
 	if chart == nil {
 		return false
 	}
+	if stay := c.r.Props.FlowStay; stay > 0 {
+		word := c.word.Load()
+		return word != nil && c.r.Since(*word) < stay
+	}
 	held := c.ages.Load()
-	no, bound := mark.PartOf(service), max(c.r.Props.FlowFresh, c.r.Props.FlowStay)
+	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
 	for _, a := range []*Ages{&held.Newest, &held.Before} {
 		if a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || c.r.Since(a.Parts[no]) < bound) {
 			return true
@@ -275,7 +296,7 @@
 // tell writes an event when freshness of the configuration is lost or back.
 func (c *Client) tell() {
 	chart, ages := c.Cache.Chart(), c.Ages()
-	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < max(c.r.Props.FlowFresh, c.r.Props.FlowStay)
+	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < max(c.r.Props.FlowFresh, 3*c.r.Props.FlowPulse)
 	if isFresh != c.isFresh {
 		c.isFresh = isFresh
 		if isFresh {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -107,6 +107,11 @@
 	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
 	names := ask.Groups
 	if len(names) == 0 {
+		// A member that was just started holds what its last snapshot holds, until an
+		// owner has told it how far the log is committed.
+		if _, isOwned := s.p.Owner(mark.Config); !isOwned {
+			return &wire.FetchReceipt{}
+		}
 		receipt.Manifest = sheet.Manifest()
 		names = slices.Collect(maps.Keys(receipt.Manifest))
 	}
--- a/internal/pact/stand.go
+++ b/internal/pact/stand.go
@@ -28,6 +28,11 @@
 		return false
 	}
 	silence := t.p.r.Props.PactSilence
+	if t.heard.IsZero() {
+		// After a start, one round of a working owner is awaited; a member that
+		// hears one refuses whoever stands.
+		silence = min(silence, t.p.r.Props.PactRound*3/2)
+	}
 	since := t.heard
 	if since.Before(t.since) {
 		since = t.since
