Bytes between zones: rounds go to voters, member lists by digest, few listened to

Rounds went to every core node and were kicked at all by each read, although only a part's group has a say; listener requests carry every group's digest to every core node at each epoch; the planner asked four times a second.

Ruled out: reads under a lease (a member that was started anew would have to keep still first, which costs the return after a loss of all).

--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +28,10 @@
 // Vouched is the newest ages, and the last that vouch for the epoch before.
 type Vouched struct{ Newest, Before Ages }
 
-const nearPause = 40 * time.Millisecond
+const (
+	nearPause    = 40 * time.Millisecond
+	catchUpPause = 100 * time.Millisecond
+)
 
 // Client is one proxy's.
 type Client struct {
@@ -40,6 +44,8 @@
 	born  time.Time
 	began atomic.Bool
 
+	isCatchingUp atomic.Bool
+
 	mu        sync.Mutex
 	listening map[mark.Name]string
 	fetching  realm.Turn
@@ -94,7 +100,7 @@
 // keepListening has one task for each control node there is.
 func (c *Client) keepListening() {
 	for {
-		for _, m := range c.k.Cores() {
+		for _, m := range c.servers() {
 			c.mu.Lock()
 			isNew := c.listening[m.Name] != m.Wire
 			if isNew {
@@ -111,7 +117,27 @@
 	}
 }
 
-// listen is the task for one control node; it ends when the node is gone.
+// servers is the control nodes listened to: all, or the nearest few, of which one
+// at least stands in another zone if there is one.
+func (c *Client) servers() []wire.Member {
+	cores, most := c.k.Cores(), c.r.Props.FlowServers
+	if most == 0 || len(cores) <= most {
+		return cores
+	}
+	some := cores[:most:most]
+	if most > 1 && some[most-1].Zone == c.r.Props.Zone {
+		for _, m := range cores[most:] {
+			if m.Zone != c.r.Props.Zone {
+				some[most-1] = m
+				break
+			}
+		}
+	}
+	return some
+}
+
+// listen is the task for one control node; it ends when the node is no longer one
+// to listen to.
 func (c *Client) listen(name mark.Name, address string) {
 	defer func() {
 		c.mu.Lock()
@@ -122,7 +148,7 @@
 	}()
 	tries := 0
 	for !c.r.IsOver() {
-		if m, ok := c.k.Of(name); !ok || m.Wire != address {
+		if !slices.ContainsFunc(c.servers(), func(m wire.Member) bool { return m.Name == name && m.Wire == address }) {
 			return
 		}
 		isNewer, err := c.poll(address)
@@ -210,6 +236,7 @@
 			end()
 			if err == nil {
 				c.renew(sent, &receipt)
+				c.catchUp(m.Wire, receipt.Epoch)
 				break
 			}
 			pick++
@@ -218,6 +245,21 @@
 	}
 }
 
+// catchUp asks where a newer epoch was heard of, if those listened to are slow to
+// tell of it.
+func (c *Client) catchUp(address string, epoch mark.Epoch) {
+	isBehind := func() bool { now, _ := c.Cache.Have(); return now > 0 && now < epoch }
+	if c.r.Props.FlowServers == 0 || !isBehind() || !c.isCatchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	c.r.Go(func() {
+		defer c.isCatchingUp.Store(false)
+		if c.r.Pause(catchUpPause) && isBehind() {
+			c.poll(address)
+		}
+	})
+}
+
 // pulsePause is short until the first word has come.
 func (c *Client) pulsePause() time.Duration {
 	if c.Ages().Epoch == 0 {
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -5,8 +5,6 @@
 package kin
 
 import (
-	"context"
-	"math/rand/v2"
 	"net"
 	"sort"
 	"sync"
@@ -26,6 +24,8 @@
 	Left    = "left"
 
 	lostKept = 10 * time.Minute
+
+	presentOften, presentSeldom = 32, 16
 )
 
 // known is a member with what this node alone knows of it.
@@ -52,6 +52,9 @@
 
 	isPresenting atomic.Bool
 	seeds        atomic.Pointer[[]string]
+
+	shownAt uint64
+	shown   int
 }
 
 // Standing is a member and since when it stands as it does.
@@ -71,6 +74,9 @@
 			return nil, err
 		}
 		k.learn(ask.Members)
+		if ask.Digest != 0 && ask.Digest == k.digest() {
+			return &wire.KinSync{IsSame: true}, nil
+		}
 		return &wire.KinSync{Members: k.list()}, nil
 	})
 	return k
@@ -283,85 +289,6 @@
 	return news
 }
 
-// sync exchanges whole lists: with the seeds until one answers, and with a
-// random member from time to time.
-func (k *Kin) sync() {
-	isIn := false
-	for {
-		var addresses []string
-		seeds := *k.seeds.Load()
-		if !isIn {
-			addresses = seeds
-		} else {
-			for name, s := range k.View() {
-				if name != k.r.Name && rank(s.State) < 2 {
-					addresses = append(addresses, s.Wire)
-				}
-			}
-			if len(addresses) > 0 {
-				pick := rand.IntN(len(addresses))
-				addresses = addresses[pick : pick+1]
-			}
-			if lost := k.lost(); len(lost) > 0 {
-				addresses = append(addresses, lost[rand.IntN(len(lost))])
-			}
-			if len(seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
-				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
-			}
-		}
-		for _, address := range addresses {
-			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
-				isIn = true
-			}
-		}
-		pause := 300 * time.Millisecond
-		if isIn {
-			pause = realm.Jitter(10 * time.Second)
-			if len(k.View()) < 3 || len(k.lost()) > 0 {
-				pause = realm.Jitter(time.Second)
-			}
-		}
-		if !k.r.Pause(pause) {
-			return
-		}
-	}
-}
-
-// lost is the addresses of members that went down of late without a word: each
-// side of a healed cut holds the other for down, and neither probes it.
-func (k *Kin) lost() (addresses []string) {
-	for _, s := range k.View() {
-		if s.State == Down && time.Since(s.Since) < lostKept {
-			addresses = append(addresses, s.Wire)
-		}
-	}
-	return addresses
-}
-
-// Sync exchanges whole lists with one address, and once more if that showed
-// this node that it was held for down.
-func (k *Kin) Sync(address string) bool {
-	before := k.Me().Incarnation
-	if !k.exchange(address) {
-		return false
-	}
-	if k.Me().Incarnation != before {
-		k.exchange(address)
-	}
-	return true
-}
-
-func (k *Kin) exchange(address string) bool {
-	ctx, end := context.WithTimeout(k.r, time.Second)
-	defer end()
-	var receipt wire.KinSync
-	if err := k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: k.list()}, &receipt); err != nil {
-		return false
-	}
-	k.learn(receipt.Members)
-	return true
-}
-
 // Leave tells a few others that this node goes on purpose.
 func (k *Kin) Leave() {
 	k.Amend(func(m *wire.Member) { m.State = Left })
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -57,8 +57,11 @@
 			if !k.IsLive(wire.Peer{Name: probe.From, Birth: probe.Birth}) {
 				k.send(from.String(), wire.Probe{Kind: "who"})
 			}
-			me := k.Me()
-			k.send(from.String(), wire.Probe{Kind: "ack", Seq: probe.Seq, News: append(k.gossip(), me)})
+			news := k.gossip()
+			if k.presents() {
+				news = append(news, k.Me())
+			}
+			k.send(from.String(), wire.Probe{Kind: "ack", Seq: probe.Seq, News: news})
 		case "ack":
 			k.mu.Lock()
 			if waiter, ok := k.acks[probe.Seq]; ok {
@@ -120,7 +123,12 @@
 		}
 		return false
 	}
-	k.send(address, wire.Probe{Kind: "ping", Seq: seq, To: name})
+	ping := wire.Probe{Kind: "ping", Seq: seq, To: name}
+	if s, ok := k.View()[name]; ok && s.State == Suspect {
+		// Whoever is suspected must hear of it to refute it.
+		ping.News = append(k.gossip(), s.Member)
+	}
+	k.send(address, ping)
 	if await() {
 		return true
 	}
--- /dev/null
+++ b/internal/kin/sync.go
@@ -0,0 +1,135 @@
+// Exchanging member lists: a digest of all that is known goes first, whole lists
+// only where it differs, and back only what the other side lacked; so that the cost
+// of an exchange does not grow with the fleet while nothing changes.
+package kin
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// sync exchanges whole lists: with the seeds until one answers, and with a
+// random member from time to time.
+func (k *Kin) sync() {
+	isIn := false
+	for {
+		var addresses []string
+		seeds := *k.seeds.Load()
+		if !isIn {
+			addresses = seeds
+		} else {
+			for name, s := range k.View() {
+				if name != k.r.Name && rank(s.State) < 2 {
+					addresses = append(addresses, s.Wire)
+				}
+			}
+			if len(addresses) > 0 {
+				pick := rand.IntN(len(addresses))
+				addresses = addresses[pick : pick+1]
+			}
+			if lost := k.lost(); len(lost) > 0 {
+				addresses = append(addresses, lost[rand.IntN(len(lost))])
+			}
+			if len(seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
+				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
+			}
+		}
+		for _, address := range addresses {
+			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
+				isIn = true
+			}
+		}
+		pause := 300 * time.Millisecond
+		if isIn {
+			pause = realm.Jitter(10 * time.Second)
+			if len(k.View()) < 3 || len(k.lost()) > 0 {
+				pause = realm.Jitter(time.Second)
+			}
+		}
+		if !k.r.Pause(pause) {
+			return
+		}
+	}
+}
+
+// lost is the addresses of members that went down of late without a word: each
+// side of a healed cut holds the other for down, and neither probes it.
+func (k *Kin) lost() (addresses []string) {
+	for _, s := range k.View() {
+		if s.State == Down && time.Since(s.Since) < lostKept {
+			addresses = append(addresses, s.Wire)
+		}
+	}
+	return addresses
+}
+
+// Sync exchanges whole lists with one address, and once more if that showed
+// this node that it was held for down.
+func (k *Kin) Sync(address string) bool {
+	before := k.Me().Incarnation
+	if !k.exchange(address) {
+		return false
+	}
+	if k.Me().Incarnation != before {
+		k.exchange(address)
+	}
+	return true
+}
+
+func (k *Kin) exchange(address string) bool {
+	ctx, end := context.WithTimeout(k.r, time.Second)
+	defer end()
+	var receipt wire.KinSync
+	if err := k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Digest: k.digest()}, &receipt); err != nil {
+		return false
+	}
+	if receipt.IsSame {
+		return true
+	}
+	k.learn(receipt.Members)
+	if mine := k.newer(receipt.Members); len(mine) > 0 {
+		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest()}, &receipt) == nil
+	}
+	return true
+}
+
+// digest is one number for all that is known here.
+func (k *Kin) digest() (sum uint64) {
+	for _, m := range k.list() {
+		sum ^= mark.Score(string(m.Name), string(m.Birth), strconv.FormatUint(m.Incarnation, 10), m.State)
+	}
+	return max(sum, 1)
+}
+
+// newer is what is known here and not, or less, in another's list.
+func (k *Kin) newer(theirs []wire.Member) (mine []wire.Member) {
+	known := map[mark.Name]wire.Member{}
+	for _, m := range theirs {
+		known[m.Name] = m
+	}
+	for _, m := range k.list() {
+		old, ok := known[m.Name]
+		if !ok || old.Birth != m.Birth || old.Incarnation < m.Incarnation || old.Incarnation == m.Incarnation && rank(old.State) < rank(m.State) {
+			mine = append(mine, m)
+		}
+	}
+	return mine
+}
+
+// presents tells whether this node's own record goes with an acknowledgement:
+// often while it is new, then seldom.
+func (k *Kin) presents() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.shownAt != k.me.Incarnation {
+		k.shownAt, k.shown = k.me.Incarnation, 0
+	}
+	k.shown++
+	return k.shown <= presentOften || k.shown%presentSeldom == 0
+}
--- a/internal/pact/repair.go
+++ b/internal/pact/repair.go
@@ -75,7 +75,7 @@
 	t.mu.Lock()
 	group := t.group
 	t.mu.Unlock()
-	t.p.kickRounds()
+	t.p.kickRounds(group)
 	agree, against := 1, []wire.Member{}
 	differ := map[mark.Name][]string{}
 	for _, peer := range group {
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -20,6 +20,10 @@
 	heard saying
 }
 
+// Members of no part owned here have no word to give; they are told who owns what
+// this much more seldom.
+const tellSeldom = 4
+
 // keepRounds has one task for each core node there is.
 func (p *Pact) keepRounds() {
 	view := p.k.View()
@@ -44,7 +48,22 @@
 	}
 }
 
-func (p *Pact) kickRounds() {
+// kickRounds has the members of a group asked at once.
+func (p *Pact) kickRounds(group []wire.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range group {
+		if r := p.rounds[peer]; r != nil {
+			select {
+			case r.kick <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// kickAll has everybody told of a new owner at once.
+func (p *Pact) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rounds {
@@ -55,6 +74,19 @@
 	}
 }
 
+// isVoter tells whether a peer has a say in a part that this node owns.
+func (p *Pact) isVoter(peer wire.Peer) bool {
+	for _, t := range p.parts {
+		t.mu.Lock()
+		is := t.isOwner && holds(t.group, peer)
+		t.mu.Unlock()
+		if is {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pact) round(ctx context.Context, peer wire.Peer, r *rounder) {
 	wakeup := time.NewTimer(0)
 	defer wakeup.Stop()
@@ -69,6 +101,9 @@
 			pause = pause * 3 / 2
 		case <-wakeup.C:
 		}
+		if !p.isVoter(peer) {
+			pause = p.r.Props.PactRound * tellSeldom
+		}
 		wakeup.Reset(pause)
 		claims := p.claims()
 		m, ok := p.k.View()[peer.Name]
@@ -193,10 +228,10 @@
 			t.mu.Unlock()
 			return nil
 		}
-		change := t.change
+		change, group := t.change, t.group
 		t.mu.Unlock()
 		if !isKicked {
-			t.p.kickRounds()
+			t.p.kickRounds(group)
 			isKicked = true
 		}
 		select {
--- a/internal/pact/stand.go
+++ b/internal/pact/stand.go
@@ -198,7 +198,7 @@
 	t.began = last + 1
 	t.append(w, wire.Entry{Kind: "own"})
 	t.feedAll()
-	t.p.kickRounds()
+	t.p.kickAll()
 }
 
 // stepDown ends the ownership; whoever waits for a write is left unsure.
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -34,6 +34,7 @@
 	PlanBeat       time.Duration // pause between two beats of a server, as servers are told
 	PlanPoll       time.Duration // pause between two collections of the parts' news
 	FlowHold       time.Duration // how long a listener request is held
+	FlowServers    int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
 	FlowPause      time.Duration // pause after a fetch that brought nothing newer
 	FlowRetry      time.Duration // pause between tries after an error
 	FlowTries      int           // tries before the long pause
@@ -93,8 +94,9 @@
 	{key: "plan.keep", kind: "bool", fallback: "false", low: "", high: "", doc: "while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address", set: func(p *Props, v any) { p.PlanKeep = v.(bool) }},
 	{key: "plan.strangers", kind: "bool", fallback: "false", low: "", high: "", doc: "keep the beats of services that no configuration names yet", set: func(p *Props, v any) { p.PlanStrangers = v.(bool) }},
 	{key: "plan.beat", kind: "duration", fallback: "300ms", low: "50ms", high: "1m", doc: "pause between two beats of a server, as servers are told", set: func(p *Props, v any) { p.PlanBeat = v.(time.Duration) }},
-	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "400ms", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
+	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "5s", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
+	{key: "flow.servers", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all", set: func(p *Props, v any) { p.FlowServers = v.(int) }},
 	{key: "flow.pause", kind: "duration", fallback: "200ms", low: "10ms", high: "30s", doc: "pause after a fetch that brought nothing newer", set: func(p *Props, v any) { p.FlowPause = v.(time.Duration) }},
 	{key: "flow.retry", kind: "duration", fallback: "200ms", low: "10ms", high: "5s", doc: "pause between tries after an error", set: func(p *Props, v any) { p.FlowRetry = v.(time.Duration) }},
 	{key: "flow.tries", kind: "int", fallback: "3", low: "1", high: "100", doc: "tries before the long pause", set: func(p *Props, v any) { p.FlowTries = v.(int) }},
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -58,9 +58,11 @@
 	News  []Member   `json:"news,omitempty"`
 }
 
-// KinSync exchanges whole member lists.
+// KinSync exchanges member lists: a digest of all that is known first, members only where it differs.
 type KinSync struct {
-	Members []Member `json:"members"`
+	Digest  uint64   `json:"digest,omitempty"`
+	IsSame  bool     `json:"is_same,omitempty"`
+	Members []Member `json:"members,omitempty"`
 }
 
 // Entry is one entry of a part's log.
