--- a/cmd/sumac/main_test.go
+++ b/cmd/sumac/main_test.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/sumactrestle/sumactrestle/platform"
 )
 
 func run(args ...string) error {
@@ -23,20 +25,34 @@
 	return path
 }
 
+func read(t *testing.T, path string) string {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
 func TestCommandsNameWhatIsWrong(t *testing.T) {
+	t.Setenv(platform.Variable, "")
 	for name, c := range map[string]struct {
 		args []string
 		exit int
 		says []string
 	}{
-		"node with faulty settings": {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
-		"a setting without a value": {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
-		"check of a change set":     {[]string{"check", "--change", write(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
-		"a misspelt key":            {[]string{"check", "--change", write(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
-		"no node to ask":            {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
-		"no such query":             {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
-		"a history that is none":    {[]string{"judge", write(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
-		"a history without end":     {[]string{"judge", write(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
+		"node with faulty settings":          {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
+		"a setting without a value":          {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
+		"check of a change set":              {[]string{"check", "--change", write(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
+		"a misspelt key":                     {[]string{"check", "--change", write(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
+		"faulty settings of the platform":    {[]string{"platform", "--check", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", read(t, "../../platform/testdata/faulty.txt")}},
+		"no settings of the platform":        {[]string{"platform", "--check"}, 2, []string{"5001", "--settings"}},
+		"settings of the platform not there": {[]string{"platform", "--check", "--settings", "none.toml"}, 2, []string{"5001", "none.toml"}},
+		"faulty settings to run on":          {[]string{"platform", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", "nodeName: is missing"}},
+		"no node to ask":                     {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
+		"no such query":                      {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
+		"a history that is none":             {[]string{"judge", write(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
+		"a history without end":              {[]string{"judge", write(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := run(c.args...)
@@ -59,6 +75,9 @@
 	if err := run("check", "--set", "name=a", "--set", "wire.address=127.0.0.1:1", "--set", "api.address=127.0.0.1:2", "--set", "gate.address=127.0.0.1:3", "--set", "seeds=127.0.0.1:1,127.0.0.1:4"); err != nil {
 		t.Error(err)
 	}
+	if err := run("platform", "--check", "--settings", "../../platform/testdata/core.toml"); err != nil {
+		t.Error(err)
+	}
 	good := write(t, "c.yaml", "id: a\nbase: 3\nput:\n  services: [{name: s}]\n  mappings: [{name: m, path: /x, to: [{service: s, weight: 1}]}]\n")
 	if err := run("check", "--change", good); err != nil {
 		t.Error(err)
