--- /dev/null
+++ b/internal/gate/read_test.go
@@ -0,0 +1,132 @@
+// Whatever a target sends, reading its answer ends: with a problem, or with a
+// whole body that is no longer than the limit and belongs to the request, unless
+// nothing that belongs to it follows.
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const (
+	namer = "Names-Request"
+	asked = "r1"
+	limit = 64
+)
+
+func readBytes(raw []byte, method, names string) (answer, *bufio.Reader, chan struct{}) {
+	request, _ := http.NewRequest(method, "http://server.example/x", nil)
+	request.Header.Set(namer, asked)
+	reader, more := bufio.NewReader(bytes.NewReader(raw)), make(chan struct{})
+	return read(reader, request, limit, more, names), reader, more
+}
+
+func reply(id string, length int, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + namer + ": " + id + "\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n" + body
+}
+
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		reply(asked, 2, "ok"), reply(asked, 9, "short"), reply("r0", 4, "late") + reply(asked, 2, "ok"), reply(asked, 99, strings.Repeat("x", 99)),
+		"HTTP/1.1 100 Continue\r\n\r\n" + reply(asked, 2, "ok"),
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + namer + ": r1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + namer + ": r1\r\n\r\n2\r\nok\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\nto the end", "HTTP/1.1 204 No Content\r\n" + namer + ": r1\r\n\r\n",
+		reply("r0", 0, "") + reply("r0", 0, "") + reply("r0", 0, "") + reply("r0", 0, "") + reply(asked, 0, ""),
+		"\x00\x01 what is this\r\n\r\n", "",
+	} {
+		f.Add([]byte(text), false)
+		f.Add([]byte(text), true)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, isHead bool) {
+		method := http.MethodGet
+		if isHead {
+			method = http.MethodHead
+		}
+		got, _, more := readBytes(raw, method, namer)
+		select {
+		case <-more:
+		default:
+			t.Fatal("whoever waits for the server's word waits on")
+		}
+		if got.err != nil {
+			if got.response != nil || got.body != nil {
+				t.Fatal("a problem came with an answer")
+			}
+			return
+		}
+		if got.response.StatusCode < 200 {
+			t.Fatalf("%d is no last answer", got.response.StatusCode)
+		}
+		if len(got.body) > limit {
+			t.Fatalf("%d bytes are more than %d", len(got.body), limit)
+		}
+		if n := got.response.ContentLength; n >= 0 && !isHead && int64(len(got.body)) != n {
+			t.Fatalf("%d bytes of %d pass for whole", len(got.body), n)
+		}
+		// An answer in front that names another request leaves the right one in its place.
+		if got.response.Header.Get(namer) != asked {
+			return
+		}
+		front := reply("r0", 4, "late")
+		if isHead {
+			front = reply("r0", 4, "")
+		}
+		after, _, _ := readBytes(append([]byte(front), raw...), method, namer)
+		if after.err != nil || after.response.Header.Get(namer) != asked || !bytes.Equal(after.body, got.body) {
+			if surplusIn(raw, method) < surplus {
+				t.Fatalf("behind a surplus answer: %v %q", after.err, after.body)
+			}
+		}
+	})
+}
+
+// surplusIn counts the answers before the one asked for.
+func surplusIn(raw []byte, method string) (n int) {
+	request := &http.Request{Method: method}
+	reader := bufio.NewReader(bytes.NewReader(raw))
+	for {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return n
+		}
+		if response.StatusCode < 200 {
+			continue
+		}
+		io.Copy(io.Discard, response.Body)
+		if response.Header.Get(namer) == asked {
+			return n
+		}
+		n++
+	}
+}
+
+// TestSurplusAnswers holds what is read past, and that each answer is told by the
+// request it names.
+func TestSurplusAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		raw, names, body string
+		isFailed         bool
+	}{
+		"its own":                         {reply(asked, 2, "ok"), namer, "ok", false},
+		"one before it":                   {reply("r0", 4, "late") + reply(asked, 2, "ok"), namer, "ok", false},
+		"one before it, that ends early":  {reply("r0", 9, "late") + reply(asked, 2, "ok"), namer, "", true},
+		"three before it":                 {strings.Repeat(reply("r0", 0, ""), 3) + reply(asked, 2, "ok"), namer, "ok", false},
+		"only another's":                  {reply("r0", 4, "late"), namer, "", true},
+		"another's, where none are named": {reply("r0", 4, "late") + reply(asked, 2, "ok"), "", "late", false},
+		"short":                           {reply(asked, 9, "short"), namer, "", true},
+		"too long":                        {reply(asked, limit+1, strings.Repeat("x", limit+1)), namer, "", true},
+		"as long as may be":               {reply(asked, limit, strings.Repeat("x", limit)), namer, strings.Repeat("x", limit), false},
+		"chunks that are cut off":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + namer + ": r1\r\n\r\n2\r\nok\r\n", namer, "", true},
+	} {
+		got, _, _ := readBytes([]byte(c.raw), http.MethodGet, c.names)
+		if (got.err != nil) != c.isFailed || string(got.body) != c.body {
+			t.Errorf("%s: %q, %v", name, got.body, got.err)
+		}
+	}
+}
