--- a/internal/gate/read_test.go
+++ b/internal/gate/read_test.go
@@ -121,6 +121,7 @@
 		"another's, where none are named": {reply("r0", 4, "late") + reply(asked, 2, "ok"), "", "late", false},
 		"short":                           {reply(asked, 9, "short"), namer, "", true},
 		"too long":                        {reply(asked, limit+1, strings.Repeat("x", limit+1)), namer, "", true},
+		"too long, in chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + namer + ": r1\r\n\r\n42\r\n" + strings.Repeat("x", limit+2) + "\r\n0\r\n\r\n", namer, "", true},
 		"as long as may be":               {reply(asked, limit, strings.Repeat("x", limit)), namer, strings.Repeat("x", limit), false},
 		"chunks that are cut off":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + namer + ": r1\r\n\r\n2\r\nok\r\n", namer, "", true},
 	} {
