Larger fleets: suspicion, news and epochs no longer flap; only keepers are listened to

Now news told least often goes first; lists count as told; a ping that fails is asked again over the pipe before anything is suspected; patience grows with the logarithm of the fleet; a proxy that went keeps its share for a while; news of targets is gathered before an epoch is made; far members are asked in every fourth round; a read asks the nearest that make a majority first; members show whether they hold the configuration, and proxies listen to, fetch from and pulse only such. An answer that names no request at all is no longer waited past.

The test of proxies among core nodes without the configuration fails without the mend.

--- /dev/null
+++ b/internal/dream/keepers_test.go
@@ -0,0 +1,57 @@
+// A proxy that listens to a few control nodes only must hear of each change all the
+// same, also where the core nodes nearest to it don't hold the configuration.
+package dream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+func TestAProxyAmongCoreNodesWithoutTheConfigurationHearsOfChanges(t *testing.T) {
+	shape := one()
+	shape.Settings["flow.servers"] = "2"
+	shape.Settings["flow.stay"] = "1h"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		for i := range 12 {
+			f.up(f.Add(fmt.Sprint("spare", i), i%3, true, false))
+		}
+		time.Sleep(10 * time.Second)
+		var late []*Machine
+		for i := range 6 {
+			late = append(late, f.Add(fmt.Sprint("late", i), i%3, false, true))
+			f.up(late[i])
+		}
+		chart := func() mark.Epoch {
+			least := mark.Epoch(1 << 40)
+			for _, proxy := range late {
+				if proxy.Node() == nil || proxy.Node().Flow.Cache.Chart() == nil {
+					return 0
+				}
+				least = min(least, proxy.Node().Flow.Cache.Chart().Epoch)
+			}
+			return least
+		}
+		if !f.Until(5*time.Second, func() bool { return chart() > 0 }) {
+			t.Fatal("a proxy got no plan")
+		}
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		for i := range 4 {
+			view, err := client.Epoch(f.ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			change := f.setChange(f.Rand, fmt.Sprint("change", i), view)
+			receipt, err := client.Submit(f.ctx, change)
+			if err != nil {
+				continue
+			}
+			if !f.Until(2*time.Second, func() bool { return chart() >= mark.Epoch(receipt.Epoch) }) {
+				t.Fatalf("change %d: a proxy is at epoch %d, %d is in force", i, chart(), receipt.Epoch)
+			}
+		}
+	})
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -76,7 +76,7 @@
 
 // fetchAll tries the control nodes in order until one gives every group.
 func (c *Client) fetchAll() bool {
-	for _, m := range c.k.Cores() {
+	for _, m := range c.k.Keepers() {
 		ctx, end := context.WithTimeout(c.r, 5*time.Second)
 		var receipt wire.FetchReceipt
 		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
@@ -120,7 +120,7 @@
 // servers is the control nodes listened to: all, or the nearest few, of which one
 // at least stands in another zone if there is one.
 func (c *Client) servers() []wire.Member {
-	cores, most := c.k.Cores(), c.r.Props.FlowServers
+	cores, most := c.k.Keepers(), c.r.Props.FlowServers
 	if most == 0 || len(cores) <= most {
 		return cores
 	}
@@ -211,7 +211,7 @@
 // leavesToNear gives the listener of a control node in the own zone a moment to
 // fetch first, if there is one, so that groups seldom come from another zone.
 func (c *Client) leavesToNear(address string) bool {
-	if cores := c.k.Cores(); c.k.IsNear(address) || len(cores) == 0 || !c.k.IsNear(cores[0].Wire) {
+	if cores := c.k.Keepers(); c.k.IsNear(address) || len(cores) == 0 || !c.k.IsNear(cores[0].Wire) {
 		return false
 	}
 	c.fetching.Unlock()
@@ -223,7 +223,7 @@
 func (c *Client) pulse() {
 	pick := 0
 	for c.r.Pause(realm.Jitter(c.pulsePause())) {
-		cores := c.k.Cores()
+		cores := c.k.Keepers()
 		if len(cores) == 0 {
 			continue
 		}
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -103,7 +103,7 @@
 			return answer{err: err}
 		}
 		response.Body.Close()
-		if names != "" && response.Header.Get(names) != request.Header.Get(names) && past < surplus && !response.Close {
+		if named := response.Header.Get(names); names != "" && named != "" && named != request.Header.Get(names) && past < surplus && !response.Close {
 			past++
 			continue
 		}
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -6,6 +6,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	seq     uint64
 	acks    map[uint64]chan struct{}
 	order   []mark.Name
+	turn    uint64
 	view    atomic.Pointer[map[mark.Name]Standing]
 	zones   atomic.Pointer[map[string]string]
 
@@ -73,12 +75,13 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		k.learn(ask.Members)
+		k.take(ask.Members, len(ask.Members) > 1)
 		if ask.Digest != 0 && ask.Digest == k.digest() {
 			return &wire.KinSync{IsSame: true}, nil
 		}
 		return &wire.KinSync{Members: k.list()}, nil
 	})
+	w.Handle("kin.here", func(c *wire.Call) (any, error) { return k.Me(), nil })
 	return k
 }
 
@@ -167,6 +170,22 @@
 	return cores
 }
 
+// Keepers is the live core members that hold the configuration part, in the order
+// of Cores; all of them while none is known to.
+func (k *Kin) Keepers() []wire.Member {
+	cores := k.Cores()
+	var keepers []wire.Member
+	for _, m := range cores {
+		if m.Keeps {
+			keepers = append(keepers, m)
+		}
+	}
+	if len(keepers) == 0 {
+		return cores
+	}
+	return keepers
+}
+
 func (k *Kin) list() []wire.Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -204,7 +223,10 @@
 // learn folds others' news into the view. Within one birth the higher
 // incarnation wins, and at the same one the worse state; another birth wins
 // over one that is known to be down, or by coming from the node itself.
-func (k *Kin) learn(news []wire.Member) {
+func (k *Kin) learn(news []wire.Member) { k.take(news, false) }
+
+// take is learn, also of whole lists: those in a list are known to others already.
+func (k *Kin) take(news []wire.Member, isList bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	didChange := false
@@ -247,7 +269,11 @@
 		if ok && old.member.Birth == m.Birth && rank(old.member.State) == rank(m.State) {
 			since = old.since
 		}
-		k.members[m.Name] = &known{member: m, since: since}
+		fresh := &known{member: m, since: since}
+		if isList && !ok {
+			fresh.sent = k.tellings() - 1
+		}
+		k.members[m.Name] = fresh
 		didChange = true
 	}
 	if didChange {
@@ -269,26 +295,46 @@
 	}
 }
 
-// gossip picks the news that was passed on least often.
+// gossipMost is how many members one datagram tells of.
+const gossipMost = 6
+
+// gossip picks the news that was passed on least often, so that what is new goes
+// round before what most know already.
 func (k *Kin) gossip() []wire.Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	limit := 4
-	for n := len(k.members) + 1; n > 1; n /= 2 {
-		limit += 2
-	}
-	news := []wire.Member{}
+	limit := k.tellings()
+	var picked []*known
 	for _, m := range k.members {
-		if m.sent < limit {
-			m.sent++
-			if news = append(news, m.member); len(news) >= 6 {
-				break
-			}
+		if m.sent >= limit {
+			continue
+		}
+		at := len(picked)
+		for at > 0 && m.sent < picked[at-1].sent {
+			at--
 		}
+		if at < gossipMost {
+			picked = slices.Insert(picked, at, m)
+			picked = picked[:min(len(picked), gossipMost)]
+		}
+	}
+	news := make([]wire.Member, 0, len(picked))
+	for _, m := range picked {
+		m.sent++
+		news = append(news, m.member)
 	}
 	return news
 }
 
+// tellings is how often a piece of news is passed on; the lock is held.
+func (k *Kin) tellings() int {
+	limit := 4
+	for n := len(k.members) + 1; n > 1; n /= 2 {
+		limit += 2
+	}
+	return limit
+}
+
 // Leave tells a few others that this node goes on purpose.
 func (k *Kin) Leave() {
 	k.Amend(func(m *wire.Member) { m.State = Left })
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -4,10 +4,13 @@
 package kin
 
 import (
+	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
@@ -15,6 +18,9 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
+// probeAll is the size of a fleet from which on far members are asked less often.
+const probeAll = 24
+
 func (k *Kin) send(address string, probe wire.Probe) {
 	me := k.Me()
 	probe.From, probe.Birth = me.Name, me.Birth
@@ -58,7 +64,8 @@
 				k.send(from.String(), wire.Probe{Kind: "who"})
 			}
 			news := k.gossip()
-			if k.presents() {
+			isDoubted := slices.ContainsFunc(probe.News, func(m wire.Member) bool { return m.Name == k.r.Name })
+			if isDoubted || k.presents() {
 				news = append(news, k.Me())
 			}
 			k.send(from.String(), wire.Probe{Kind: "ack", Seq: probe.Seq, News: news})
@@ -150,8 +157,12 @@
 				return s.Member, true
 			}
 		}
+		// Near members are asked every time round, far ones in every fourth: their own
+		// zone's members ask them too.
+		k.turn++
 		for name, s := range view {
-			if name != k.r.Name && rank(s.State) < 2 {
+			isNear := s.Zone == k.r.Props.Zone || len(view) < probeAll || mark.Score(string(name))%4 == k.turn%4
+			if name != k.r.Name && rank(s.State) < 2 && isNear {
 				k.order = append(k.order, name)
 			}
 		}
@@ -176,18 +187,38 @@
 				}
 			}
 		}
-		if !k.ping(target.Wire, target.Name, relay) && !k.r.IsOver() {
+		if !k.ping(target.Wire, target.Name, relay) && !k.isHere(target) && !k.r.IsOver() {
 			target.State = Suspect
 			k.learn([]wire.Member{target})
 		}
 	}
 }
 
+// isHere asks once more, over the pipe: on a full link datagrams are lost first.
+func (k *Kin) isHere(target wire.Member) bool {
+	ctx, end := context.WithTimeout(k.r, max(2*k.r.Props.KinReply, 500*time.Millisecond))
+	defer end()
+	var m wire.Member
+	if k.w.Ask(ctx, target.Wire, "kin.here", struct{}{}, &m) != nil || m.Name != target.Name {
+		return false
+	}
+	k.learn([]wire.Member{m})
+	return m.Birth == target.Birth
+}
+
+// patience is how long a suspect may refute: news takes longer to go round in a
+// larger fleet, by the logarithm of its size.
+func (k *Kin) patience(members int) time.Duration {
+	return time.Duration(float64(k.r.Props.KinSuspect) * max(1, math.Log2(float64(members))/3))
+}
+
 // bury takes out those whose suspicion was not refuted.
 func (k *Kin) bury() {
 	var dead []wire.Member
-	for _, s := range k.View() {
-		if s.State == Suspect && time.Since(s.Since) > k.r.Props.KinSuspect {
+	view := k.View()
+	patience := k.patience(len(view))
+	for _, s := range view {
+		if s.State == Suspect && time.Since(s.Since) > patience {
 			m := s.Member
 			m.State = Down
 			dead = append(dead, m)
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -92,7 +92,7 @@
 	if receipt.IsSame {
 		return true
 	}
-	k.learn(receipt.Members)
+	k.take(receipt.Members, true)
 	if mine := k.newer(receipt.Members); len(mine) > 0 {
 		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest()}, &receipt) == nil
 	}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -207,6 +207,7 @@
 			continue
 		}
 		p.keepRounds()
+		p.showKeeping()
 		isStalled := p.store.Stalled() > time.Second
 		for _, part := range p.parts {
 			if isStalled {
@@ -228,6 +229,18 @@
 	}
 }
 
+// showKeeping lets others know whether this node holds the configuration part, for
+// only such a node can tell proxies of it.
+func (p *Pact) showKeeping() {
+	t := p.parts[mark.Config]
+	t.mu.Lock()
+	keeps := holds(t.group, p.me)
+	t.mu.Unlock()
+	if p.k.Me().Keeps != keeps {
+		p.k.Amend(func(m *wire.Member) { m.Keeps = keeps })
+	}
+}
+
 // once runs a task for a part unless one is under way.
 func (p *Pact) once(no mark.Part, task func()) {
 	p.mu.Lock()
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -215,9 +215,27 @@
 	return now.Add(time.Duration(age))
 }
 
-// Confirm waits until a majority has confirmed the term as of a moment.
+// askAllAfter is how long the word of the nearest is awaited before all are asked.
+const askAllAfter = 40 * time.Millisecond
+
+// nearest is the members that make a majority with this node: own zone first, and
+// those that seem live.
+func (p *Pact) nearest(group []wire.Peer) []wire.Peer {
+	var some []wire.Peer
+	for _, m := range p.k.Cores() {
+		peer := wire.Peer{Name: m.Name, Birth: m.Birth}
+		if peer != p.me && holds(group, peer) && len(some) < len(group)/2 {
+			some = append(some, peer)
+		}
+	}
+	return some
+}
+
+// Confirm waits until a majority has confirmed the term as of a moment. The nearest
+// that make one are asked first, all if their word does not come at once.
 func (t *Part) Confirm(ctx context.Context, since time.Time) error {
-	isKicked := false
+	var wakeup *time.Timer
+	var late <-chan time.Time
 	for {
 		t.mu.Lock()
 		if !t.isServing {
@@ -230,12 +248,17 @@
 		}
 		change, group := t.change, t.group
 		t.mu.Unlock()
-		if !isKicked {
-			t.p.kickRounds(group)
-			isKicked = true
+		if wakeup == nil {
+			wakeup = time.NewTimer(askAllAfter)
+			defer wakeup.Stop()
+			late = wakeup.C
+			t.p.kickRounds(t.p.nearest(group))
 		}
 		select {
 		case <-change:
+		case <-late:
+			late = nil
+			t.p.kickRounds(group)
 		case <-ctx.Done():
 			return fault.New(fault.NoOwner, "part %d can't be confirmed: %v", t.no, ctx.Err())
 		}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -71,6 +71,14 @@
 			case <-l.kick:
 			case <-wakeup.C:
 			}
+			// What is stirred up together is planned together.
+			if !l.r.Pause(l.r.Props.PlanGather) {
+				return
+			}
+			select {
+			case <-l.kick:
+			default:
+			}
 			wakeup.Reset(l.r.Props.PlanPoll)
 			if term, _, isServing := l.part.Serving(); isServing {
 				l.collect(term)
@@ -223,7 +231,9 @@
 func (l *Planner) shares() json.RawMessage {
 	shares := map[mark.Name]int{}
 	for name, m := range l.k.View() {
-		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect) {
+		// One that went is kept for a while: most come back at once, and a share that
+		// is too small does no harm, where an epoch for each coming and going does.
+		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect || time.Since(m.Since) < l.r.Props.PlanLinger) {
 			shares[name] = m.Strength
 		}
 	}
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -32,6 +32,8 @@
 	PlanKeep       bool          // while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address
 	PlanStrangers  bool          // keep the beats of services that no configuration names yet
 	PlanBeat       time.Duration // pause between two beats of a server, as servers are told
+	PlanGather     time.Duration // how long news of targets is gathered before an epoch is made of it
+	PlanLinger     time.Duration // how long a proxy that went keeps its share
 	PlanPoll       time.Duration // pause between two collections of the parts' news
 	FlowHold       time.Duration // how long a listener request is held
 	FlowServers    int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
@@ -94,6 +96,8 @@
 	{key: "plan.keep", kind: "bool", fallback: "false", low: "", high: "", doc: "while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address", set: func(p *Props, v any) { p.PlanKeep = v.(bool) }},
 	{key: "plan.strangers", kind: "bool", fallback: "false", low: "", high: "", doc: "keep the beats of services that no configuration names yet", set: func(p *Props, v any) { p.PlanStrangers = v.(bool) }},
 	{key: "plan.beat", kind: "duration", fallback: "300ms", low: "50ms", high: "1m", doc: "pause between two beats of a server, as servers are told", set: func(p *Props, v any) { p.PlanBeat = v.(time.Duration) }},
+	{key: "plan.gather", kind: "duration", fallback: "0s", low: "0s", high: "1s", doc: "how long news of targets is gathered before an epoch is made of it", set: func(p *Props, v any) { p.PlanGather = v.(time.Duration) }},
+	{key: "plan.linger", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "how long a proxy that went keeps its share", set: func(p *Props, v any) { p.PlanLinger = v.(time.Duration) }},
 	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "5s", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
 	{key: "flow.servers", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all", set: func(p *Props, v any) { p.FlowServers = v.(int) }},
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -30,7 +30,7 @@
 	Birth mark.Birth `json:"birth"`
 }
 
-// Member is what a node knows of a node.
+// Member is what a node knows of a node; keeps tells that it is a member of the configuration part.
 type Member struct {
 	Name        mark.Name  `json:"name"`
 	Birth       mark.Birth `json:"birth"`
@@ -40,6 +40,7 @@
 	Zone        string     `json:"zone"`
 	Strength    int        `json:"strength"`
 	Core        bool       `json:"core,omitempty"`
+	Keeps       bool       `json:"keeps,omitempty"`
 	Founders    int        `json:"founders,omitempty"`
 	Fleet       string     `json:"fleet,omitempty"`
 	Incarnation uint64     `json:"incarnation"`
