Troupe hollow: the control work of many gates and targets, measured on one machine

Cause: the target of 460 nodes before 6,700 targets can't be run as 460 processes here, so nobody could say what a node's control work costs at that size.

A hollow gate is a whole node in a shared process (the product's own seat, with its addresses on loopback), to which no caller comes; a hollow target is a connection of its own to a core node's API that beats. Core nodes and one real gate are processes of their own. A quiet window gives processor time, memory, messages and bytes by kind and role; change sets after it give the time until each gate has them in force. `troupe slopes` sets several runs beside one another with the line of least squares.

Ruled out: stand-ins that only send the messages (they would not pay for reading them, nor hold the tables); gonum's plot (some ten more modules for a picture of a line).

--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -27,7 +27,7 @@
 	app := &cli.Command{
 		Name:  "troupe",
 		Usage: "run fleets of sumac on this machine",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			{Name: "smoke", Usage: "the bounded run of the whole path", Flags: []cli.Flag{binary, folder}, Action: func(ctx context.Context, cmd *cli.Command) error {
 				return inFolder(cmd, func(folder string) error {
 					return fleet.Smoke(ctx, cmd.String("sumac"), folder, os.Stdout)
@@ -59,7 +59,7 @@
 				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
 				&cli.StringFlag{Name: "history", Usage: "file to record the history in, for sumac judge"},
 			}, Action: deployment},
-		},
+		}, hollowCommands(binary, folder)...),
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "troupe:", err)
--- a/internal/fleet/costs.go
+++ b/internal/fleet/costs.go
@@ -42,6 +42,28 @@
 	}
 }
 
+// Spent is the processor time of a process so far; none if it is gone.
+func Spent(pid int) time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// Resident is the memory of a process, in bytes; none if it is gone.
+func Resident(pid int) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(raw))[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
 // cpu is the processor time spent so far, by role.
 func (r *Run) cpu() map[string]time.Duration {
 	sum := map[string]time.Duration{}
@@ -49,18 +71,11 @@
 		if !m.IsUp() {
 			continue
 		}
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.Pid()))
-		if err != nil {
-			continue
-		}
-		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
-		user, _ := strconv.Atoi(fields[11])
-		system, _ := strconv.Atoi(fields[12])
 		role := "proxy"
 		if m.IsCore {
 			role = "core"
 		}
-		sum[role] += time.Duration(user+system) * 10 * time.Millisecond
+		sum[role] += Spent(m.Pid())
 	}
 	return sum
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,7 +83,8 @@
 // Log is the machine's log file.
 func (m *Machine) Log() string { return filepath.Join(m.fleet.Folder, m.Name, "log") }
 
-func (f *Fleet) seeds() string {
+// Seeds is the wire addresses of three core nodes at most.
+func (f *Fleet) Seeds() string {
 	var seeds []string
 	for _, m := range f.Machines {
 		if m.IsCore && len(seeds) < 3 {
@@ -98,7 +99,7 @@
 	if err := os.MkdirAll(filepath.Dir(m.Log()), 0o755); err != nil {
 		return err
 	}
-	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
+	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.Seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
 	if m.fleet.Relay != nil {
 		set["wire.address"], set["wire.advertise"] = m.behind(), m.Wire()
 	}
