Hollow: roles are those of the window's start, and gates come one after the other

Cause: under others' load (load average 45 on 8 processors) a run of 60 gates saw its planner move within the window, and rates came out below zero; one of 150 gates at the default probing never came together in 90 s. Roles are now taken once and a move is told; gates of a process start 80 ms apart.

Ruled out: hiding it by asking again until the roles agree.

--- a/internal/hollow/gauge.go
+++ b/internal/hollow/gauge.go
@@ -53,13 +53,9 @@
 	return m.roles[role]
 }
 
-// gauge takes a moment. The machines' API is asked for their traffic, and who owns
-// which part is as the first core node sees it.
-func (r *Run) gauge(ctx context.Context) (*moment, error) {
-	roles, err := r.rolesOf(ctx)
-	if err != nil {
-		return nil, err
-	}
+// gauge takes a moment; the machines' API is asked for their traffic. Each machine
+// keeps the role it had when the window began, and that an owner moved is told.
+func (r *Run) gauge(ctx context.Context, roles map[string]string) (*moment, error) {
 	m := &moment{at: time.Now(), roles: map[string]*counts{}}
 	for _, c := range r.children {
 		reading, err := c.ask(Ask{})
--- a/internal/hollow/part.go
+++ b/internal/hollow/part.go
@@ -69,6 +69,10 @@
 	swaps []swap
 }
 
+// startPause is between two gates of a process: they come one after the other, as
+// machines do.
+const startPause = 80 * time.Millisecond
+
 // Part is one process's gates and targets.
 type Part struct {
 	Brief
@@ -126,7 +130,7 @@
 		p.mu.Lock()
 		p.gates = append(p.gates, g)
 		p.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(startPause)
 	}
 }
 
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
@@ -163,7 +164,7 @@
 // settle waits until every gate knows all members and no epoch came for a while.
 func (r *Run) settle(ctx context.Context) error {
 	members := r.Cores + 1 + r.Gates
-	began := time.Now()
+	began, told := time.Now(), time.Now()
 	last, since, over, whole := uint64(0), began, began.Add(r.limit), 0
 	for time.Now().Before(over) && ctx.Err() == nil {
 		whole = 0
@@ -180,6 +181,10 @@
 		if whole == r.Gates && time.Since(since) > max(2*time.Second, r.Beat) && time.Since(began) > 2*r.Beat {
 			return nil
 		}
+		if time.Since(told) > 10*time.Second {
+			told = time.Now()
+			r.say("%d of %d gates know every member, epoch %d", whole, r.Gates, last)
+		}
 		time.Sleep(500 * time.Millisecond)
 	}
 	r.say("not settled: %d of %d gates know every member; the last epoch, %d, came %s ago", whole, r.Gates, last, time.Since(since).Round(time.Second))
@@ -190,21 +195,29 @@
 }
 
 func (r *Run) measure(ctx context.Context, into map[string]float64) error {
-	before, err := r.gauge(ctx)
+	roles, err := r.rolesOf(ctx)
+	if err != nil {
+		return err
+	}
+	before, err := r.gauge(ctx, roles)
 	if err != nil {
 		return err
 	}
 	if err := pause(ctx, r.Seconds); err != nil {
 		return err
 	}
-	after, err := r.gauge(ctx)
+	after, err := r.gauge(ctx, roles)
 	if err != nil {
 		return err
 	}
 	figures(before, after, into)
+	if now, err := r.rolesOf(ctx); err != nil || !maps.Equal(now, roles) {
+		r.say("roles changed within the window: %v, then %v (%v)", roles, now, err)
+		into["roles changed"] = 1
+	}
 	r.say("the quiet window is over")
 	if r.Changes > 0 {
-		if err := r.change(ctx, after, into); err != nil {
+		if err := r.change(ctx, roles, after, into); err != nil {
 			return err
 		}
 	}
@@ -220,7 +233,7 @@
 }
 
 // change submits change sets of one route each and waits for each on every gate.
-func (r *Run) change(ctx context.Context, before *moment, into map[string]float64) error {
+func (r *Run) change(ctx context.Context, roles map[string]string, before *moment, into map[string]float64) error {
 	var took []int64
 	missing := 0
 	for i := range r.Changes {
@@ -250,7 +263,7 @@
 			took = append(took, at-began.UnixNano())
 		}
 	}
-	after, err := r.gauge(ctx)
+	after, err := r.gauge(ctx, roles)
 	if err != nil {
 		return err
 	}
