Hollow: gates come at a pace, and a run's port lies below the ephemeral ones

Cause: beside a run of 460 gates every other run failed with "no free ports": thousands of outgoing connections are bound to ephemeral ports, and five free ones in a row were not found. And 460 gates that start within 10 s are a storm of their own: each asks for all groups, again after 5 s, and at 5,200 routes three core nodes gave up all their parts ("no majority in reach") and held 1.0 to 1.8 GB each.

Ruled out: a longer search in the same range.

--- a/cmd/troupe/hollow.go
+++ b/cmd/troupe/hollow.go
@@ -29,6 +29,7 @@
 			count("zones", 7, "zones that all are spread over"),
 			count("seconds", 15, "length of the quiet window"),
 			count("processes", 4, "processes that the gates are spread over; the targets have one more"),
+			count("pace", 40, "gates that start in a second"),
 			count("calm", 10, "seconds before the window, for the news of the start to die down"),
 			&cli.BoolFlag{Name: "lost", Usage: "a real gate is killed before the window"},
 			count("changes", 3, "change sets after the window"),
@@ -50,7 +51,7 @@
 func measure(ctx context.Context, cmd *cli.Command) error {
 	size := hollow.Size{Gates: cmd.Int("gates"), Targets: cmd.Int("targets"), Services: cmd.Int("services"), Routes: cmd.Int("routes"),
 		Cores: cmd.Int("cores"), Zones: cmd.Int("zones"), Processes: cmd.Int("processes"), Seconds: cmd.Int("seconds"), Changes: cmd.Int("changes"),
-		Calm: cmd.Int("calm"), IsLost: cmd.Bool("lost"), Beat: cmd.Duration("beat"), Settings: map[string]string{}}
+		Pace: cmd.Int("pace"), Calm: cmd.Int("calm"), IsLost: cmd.Bool("lost"), Beat: cmd.Duration("beat"), Settings: map[string]string{}}
 	for _, pair := range cmd.StringSlice("set") {
 		key, value, ok := strings.Cut(pair, "=")
 		if !ok {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -280,18 +281,12 @@
 	return nil
 }
 
-// FreePort finds a port with the four above it free on the loopback addresses.
+// FreePort finds a port with the four above it free on all loopback addresses. It
+// lies below those that the system gives to outgoing connections, for a run of many
+// nodes holds thousands of these.
 func FreePort() (int, error) {
 	for range 50 {
-		first, err := net.Listen("tcp", "127.1.1.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		first.Close()
-		if port > 60000 {
-			continue
-		}
+		port := 10000 + 5*rand.IntN(4400)
 		isFree := true
 		for i := range 5 {
 			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port+i))
--- a/internal/hollow/part.go
+++ b/internal/hollow/part.go
@@ -35,6 +35,7 @@
 	Seeds          string
 	Apis           []string
 	Beat           time.Duration
+	Pause          time.Duration // between two gates that start
 	Settings       map[string]string
 }
 
@@ -69,10 +70,6 @@
 	swaps []swap
 }
 
-// startPause is between two gates of a process: they come one after the other, as
-// machines do.
-const startPause = 80 * time.Millisecond
-
 // Part is one process's gates and targets.
 type Part struct {
 	Brief
@@ -130,7 +127,7 @@
 		p.mu.Lock()
 		p.gates = append(p.gates, g)
 		p.mu.Unlock()
-		time.Sleep(startPause)
+		time.Sleep(p.Pause)
 	}
 }
 
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -23,6 +23,7 @@
 	Gates, Targets, Services, Routes int
 	Cores, Zones, Processes          int
 	Seconds, Changes                 int
+	Pace                             int  // gates that start in a second
 	Calm                             int  // seconds before the window, for the news of the start to die down
 	IsLost                           bool // the real gate is killed before the window
 	Beat                             time.Duration
@@ -57,7 +58,7 @@
 		value, low, high int
 	}{
 		{"gates", s.Gates, 1, 1400}, {"targets", s.Targets, 0, 50000}, {"services", s.Services, 1, 2000}, {"routes", s.Routes, 1, 20000},
-		{"cores", s.Cores, 3, 9}, {"zones", s.Zones, 1, 9}, {"processes", s.Processes, 1, 300}, {"seconds", s.Seconds, 1, 600}, {"changes", s.Changes, 0, 100}, {"calm", s.Calm, 0, 600},
+		{"cores", s.Cores, 3, 9}, {"zones", s.Zones, 1, 9}, {"processes", s.Processes, 1, 300}, {"seconds", s.Seconds, 1, 600}, {"changes", s.Changes, 0, 100}, {"calm", s.Calm, 0, 600}, {"pace", s.Pace, 1, 1000},
 	}
 	for _, b := range bounds {
 		if b.value < b.low || b.value > b.high {
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	r.began, r.out, r.limit = time.Now(), out, 90*time.Second
-	ctx, end := context.WithTimeout(parent, 4*r.limit+time.Duration(r.Calm+r.Seconds)*time.Second)
+	ctx, end := context.WithTimeout(parent, 4*r.limit+time.Duration(r.Calm+r.Seconds+r.Gates/r.Pace)*time.Second)
 	defer end()
 	settings := map[string]string{"plan.beat": r.Beat.String(), "plan.silence": max(3*r.Beat, 900*time.Millisecond).String(), "plan.settle": (r.Beat * 3 / 2).String()}
 	for key, value := range r.Settings {
@@ -126,7 +127,8 @@
 
 // fill starts the processes of the gates, and one more for the targets.
 func (r *Run) fill(port int) error {
-	brief := Brief{Port: port, Zones: r.Zones, Services: r.Services, Apis: r.f.Apis(), Seeds: r.f.Seeds(), Beat: r.Beat, Settings: r.f.Settings}
+	brief := Brief{Port: port, Zones: r.Zones, Services: r.Services, Apis: r.f.Apis(), Seeds: r.f.Seeds(), Beat: r.Beat, Settings: r.f.Settings,
+		Pause: time.Duration(r.Processes) * time.Second / time.Duration(r.Pace)}
 	first := 0
 	for i := range r.Processes {
 		b := brief
@@ -165,7 +167,7 @@
 func (r *Run) settle(ctx context.Context) error {
 	members := r.Cores + 1 + r.Gates
 	began, told := time.Now(), time.Now()
-	last, since, over, whole := uint64(0), began, began.Add(r.limit), 0
+	last, since, over, whole := uint64(0), began, began.Add(r.limit+time.Duration(r.Gates)*time.Second/time.Duration(r.Pace)), 0
 	for time.Now().Before(over) && ctx.Err() == nil {
 		whole = 0
 		for _, c := range r.children {
--- a/internal/hollow/table_test.go
+++ b/internal/hollow/table_test.go
@@ -80,7 +80,7 @@
 }
 
 func TestASizeOutOfBoundsIsRefusedByName(t *testing.T) {
-	fine := Size{Gates: 15, Targets: 100, Services: 10, Routes: 100, Cores: 3, Zones: 7, Processes: 4, Seconds: 15, Changes: 3, Beat: time.Second}
+	fine := Size{Gates: 15, Targets: 100, Services: 10, Routes: 100, Cores: 3, Zones: 7, Processes: 4, Seconds: 15, Changes: 3, Pace: 40, Beat: time.Second}
 	if err := fine.Check(); err != nil {
 		t.Fatal(err)
 	}
