--- a/internal/hollow/child.go
+++ b/internal/hollow/child.go
@@ -49,7 +49,12 @@
 	return err
 }
 
+// askTime is how long a Part may take to answer; one that takes longer is killed.
+const askTime = 30 * time.Second
+
 func (c *child) ask(ask Ask) (*Reading, error) {
+	late := time.AfterFunc(askTime, func() { c.cmd.Process.Kill() })
+	defer late.Stop()
 	if err := c.say(ask); err != nil {
 		return nil, err
 	}
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
@@ -91,9 +92,11 @@
 	r.f.Settings = settings
 	defer r.f.KillAll()
 	defer func() {
+		var all sync.WaitGroup
 		for _, c := range r.children {
-			c.end()
+			all.Go(c.end)
 		}
+		all.Wait()
 	}()
 	if err := r.f.StartAll(); err != nil {
 		return nil, err
