--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -83,7 +84,8 @@
 // Log is the machine's log file.
 func (m *Machine) Log() string { return filepath.Join(m.fleet.Folder, m.Name, "log") }
 
-func (f *Fleet) seeds() string {
+// Seeds is the wire addresses of three core nodes at most.
+func (f *Fleet) Seeds() string {
 	var seeds []string
 	for _, m := range f.Machines {
 		if m.IsCore && len(seeds) < 3 {
@@ -98,7 +100,7 @@
 	if err := os.MkdirAll(filepath.Dir(m.Log()), 0o755); err != nil {
 		return err
 	}
-	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
+	set := map[string]string{"name": m.Name, "zone": m.Zone, "seeds": m.fleet.Seeds(), "wire.address": m.Wire(), "api.address": m.Api(), "found.cores": fmt.Sprint(m.fleet.Cores), "strength": fmt.Sprint(m.Strength), "log.file": m.Log()}
 	if m.fleet.Relay != nil {
 		set["wire.address"], set["wire.advertise"] = m.behind(), m.Wire()
 	}
@@ -279,18 +281,12 @@
 	return nil
 }
 
-// FreePort finds a port with the four above it free on the loopback addresses.
+// FreePort finds a port with the four above it free on all loopback addresses. It
+// lies below those that the system gives to outgoing connections, for a run of many
+// nodes holds thousands of these.
 func FreePort() (int, error) {
 	for range 50 {
-		first, err := net.Listen("tcp", "127.1.1.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		first.Close()
-		if port > 60000 {
-			continue
-		}
+		port := 10000 + 5*rand.IntN(4400)
 		isFree := true
 		for i := range 5 {
 			l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port+i))
