The share of calls that was served stands beside each verdict

Cause: a run that refuses everything breaks no rule, so a verdict alone does not say whether a change made the fleet serve more or less.

The figure counts every caller's try once: success, told that the order ran before, refused by code, unknown, or broken. It is kept in the run's result, and the runs of a scenario are added up and printed with -v.

--- a/internal/dream/dream_test.go
+++ b/internal/dream/dream_test.go
@@ -20,6 +20,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 var (
@@ -43,18 +45,21 @@
 			t.Parallel()
 			var mu sync.Mutex
 			var recoveries []time.Duration
+			var served judge.Served
 			t.Cleanup(func() {
 				sort.Slice(recoveries, func(i, j int) bool { return recoveries[i] < recoveries[j] })
 				if n := len(recoveries); n > 0 {
 					t.Logf("%s: %d seeds, usable again after: median %s, most %s", s.Name, n, recoveries[n/2], recoveries[n-1])
+					t.Logf("%s: served: %s", s.Name, served)
 				}
 			})
 			for seed := first; seed <= last; seed++ {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					if recovery, ok := dreamOf(t, s, seed); ok {
+					if recovery, some, ok := dreamOf(t, s, seed); ok {
 						mu.Lock()
 						recoveries = append(recoveries, recovery)
+						served = served.Plus(some)
 						mu.Unlock()
 					}
 				})
@@ -66,7 +71,7 @@
 	}
 }
 
-func dreamOf(t *testing.T, s Scenario, seed uint64) (recovery time.Duration, ok bool) {
+func dreamOf(t *testing.T, s Scenario, seed uint64) (recovery time.Duration, served judge.Served, ok bool) {
 	var log io.Writer = io.Discard
 	var kept bytes.Buffer
 	if *keep != "" {
@@ -81,7 +86,7 @@
 			fmt.Fprintf(&report, "seed %d: %v\n", seed, err)
 			return
 		}
-		recovery = result.Recovery
+		recovery, served = result.Recovery, result.Served
 		counts = result.Verdict.Counts
 		for _, what := range []string{"called: ran", "bonded: acquire done 0", "bonded: add done 0", "bonded: put done 0", "bonded: get done 0", "watched", "changed", "inforce"} {
 			if result.Verdict.Counts[what] == 0 {
@@ -106,9 +111,9 @@
 			os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%s-%d.log", s.Name, seed)), kept.Bytes(), 0o644)
 			os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%s-%d.history", s.Name, seed)), history, 0o644)
 		}
-		return 0, false
+		return 0, served, false
 	}
-	return recovery, true
+	return recovery, served, true
 }
 
 type quietly struct {
--- a/internal/dream/run.go
+++ b/internal/dream/run.go
@@ -30,6 +30,7 @@
 // Result is what a run came to.
 type Result struct {
 	Verdict  *judge.Verdict
+	Served   judge.Served
 	Recovery time.Duration
 	Faults   []string
 	Fleet    *Fleet
@@ -162,7 +163,8 @@
 	f.ask()
 	f.countUp()
 	f.H.Add(judge.Record{Kind: judge.Ended})
-	return &Result{Verdict: judge.Judge(f.H.Records()), Recovery: recovery, Faults: f.Faults, Fleet: f}, nil
+	records := f.H.Records()
+	return &Result{Verdict: judge.Judge(records), Served: judge.ServedOf(records), Recovery: recovery, Faults: f.Faults, Fleet: f}, nil
 }
 
 // ask asks after every change set, and reads the configuration at the end.
