A request's id reaches its target also in the plain manner, whatever its header is called

Cause: with gate.seal opaque every answer must name its request, but the id was passed on only by chance: headers of callers that begin with Sumac- are taken off, and the id was not put back. So with the default of header.request no answer could name its request, and every call ended in a broken seal; with gate.ids own the target never saw the id at all. The users' platform names the header otherwise and has callers send it, which hid this.

Now the id is set on what is handed over, if the request has one.

Ruled out: leaving the caller's own header in, for ids made here would still be missing.

--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -267,7 +267,6 @@
 			out.Header["User-Agent"] = []string{""}
 		}
 	} else {
-		out.Header.Set(g.r.Props.HeaderRequest, c.id)
 		out.Header.Set(HeaderTry, strconv.Itoa(no+1))
 		out.Header.Set(HeaderService, c.service.Name)
 		out.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
@@ -276,6 +275,9 @@
 	if left := time.Until(c.deadline).Milliseconds(); g.isPlain || r.Header.Get(g.r.Props.HeaderDeadline) != "" {
 		out.Header.Set(g.r.Props.HeaderDeadline, strconv.FormatInt(max(left, 0), 10))
 	}
+	if c.id != "" {
+		out.Header.Set(g.r.Props.HeaderRequest, c.id)
+	}
 	out.Header.Set(g.r.Props.HeaderExpect, target.Instance)
 	if body != nil {
 		out.Body = wrapped{body}
