Every scenario also runs in the manner of the users' platform; new histories in both

Cause: flow.stay, plan.keep, plan.settle, seldom beats, plain answers, sets of a space, operators' versions and timed locks were under no faults and no checker.

The manner: settings as the platform's, servers that echo the id, seal opaquely, answer 421 to a request for another instance and say "not run" when full. The network made here notes beside each request the epoch its proxy acts on, and which proxies are in touch (a way to every running core node, and the core settled, for 3 s); late-hand-over and old-plan bind only those, all other rules always. Tries are known by their own ids, since callers name them.

Histories: sets, conditional and not, repeated at other nodes, with lookers and followers; changes over versions with rivals sent at the same time; locks with a time in each call. A scenario "answers" has servers that do all that is wrong in turn, for "servers" drew each way too seldom to show a mutant. No rule was eased for the first manner: a history without words on touch binds all proxies always.

--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -26,6 +26,7 @@
 	{Name: "freezes", Shape: Small, Length: 25 * time.Second, Faults: freezes},
 	{Name: "stalls", Shape: Small, Length: 25 * time.Second, Faults: stalls},
 	{Name: "servers", Shape: Small, Length: 25 * time.Second, Faults: servers},
+	{Name: "answers", Shape: Small, Length: 25 * time.Second, Faults: answers},
 	{Name: "stops", Shape: Small, Length: 25 * time.Second, Faults: stops, IsHarmless: true},
 	{Name: "servers-cut", Shape: Small, Length: 30 * time.Second, Faults: serversAnd(slowWays)},
 	{Name: "servers-kill", Shape: Small, Length: 30 * time.Second, Faults: serversAnd(killOwner)},
--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -29,6 +29,7 @@
 	Growth                int  // mappings that some change sets add at once
 	Settings              map[string]string
 	Work                  time.Duration // how long a server works at most; a moment if zero
+	IsStay                bool          // its proxies go on while they are out of touch
 }
 
 // Small is the shape of most simulated runs.
@@ -150,13 +151,15 @@
 	}
 	journal := sign.New(m.f.Log, "debug", m.Name)
 	journal.Told = m.f.hear
-	r := realm.New(m.f.ctx, p, journal, m.f.W.Net(m.IP))
+	here := &atomic.Pointer[seat.Node]{}
+	r := realm.New(m.f.ctx, p, journal, m.network(here))
 	node, err := seat.Start(r)
 	if err != nil {
 		m.f.W.Kill(m.IP, false)
 		r.End()
 		return err
 	}
+	here.Store(node)
 	m.mu.Lock()
 	m.node = node
 	m.mu.Unlock()
@@ -251,7 +254,7 @@
 	if ip == "" {
 		ip = f.host(zone)
 	}
-	s := &sham.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond}
+	s := f.fit(&sham.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond})
 	if f.Shape.Work > 0 {
 		s.Work = time.Duration(f.Rand.Int64N(int64(f.Shape.Work)))
 	}
--- a/internal/dream/hurts.go
+++ b/internal/dream/hurts.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/gate"
 	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sham"
@@ -228,7 +229,7 @@
 func (f *Fleet) Uploads(n int) {
 	for i := range n {
 		net := f.W.Net(f.outside(80 + i))
-		caller := sham.NewCaller(net, f.H)
+		caller := f.caller(80 + i)
 		f.task(func(r *rand.Rand) {
 			pause(r, 300*time.Millisecond)
 			proxy := f.Proxies()[r.IntN(len(f.Proxies()))].Gate()
@@ -244,7 +245,10 @@
 			defer conn.Close()
 			call, isWhole := mark.NewID(), r.IntN(2) == 0
 			rec := judge.Record{Kind: judge.Called, Start: f.H.Now(), Call: call, Proxy: proxy, Service: "bookings", Mapping: "/bookings", Digest: sham.Digest([]byte(body)), Outcome: "gone"}
-			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", sham.CallHeader, call, len(body))
+			if f.Shape.IsStay {
+				rec.IsTry, rec.Request = true, mark.NewID()
+			}
+			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", sham.CallHeader, call, gate.HeaderRequest, rec.Request, len(body))
 			for at := 0; at < len(body) && (isWhole || at < len(body)/2); at += 16000 {
 				io.WriteString(conn, body[at:min(at+16000, len(body))])
 				pause(r, 40*time.Millisecond)
--- a/internal/dream/load.go
+++ b/internal/dream/load.go
@@ -43,7 +43,7 @@
 func (f *Fleet) Callers(mean time.Duration) {
 	for i, proxy := range f.Proxies() {
 		for service := range f.Shape.Servers {
-			caller := sham.NewCaller(f.W.Net(f.outside(i)), f.H)
+			caller := f.caller(i)
 			f.task(func(r *rand.Rand) {
 				method, body := "POST", []byte(fmt.Sprintf(`{"n":%d}`, r.Uint32()))
 				if f.Shape.Repeatable[service] {
@@ -60,8 +60,8 @@
 // same key, up to many times.
 func (f *Fleet) Stormers(n int) {
 	for range n {
-		caller := sham.NewCaller(f.W.Net(f.outside(30)), f.H)
-		caller.Once = !f.Shape.IsTwice
+		caller := f.caller(30)
+		caller.Once = !f.Shape.IsTwice && !f.Shape.IsStay
 		proxies := f.Proxies()
 		f.task(func(r *rand.Rand) {
 			call, body := mark.NewID(), []byte(`{"storm":1}`)
--- /dev/null
+++ b/internal/dream/manner.go
@@ -0,0 +1,176 @@
+// The second manner of fleets, as the users' platform runs them: proxies out of
+// touch go on with their last epoch, new owners keep the epoch's targets while they
+// listen, beats come seldom, and servers speak the plain manner. What a proxy acts
+// on is then told beside each request by the network made here, and the history
+// tells which proxies are in touch, for only those are bound by the bounds on time.
+package dream
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/seat"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+const (
+	stayBeat    = 1500 * time.Millisecond
+	staySilence = 3 * stayBeat
+	touchTime   = 3 * time.Second
+	touchLook   = 10 * time.Millisecond
+)
+
+// stays is a shape in the second manner.
+func stays(s Shape) Shape {
+	s.IsStay = true
+	settings := map[string]string{
+		"flow.stay": "24h", "flow.pulse": "1s", "plan.keep": "true", "plan.strangers": "true",
+		"plan.beat": stayBeat.String(), "plan.silence": staySilence.String(), "plan.settle": (2*stayBeat + 500*time.Millisecond).String(),
+		"gate.seal": "opaque", "gate.ids": "caller", "gate.connect": "250ms", "gate.linger": "2s", "gate.return": "100ms",
+	}
+	for key, value := range s.Settings {
+		settings[key] = value
+	}
+	s.Settings = settings
+	return s
+}
+
+// caller is a stand-in caller at a machine outside, in the fleet's manner.
+func (f *Fleet) caller(at int) *sham.Caller {
+	caller := sham.NewCaller(f.W.Net(f.outside(at)), f.H)
+	caller.IsPlain = f.Shape.IsStay
+	return caller
+}
+
+// fit gives a server the fleet's manner.
+func (f *Fleet) fit(s *sham.Server) *sham.Server {
+	if f.Shape.IsStay {
+		s.IsPlain, s.Every, s.Silence = true, stayBeat, staySilence
+	}
+	return s
+}
+
+// ways are how a server may misbehave.
+func (f *Fleet) ways() []string {
+	ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
+	if f.Shape.IsStay {
+		ways = append(ways, sham.Surplus, sham.Denied, sham.Full)
+	}
+	return ways
+}
+
+// network is a machine's; a proxy that stays tells what it acts on.
+func (m *Machine) network(node *atomic.Pointer[seat.Node]) realm.Net {
+	n := m.f.W.Net(m.IP)
+	if !m.f.Shape.IsStay || !m.IsProxy {
+		return n
+	}
+	dial := n.Dial
+	n.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil || !strings.HasSuffix(address, ":8000") {
+			return c, err
+		}
+		return &marked{conn: c.(*conn), as: m.Gate(), node: node}, nil
+	}
+	return n
+}
+
+// marked is a way from a proxy to a server.
+type marked struct {
+	*conn
+	as   string
+	node *atomic.Pointer[seat.Node]
+}
+
+func (c *marked) Write(p []byte) (int, error) {
+	head, rest, ok := bytes.Cut(p, []byte("\r\n"))
+	if !ok || !bytes.HasSuffix(head, []byte(" HTTP/1.1")) {
+		return c.conn.Write(p)
+	}
+	for c.node.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	mark := fmt.Sprintf("\r\n%s: %d\r\n%s: %s\r\n", sham.ActsOnHeader, c.node.Load().Flow.Cache.Chart().Epoch, sham.ActsAsHeader, c.as)
+	n, err := c.conn.Write([]byte(string(head) + mark + string(rest)))
+	return max(min(n-len(mark)+2, len(p)), 0), err
+}
+
+// hasWay tells whether two machines reach each other, both ways.
+func (w *World) hasWay(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.blocked(a, b) && !w.blocked(b, a)
+}
+
+// owners names the owners of all parts; it is empty while a part has none, or while
+// the running core nodes do not all reach one another.
+func (f *Fleet) owners(running []*Machine) string {
+	for i, a := range running {
+		for _, b := range running[:i] {
+			if !f.W.hasWay(a.IP, b.IP) {
+				return ""
+			}
+		}
+	}
+	var names strings.Builder
+	for no := range mark.Parts + 1 {
+		isOwned := false
+		for _, m := range running {
+			if node := m.Node(); node != nil {
+				if term, _, isServing := node.Pact.Part(mark.Part(no)).Serving(); isServing {
+					isOwned = true
+					fmt.Fprint(&names, m.Name, term, " ")
+				}
+			}
+		}
+		if !isOwned {
+			return ""
+		}
+	}
+	return names.String()
+}
+
+// watchTouch tells which proxies are in touch: for three seconds they had a way to
+// every running core node, and the core was settled, with the same owners.
+func (f *Fleet) watchTouch() {
+	since, isIn, last := map[*Machine]time.Time{}, map[*Machine]bool{}, ""
+	nodes := map[*Machine]*seat.Node{}
+	f.task(func(r *rand.Rand) {
+		time.Sleep(touchLook)
+		running := f.some(func(m *Machine) bool { return m.IsCore && m.Node() != nil })
+		owners := f.owners(running)
+		isSettled := owners != "" && owners == last
+		last = owners
+		for _, proxy := range f.Proxies() {
+			node := proxy.Node()
+			hasAll := isSettled && node != nil && node == nodes[proxy]
+			nodes[proxy] = node
+			for _, m := range running {
+				hasAll = hasAll && f.W.hasWay(proxy.IP, m.IP)
+			}
+			if !hasAll {
+				since[proxy] = time.Now()
+			}
+			is := hasAll && time.Since(since[proxy]) >= touchTime
+			if is == isIn[proxy] {
+				continue
+			}
+			isIn[proxy] = is
+			rec := judge.Record{Kind: judge.Touch, Proxy: proxy.Gate(), Outcome: "out"}
+			if is {
+				rec.Outcome = "in"
+			}
+			f.H.Add(rec)
+		}
+	})
+}
--- a/internal/dream/run.go
+++ b/internal/dream/run.go
@@ -25,6 +25,8 @@
 	Start  func(f *Fleet)
 	// IsHarmless marks scenarios of planned stops only.
 	IsHarmless bool
+	// IsStay runs it in the second manner of fleets.
+	IsStay bool
 }
 
 // Result is what a run came to.
@@ -39,7 +41,7 @@
 // IsUsable tells whether every proxy that is up serves every service, and the
 // core takes calls.
 func (f *Fleet) IsUsable() bool {
-	caller := sham.NewCaller(f.W.Net(f.outside(90)), f.H)
+	caller := f.caller(90)
 	defer caller.Close()
 	for _, proxy := range f.Proxies() {
 		if proxy.Node() == nil {
@@ -127,7 +129,11 @@
 
 // Run carries a scenario out; it must be called in a bubble of virtual time.
 func Run(s Scenario, seed uint64, log io.Writer) (*Result, error) {
-	f := NewFleet(seed, s.Shape(), log)
+	shape := s.Shape()
+	if s.IsStay {
+		shape = stays(shape)
+	}
+	f := NewFleet(seed, shape, log)
 	defer f.Close()
 	if err := f.Boot(); err != nil {
 		return nil, err
@@ -140,7 +146,13 @@
 	f.Sets(2, 1500*time.Millisecond)
 	f.Bonders(5, 100*time.Millisecond)
 	f.Apps(6, 100*time.Millisecond)
+	f.Counted(4, 150*time.Millisecond)
+	f.Timed(3, 150*time.Millisecond)
+	f.Versions(2, 1500*time.Millisecond)
 	f.watchReturns()
+	if s.IsStay {
+		f.watchTouch()
+	}
 	if s.Start != nil {
 		s.Start(f)
 	}
@@ -162,6 +174,9 @@
 	f.loads.Wait()
 	f.ask()
 	f.countUp()
+	if err := f.readBackLast(); err != nil {
+		return nil, err
+	}
 	f.H.Add(judge.Record{Kind: judge.Ended})
 	records := f.H.Records()
 	return &Result{Verdict: judge.Judge(records), Served: judge.ServedOf(records), Recovery: recovery, Faults: f.Faults, Fleet: f}, nil
--- a/internal/dream/servers.go
+++ b/internal/dream/servers.go
@@ -46,11 +46,11 @@
 		f.Say("%s %s falls silent and goes on serving", service, s.Instance)
 		f.Forget(s)
 		s.Mute()
-		time.Sleep(4 * time.Second)
+		time.Sleep(3100*time.Millisecond + max(s.Silence, 900*time.Millisecond))
 		s.Close()
 		f.Serve(service, "", f.Rand.IntN(f.Shape.Zones))
 	case 5:
-		ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
+		ways := f.ways()
 		way := ways[f.Rand.IntN(len(ways))]
 		f.Say("a new server of %s does %q now and then", service, way)
 		f.replace(s, func(n int64) string {
@@ -62,13 +62,28 @@
 	}
 }
 
+// answers puts servers in place that misbehave in all the ways there are, in turn,
+// with two answers as they should be between any two.
+func answers(f *Fleet) {
+	f.nap(200*time.Millisecond, time.Second)
+	list := f.Servers([]string{"bookings", "rates"}[f.Rand.IntN(2)])
+	s, ways, from := list[f.Rand.IntN(len(list))], f.ways(), f.Rand.Int64N(100)
+	f.Say("a new server of %s does all that is wrong, in turn", s.Service)
+	f.replace(s, func(n int64) string {
+		if n%3 == 0 {
+			return ways[(from+n/3)%int64(len(ways))]
+		}
+		return sham.Fine
+	})
+}
+
 // replace puts a server that misbehaves in the place of one that leaves.
 func (f *Fleet) replace(s *sham.Server, misdo func(int64) string) {
 	f.Forget(s)
 	s.Say(f.ctx, "leaving")
 	time.Sleep(2500 * time.Millisecond)
 	s.Close()
-	bad := &sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo}
+	bad := f.fit(&sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo})
 	if err := bad.Start(f.ctx); err != nil {
 		panic(err)
 	}
--- a/internal/dream/sets.go
+++ b/internal/dream/sets.go
@@ -123,7 +123,7 @@
 		f.Serve(guest, "", i%f.Shape.Zones)
 	}
 	for i, proxy := range f.Proxies() {
-		caller := sham.NewCaller(f.W.Net(f.outside(i)), f.H)
+		caller := f.caller(i)
 		f.task(func(r *rand.Rand) {
 			caller.Call(f.ctx, proxy.Gate(), "GET", setPath(r.IntN(setPaths)), "", nil)
 			pause(r, 40*time.Millisecond)
@@ -134,7 +134,7 @@
 		for _, m := range f.Machines {
 			operators = append(operators, sham.NewOperator(f.W.Net(f.outside(50+i)), f.H, m.Api()))
 		}
-		caller := sham.NewCaller(f.W.Net(f.outside(50+i)), f.H)
+		caller := f.caller(50 + i)
 		f.task(func(r *rand.Rand) {
 			pause(r, mean)
 			o := operators[r.IntN(len(operators))]
--- /dev/null
+++ b/internal/dream/spaces.go
@@ -0,0 +1,171 @@
+// What the users' platform asks of the nodes beyond the product's own API: sets in
+// a space and their followers, changes under operators' versions, and locks with a
+// time in each call. They are made at a node itself, as the platform's faces are.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/seat"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const counted = "sets/"
+
+// anyNode is a running node, or nil.
+func (f *Fleet) anyNode(r *rand.Rand) *seat.Node {
+	return f.Machines[r.IntN(len(f.Machines))].Node()
+}
+
+// direct makes one coordination call at a node; refused is what its owner said.
+func (f *Fleet) direct(node *seat.Node, rec judge.Record, op *wire.BondOp) (*wire.BondReceipt, string) {
+	rec.Kind, rec.Start, rec.Op = judge.Bonded, f.H.Now(), cmpOr(rec.Op, op.Op)
+	rec.Name, rec.Holder = op.Name, op.Holder
+	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
+	defer end()
+	got, err := node.Bond(ctx, op)
+	rec.Outcome = "done"
+	switch {
+	case err != nil:
+		rec.Outcome, rec.Note, rec.Code, got = "unknown", err.Error(), fault.Of(err).Code.No, &wire.BondReceipt{}
+	case got.Code != 0:
+		rec.Outcome, rec.Code = "refused", got.Code
+	}
+	if op.Op == "set" || op.Op == "get" {
+		rec.Stamp = uint64(got.Rev)
+	}
+	if op.Op == "get" {
+		json.Unmarshal(got.Value, &rec.Digest)
+		if got.Code == fault.NoKey.No {
+			rec.Outcome = "done"
+		}
+	}
+	if rec.Fence == 0 {
+		rec.Fence = uint64(got.Fence)
+	}
+	f.H.Add(rec)
+	return got, rec.Outcome
+}
+
+func cmpOr(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// Counted starts those who set, look and follow in one space.
+func (f *Fleet) Counted(n int, mean time.Duration) {
+	for range n {
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			node := f.anyNode(r)
+			if node == nil {
+				return
+			}
+			key, value := fmt.Sprint(counted, "k", r.IntN(3)), mark.NewID()
+			raw, _ := json.Marshal(value)
+			op := &wire.BondOp{Op: "set", Name: key, Value: raw}
+			rec := judge.Record{Request: value, Digest: value}
+			if r.IntN(2) == 0 {
+				got, outcome := f.direct(node, judge.Record{Op: "look"}, &wire.BondOp{Op: "get", Name: key})
+				if outcome != "done" {
+					return
+				}
+				rev := got.Rev
+				op.Rev, rec.IsIf, rec.From = &rev, true, uint64(rev)
+				pause(r, 100*time.Millisecond)
+			}
+			for range 4 {
+				_, outcome := f.direct(node, rec, op)
+				if outcome == "refused" || outcome == "done" && r.IntN(4) > 0 {
+					return
+				}
+				pause(r, 300*time.Millisecond)
+				if node = f.anyNode(r); node == nil {
+					return
+				}
+			}
+		})
+	}
+	for i := range 2 {
+		from := mark.Stamp(0)
+		f.task(func(r *rand.Rand) { f.followOnce(r, &from); pause(r, time.Duration(1+i*3000)*time.Millisecond) })
+	}
+}
+
+func (f *Fleet) followOnce(r *rand.Rand, from *mark.Stamp) {
+	node := f.anyNode(r)
+	if node == nil {
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	rec := judge.Record{Kind: judge.Followed, Start: f.H.Now(), Name: counted, From: uint64(*from), Outcome: "done"}
+	ctx, end := context.WithTimeout(f.ctx, 6*time.Second)
+	defer end()
+	got, err := node.Bond(ctx, &wire.BondOp{Op: "follow", Name: counted, From: *from, Hold: 2000})
+	if err != nil {
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	rec.Stamp = uint64(got.Rev)
+	if got.Code == fault.StampTooOld.No {
+		rec.Outcome = "too old"
+	}
+	for _, e := range got.Events {
+		var id string
+		json.Unmarshal(e.Value, &id)
+		rec.Stamps, rec.Names = append(rec.Stamps, uint64(e.Rev)), append(rec.Names, e.Name+" "+id)
+	}
+	if *from > 0 {
+		f.H.Add(rec)
+	}
+	*from = got.Rev
+}
+
+// Timed starts those who hold a lock for a moment, with a time in each call.
+func (f *Fleet) Timed(n int, mean time.Duration) {
+	for i := range n {
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			node := f.anyNode(r)
+			if node == nil {
+				return
+			}
+			name, holder := fmt.Sprint("hold/", r.IntN(2)), fmt.Sprint("holder", i, "-", mark.NewID())
+			ttl := func() int64 { return 50 + r.Int64N(2500) }
+			call := func(op wire.BondOp) (*wire.BondReceipt, string) {
+				op.Name, op.Holder, op.Id = name, holder, mark.NewID()
+				return f.direct(node, judge.Record{Fence: uint64(op.Fence), Ttl: time.Duration(op.Ttl) * time.Millisecond}, &op)
+			}
+			got, outcome := call(wire.BondOp{Op: "acquire", Ttl: ttl()})
+			if outcome != "done" {
+				return
+			}
+			fence := got.Fence
+			for range r.IntN(5) {
+				pause(r, 600*time.Millisecond)
+				if other := f.anyNode(r); other != nil {
+					node = other
+				}
+				op := wire.BondOp{Op: "renew", Fence: fence, Ttl: ttl()}
+				if r.IntN(3) == 0 {
+					op = wire.BondOp{Op: "acquire", Ttl: ttl()}
+				}
+				if got, outcome = call(op); outcome != "done" || got.Fence != fence {
+					return
+				}
+			}
+			if r.IntN(2) == 0 {
+				call(wire.BondOp{Op: "release", Fence: fence})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/dream/versions.go
@@ -0,0 +1,118 @@
+// Operators who number their changes: each names the version it was made over, they
+// race, repeat what was left unknown, and read back what they sent.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/seat"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const numbered = "numbered-"
+
+// Versions starts n such operators.
+func (f *Fleet) Versions(n int, mean time.Duration) {
+	for range n {
+		f.task(func(r *rand.Rand) {
+			pause(r, mean)
+			node := f.anyNode(r)
+			if node == nil {
+				return
+			}
+			view := f.readBackAll(node)
+			if view == nil {
+				return
+			}
+			pause(r, 50*time.Millisecond)
+			change := numberedChange(r, view.Version)
+			if rival, other := numberedChange(r, view.Version), f.anyNode(r); other != nil && r.IntN(2) == 0 {
+				var both sync.WaitGroup
+				both.Go(func() { f.submitVersion(other, rival) })
+				defer both.Wait()
+			}
+			for range 3 {
+				outcome := f.submitVersion(node, change)
+				if outcome == "refused" || outcome == "accepted" && r.IntN(4) > 0 {
+					break
+				}
+				pause(r, 500*time.Millisecond)
+				if node = f.anyNode(r); node == nil {
+					return
+				}
+			}
+			if node = f.anyNode(r); node != nil {
+				f.readBackAll(node)
+			}
+		})
+	}
+}
+
+// numberedChange is a change over a version, with a text of its own.
+func numberedChange(r *rand.Rand, over mark.Version) *wire.Change {
+	id, service := numbered+mark.NewID(), "rates"
+	if r.IntN(6) == 0 {
+		service = sham.Nowhere
+	}
+	source, _ := json.Marshal(map[string]string{"as": "sent", "id": id})
+	m := wire.Mapping{Name: id, Path: "/numbered/" + id, To: []wire.Split{{Service: service, Weight: 1}}, Source: source}
+	return &wire.Change{Id: id, Version: over + 1 + mark.Version(r.IntN(2)), Over: &over, Put: wire.Config{Mappings: []wire.Mapping{m}}}
+}
+
+func (f *Fleet) submitVersion(node *seat.Node, change *wire.Change) string {
+	rec := judge.Record{Kind: judge.Version, Start: f.H.Now(), Name: change.Id, Stamp: uint64(change.Version), From: uint64(*change.Over), Digest: string(change.Put.Mappings[0].Source), Outcome: "accepted", Invalid: change.Put.Mappings[0].To[0].Service == sham.Nowhere}
+	ctx, end := context.WithTimeout(f.ctx, 8*time.Second)
+	defer end()
+	receipt, err := node.Submit(ctx, change)
+	switch {
+	case err == nil:
+		rec.Epoch = uint64(receipt.Epoch)
+	case fault.Of(err).Code.Outcome == "":
+		rec.Outcome, rec.Code = "refused", fault.Of(err).Code.No
+	default:
+		rec.Outcome, rec.Code, rec.Note = "unknown", fault.Of(err).Code.No, err.Error()
+	}
+	f.H.Add(rec)
+	return rec.Outcome
+}
+
+// readBackAll records what of the operators' texts is in force; nil if it can't be had.
+func (f *Fleet) readBackAll(node *seat.Node) *wire.ConfigView {
+	rec := judge.Record{Kind: judge.ReadBack, Start: f.H.Now(), Lead: map[string]string{}}
+	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
+	defer end()
+	view, err := node.Config(ctx)
+	if err != nil {
+		return nil
+	}
+	rec.Stamp, rec.Epoch = uint64(view.Version), uint64(view.Epoch)
+	for _, m := range view.Config.Mappings {
+		if strings.HasPrefix(m.Name, numbered) {
+			rec.Lead[m.Name] = string(m.Source)
+		}
+	}
+	f.H.Add(rec)
+	return view
+}
+
+// readBackLast reads the versions once more, when nothing else goes on.
+func (f *Fleet) readBackLast() error {
+	isRead := f.Until(10*time.Second, func() bool {
+		node := f.Cores()[0].Node()
+		return node != nil && f.readBackAll(node) != nil
+	})
+	if !isRead {
+		return fmt.Errorf("the versions could not be read back at the end")
+	}
+	return nil
+}
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -33,6 +33,11 @@
 	Alive    = "alive"    // a proxy's process was started
 	Differ   = "differ"   // a node found that copies contradict one another
 	Harmless = "harmless" // the scenario holds planned stops only
+	Reached  = "reached"  // a request reached a server, which turned it away
+	Touch    = "touch"    // a proxy is in touch from At on, or out of it
+	Followed = "followed" // a follower's receipt
+	Version  = "version"  // a change set with an operators' version, from Start to At
+	ReadBack = "readback" // the configuration as read back, from Start to At
 )
 
 // Record is one line of a history; times are since its beginning.
@@ -73,6 +78,7 @@
 	From       uint64        `json:"from,omitempty"`
 	IsIf       bool          `json:"is_if,omitempty"` // From is the stamp that the key must have
 	IsWhole    bool          `json:"whole,omitempty"`
+	IsTry      bool          `json:"is_try,omitempty"` // what is said holds for the try alone
 	// Lead is where a change set leads each path: services with commas between
 	// them, or nothing if the path is dropped.
 	Lead map[string]string `json:"lead,omitempty"`
--- a/internal/sham/caller.go
+++ b/internal/sham/caller.go
@@ -28,9 +28,11 @@
 
 // Caller sends requests to proxies.
 type Caller struct {
-	H      *judge.History
-	Once   bool // its orders go to mappings that never run one twice
-	client *http.Client
+	H    *judge.History
+	Once bool // its orders go to mappings that never run one twice
+	// IsPlain has it name each try itself; an answer then bears nothing else of ours.
+	IsPlain bool
+	client  *http.Client
 }
 
 func NewCaller(n realm.Net, h *judge.History) *Caller {
@@ -60,6 +62,10 @@
 	if method != http.MethodGet {
 		request.Header.Set(gate.HeaderOnce, call)
 	}
+	if c.IsPlain {
+		r.IsTry, r.Request = true, mark.NewID()
+		request.Header.Set(gate.HeaderRequest, r.Request)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		r.Outcome, r.Note = "broken", err.Error()
@@ -69,7 +75,11 @@
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
 	r.Status, r.Outcome, r.RetryAfter = response.StatusCode, response.Header.Get(gate.HeaderOutcome), response.Header.Get("Retry-After")
-	r.Request = response.Header.Get(gate.HeaderRequest)
+	if named := response.Header.Get(gate.HeaderRequest); !c.IsPlain {
+		r.Request = named
+	} else if named != r.Request {
+		r.Note = "the answer names another request: " + named
+	}
 	r.Code, _ = strconv.Atoi(response.Header.Get(gate.HeaderCode))
 	r.Epoch, _ = strconv.ParseUint(response.Header.Get(gate.HeaderEpoch), 10, 64)
 	switch {
@@ -84,6 +94,9 @@
 	default:
 		r.Note = string(raw)
 	}
+	if c.IsPlain && err == nil {
+		r.Outcome, r.Code = told(response.StatusCode, raw)
+	}
 	c.H.Add(r)
 	return r
 }
--- /dev/null
+++ b/internal/sham/plain.go
@@ -0,0 +1,74 @@
+// The plain manner of speaking: a success bears a seal that only the caller can
+// judge, every answer names its request, and a server says in words of its own that
+// it did not run one: another instance was asked for, or it is full.
+package sham
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/sumactrestle/sumactrestle/internal/gate"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+)
+
+const (
+	HeaderUnrun  = "Sumac-Not-Run"
+	HeaderExpect = "Sumac-Instance"
+
+	// ActsOnHeader and ActsAsHeader are the simulator's own: the epoch by which a
+	// proxy acted when it wrote the request, and its address.
+	ActsOnHeader = "X-Acts-On"
+	ActsAsHeader = "X-Acts-As"
+)
+
+// record is what a server sees of a request.
+func (s *Server) record(r *http.Request, kind string) judge.Record {
+	rec := judge.Record{Kind: kind, Call: r.Header.Get(CallHeader), Request: r.Header.Get(gate.HeaderRequest), Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Repeatable: r.Method == http.MethodGet, IsTry: s.IsPlain}
+	epoch := r.Header.Get(gate.HeaderEpoch)
+	if s.IsPlain {
+		rec.Service, rec.Proxy, epoch = s.Service, r.Header.Get(ActsAsHeader), r.Header.Get(ActsOnHeader)
+	}
+	rec.Epoch, _ = strconv.ParseUint(epoch, 10, 64)
+	return rec
+}
+
+// turnsAway answers what is not to be run here.
+func (s *Server) turnsAway(w http.ResponseWriter, r *http.Request, way string) bool {
+	status := 0
+	switch {
+	case r.Header.Get(HeaderExpect) != s.Instance:
+		status = http.StatusMisdirectedRequest
+	case way == Full:
+		status = http.StatusServiceUnavailable
+		w.Header().Set(HeaderUnrun, "1")
+	}
+	if status == 0 {
+		return false
+	}
+	rec := s.record(r, judge.Reached)
+	rec.Status = status
+	s.H.Add(rec)
+	w.Header().Set(gate.HeaderRequest, rec.Request)
+	w.WriteHeader(status)
+	return true
+}
+
+// whole is a success as it goes over the wire.
+func whole(request, seal, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n\r\n%s", len(body), gate.HeaderRequest, request, gate.HeaderSeal, seal, body)
+}
+
+// told is how a call ended, by the answer alone.
+func told(status int, raw []byte) (outcome string, code int) {
+	if status == http.StatusOK {
+		return "ran", 0
+	}
+	var problem struct {
+		Code    int    `json:"code"`
+		Outcome string `json:"outcome"`
+	}
+	json.Unmarshal(raw, &problem)
+	return problem.Outcome, problem.Code
+}
--- a/internal/sham/server.go
+++ b/internal/sham/server.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +32,9 @@
 	Swapped  = "swapped"  // runs it, answers with the answer of another request
 	Slow     = "slow"     // runs it after a while
 	Huge     = "huge"     // runs it, answers with more than may be held
+	Surplus  = "surplus"  // runs it, answers with another's answer and then with its own
+	Denied   = "denied"   // runs it, and says beside its success that it did not
+	Full     = "full"     // turns it away and says so
 )
 
 // Server is one stand-in back end.
@@ -47,6 +49,9 @@
 	Nodes    []string // API addresses
 	Work     time.Duration
 	Misdo    func(n int64) string
+	Every    time.Duration // pause between beats; 300 ms if zero
+	Silence  time.Duration // after which it counts as gone; the judge's own if zero
+	IsPlain  bool          // answers bear an opaque seal and name their request
 
 	seq    atomic.Uint64
 	n      atomic.Int64
@@ -83,6 +88,7 @@
 		defer s.tasks.Done()
 		clients := map[string]*api.Client{}
 		for i := 0; ctx.Err() == nil; i++ {
+			began := time.Now()
 			address := s.Nodes[(int(mark.Score(s.Instance)%64)+i/8)%len(s.Nodes)]
 			if clients[address] == nil {
 				clients[address] = Client(s.Net, address)
@@ -92,13 +98,20 @@
 			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(300 * time.Millisecond):
+			case <-time.After(s.pause(time.Since(began))):
 			}
 		}
 	}()
 	return nil
 }
 
+func (s *Server) pause(spent time.Duration) time.Duration {
+	if s.Every == 0 {
+		return 300 * time.Millisecond
+	}
+	return max(s.Every-spent, 0)
+}
+
 func (s *Server) beat(ctx context.Context, client *api.Client, state string) error {
 	limited, stop := context.WithTimeout(ctx, time.Second)
 	defer stop()
@@ -125,7 +138,7 @@
 
 // Mute stops the beats but goes on serving.
 func (s *Server) Mute() {
-	s.H.Add(judge.Record{Kind: judge.Silent, Service: s.Service, Instance: s.Instance, Address: s.Address})
+	s.H.Add(judge.Record{Kind: judge.Silent, Service: s.Service, Instance: s.Instance, Address: s.Address, Ttl: s.Silence})
 	s.end()
 }
 
@@ -161,26 +174,32 @@
 	if err != nil {
 		return
 	}
-	n := s.n.Add(1)
 	way := Fine
-	if s.Misdo != nil {
+	if n := s.n.Add(1); s.Misdo != nil {
 		way = s.Misdo(n)
 	}
+	if s.IsPlain && s.turnsAway(w, r, way) {
+		return
+	}
 	if s.Work > 0 {
 		time.Sleep(s.Work)
 	}
 	if way == Slow {
 		time.Sleep(2 * time.Second)
 	}
-	epoch, _ := strconv.ParseUint(r.Header.Get(gate.HeaderEpoch), 10, 64)
-	call, request := r.Header.Get(CallHeader), r.Header.Get(gate.HeaderRequest)
-	s.H.Add(judge.Record{Kind: judge.Ran, Start: came, Call: call, Request: request, Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Epoch: epoch, Repeatable: r.Method == http.MethodGet, Digest: Digest(body)})
+	ran := s.record(r, judge.Ran)
+	ran.Start, ran.Digest = came, Digest(body)
+	s.H.Add(ran)
+	call, request := ran.Call, ran.Request
 	reply := Answer{Call: call, Service: s.Service, Bytes: len(body), Digest: Digest(body)}
 	if way == Huge {
 		reply.Pad = strings.Repeat("x", 64<<10)
 	}
 	answer, _ := json.Marshal(reply)
 	seal := gate.Seal(s.Key, request, s.Service, s.Instance, 200, answer)
+	if s.IsPlain {
+		w.Header().Set(gate.HeaderRequest, request)
+	}
 	hijack := func(text string) {
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err == nil {
@@ -196,16 +215,26 @@
 		hijack("\x00\x01 what is this\r\n\r\n")
 		return
 	case Cut:
-		hijack(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(answer), gate.HeaderSeal, seal, answer[:len(answer)/2]))
+		hijack(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n\r\n%s", len(answer), gate.HeaderRequest, request, gate.HeaderSeal, seal, answer[:len(answer)/2]))
 		return
 	case Swapped:
 		if old, ok := s.last.Load().([]string); ok {
 			w.Header().Set(gate.HeaderSeal, old[0])
+			if s.IsPlain {
+				w.Header().Set(gate.HeaderRequest, old[2])
+			}
 			w.Write([]byte(old[1]))
 			return
 		}
+	case Surplus:
+		if old, ok := s.last.Load().([]string); ok {
+			hijack(whole(old[2], old[0], old[1]) + whole(request, seal, string(answer)))
+			return
+		}
+	case Denied:
+		w.Header().Set(HeaderUnrun, "1")
 	}
-	s.last.Store([]string{seal, string(answer)})
+	s.last.Store([]string{seal, string(answer), request})
 	if way != Unsealed {
 		w.Header().Set(gate.HeaderSeal, seal)
 	}
