--- a/tools/blight/main.go
+++ b/tools/blight/main.go
@@ -27,6 +27,7 @@
 	More  []graft
 
 	Scenario, Rule, Survives string
+	Manner                   string // of fleets; the brief's if empty
 	Test                     string // a test that must fail, in place of a scenario
 }
 
@@ -96,7 +97,11 @@
 		}
 		return "caught by " + m.Test, true
 	}
-	run := exec.Command("go", "test", "./internal/dream", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario)
+	manner := m.Manner
+	if manner == "" {
+		manner = "brief"
+	}
+	run := exec.Command("go", "test", "./internal/dream", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario, "-manner", manner)
 	run.Dir = tree
 	out, err := run.CombinedOutput()
 	broken := regexp.MustCompile(`BROKEN (\S+)`).FindAllStringSubmatch(string(out), -1)
