--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -27,7 +27,10 @@
 // Vouched is the newest ages, and the last that vouch for the epoch before.
 type Vouched struct{ Newest, Before Ages }
 
-const nearPause = 40 * time.Millisecond
+const (
+	nearPause  = 40 * time.Millisecond
+	firstPulse = 100 * time.Millisecond
+)
 
 // Client is one proxy's.
 type Client struct {
@@ -191,10 +194,14 @@
 	return c.r.Pause(nearPause)
 }
 
-// pulse renews freshness through one control node, the nearest that answers.
+// pulse renews freshness through one control node, the nearest that answers. Until
+// the first plan is fresh it asks more often, for so long nothing can be served.
 func (c *Client) pulse() {
-	pick := 0
-	for c.r.Pause(realm.Jitter(c.r.Props.FlowPulse)) {
+	pick, wait := 0, min(c.r.Props.FlowPulse, firstPulse)
+	for c.r.Pause(realm.Jitter(wait)) {
+		if c.IsFresh(c.Cache.Chart(), "") {
+			wait = c.r.Props.FlowPulse
+		}
 		cores := c.k.Cores()
 		if len(cores) == 0 {
 			continue
