--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -219,7 +219,8 @@
 	return c.r.Pause(nearPause)
 }
 
-// pulse renews freshness through one control node, the nearest that answers.
+// pulse renews freshness through one control node, the nearest that answers. Until
+// the first plan is fresh it asks more often, for so long nothing can be served.
 func (c *Client) pulse() {
 	pick := 0
 	for c.r.Pause(realm.Jitter(c.pulsePause())) {
