Target lists go out as differences, listener requests as one sum over the groups

Cause: on full links of 3.4 Mbit/s each epoch of a release cost every gate a list of 20 KB and four listener requests of 1.5 KB. A control node keeps the last 64 epochs, so it knows what an asker at one of them holds: the request carries one digest over each group's digest and version (each of them where the epoch is not known), a target list what differs, held against the digest of the whole; what does not fit is fetched whole.

--- a/internal/flow/cache.go
+++ b/internal/flow/cache.go
@@ -30,6 +30,7 @@
 	Targets  map[string][]wire.Target
 	Shares   map[mark.Name]int
 	groups   map[string]wire.Group
+	sum      string
 }
 
 // Cache holds the chart in use and the groups staged for the next.
@@ -67,6 +68,17 @@
 		if old, ok := c.held(name); ok && group.Stamp <= old.Stamp {
 			continue
 		}
+		if group.Base != "" {
+			old, ok := c.held(name)
+			if !ok || old.Digest != group.Base {
+				continue
+			}
+			whole, err := plan.Patch(old.Data, group.Put, group.Gone)
+			if err != nil {
+				continue
+			}
+			group = wire.Group{Digest: group.Digest, Stamp: group.Stamp, Data: whole}
+		}
 		if plan.Digest(group.Data) != group.Digest {
 			continue
 		}
@@ -87,6 +99,19 @@
 	return wire.Group{}, false
 }
 
+// Holds is the digests of the groups named that are held in some version.
+func (c *Cache) Holds(names []string) map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	digests := map[string]string{}
+	for _, name := range names {
+		if group, ok := c.held(name); ok {
+			digests[name] = group.Digest
+		}
+	}
+	return digests
+}
+
 // Missing is which groups of a manifest are neither in use nor staged.
 func (c *Cache) Missing(manifest map[string]wire.Held) (names []string) {
 	c.mu.Lock()
@@ -152,7 +177,7 @@
 
 // convert unpacks the groups; those that did not change are taken over.
 func convert(epoch mark.Epoch, manifest map[string]wire.Held, groups map[string]wire.Group, old *Chart) (*Chart, error) {
-	chart := &Chart{Epoch: epoch, Manifest: maps.Clone(manifest), groups: groups,
+	chart := &Chart{Epoch: epoch, Manifest: maps.Clone(manifest), groups: groups, sum: plan.SumOf(manifest),
 		Services: map[string]wire.Service{}, Limits: map[string]wire.Limit{}, Targets: map[string][]wire.Target{}, Shares: map[mark.Name]int{}}
 	read := func(name string, into any) error {
 		group, ok := groups[name]
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -178,9 +178,20 @@
 	ctx, end := context.WithTimeout(c.r, c.r.Props.FlowHold+2*time.Second)
 	defer end()
 	var receipt wire.ListenReceipt
-	if err := c.w.Ask(ctx, address, "flow.listen", &wire.ListenAsk{Epoch: epoch, Have: have}, &receipt); err != nil {
+	ask := &wire.ListenAsk{Epoch: epoch, Have: have}
+	if chart := c.Cache.Chart(); chart != nil && chart.Epoch == epoch {
+		ask.Sum, ask.Have = chart.sum, nil
+	}
+	if err := c.w.Ask(ctx, address, "flow.listen", ask, &receipt); err != nil {
 		return false, err
 	}
+	if receipt.Lost {
+		// Where the epoch is not known any more, or not yet, each group is named.
+		receipt = wire.ListenReceipt{}
+		if err := c.w.Ask(ctx, address, "flow.listen", &wire.ListenAsk{Epoch: epoch, Have: have}, &receipt); err != nil {
+			return false, err
+		}
+	}
 	if receipt.Epoch <= epoch {
 		return true, nil
 	}
@@ -199,10 +210,20 @@
 		limited, stop := context.WithTimeout(c.r, 3*time.Second)
 		defer stop()
 		var fetched wire.FetchReceipt
-		if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: missing}, &fetched); err != nil {
+		if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: missing, Held: c.Cache.Holds(missing)}, &fetched); err != nil {
 			return false, err
 		}
 		isNewer = c.Cache.Stage(fetched.Groups)
+		left := c.Cache.Missing(manifest)
+		left = slices.DeleteFunc(left, func(name string) bool { return fetched.Groups[name].Base == "" })
+		if len(left) > 0 {
+			// A difference that did not fit is fetched whole.
+			fetched = wire.FetchReceipt{}
+			if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: left}, &fetched); err != nil {
+				return false, err
+			}
+			isNewer = c.Cache.Stage(fetched.Groups) || isNewer
+		}
 	}
 	ok, err := c.Cache.Swap(receipt.Epoch, manifest)
 	return ok || isNewer, err
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -9,6 +9,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	mu      sync.Mutex
 	running *relay
 	waiting *relay
+	deltas  map[string]wire.Group
 }
 
 // relay is one pulse to the owner, shared by all proxies that wait for it.
@@ -68,11 +70,19 @@
 func (s *Server) listen(ctx context.Context, ask *wire.ListenAsk) (*wire.ListenReceipt, error) {
 	hold := time.NewTimer(s.r.Props.FlowHold)
 	defer hold.Stop()
+	have := ask.Have
+	if ask.Sum != "" {
+		before := s.ledger.Past(ask.Epoch)
+		if before == nil || before.Sum() != ask.Sum {
+			return &wire.ListenReceipt{Epoch: ask.Epoch, Lost: true}, nil
+		}
+		have = before.Manifest()
+	}
 	for {
 		change := s.p.Part(mark.Config).Watch()
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
-			return differ(sheet, ask), nil
+			return differ(sheet, have), nil
 		}
 		select {
 		case <-change:
@@ -86,15 +96,15 @@
 	}
 }
 
-func differ(sheet *plan.Sheet, ask *wire.ListenAsk) *wire.ListenReceipt {
+func differ(sheet *plan.Sheet, before map[string]wire.Held) *wire.ListenReceipt {
 	receipt := &wire.ListenReceipt{Epoch: sheet.Epoch, Changed: map[string]wire.Held{}}
 	manifest := sheet.Manifest()
 	for name, held := range manifest {
-		if have, ok := ask.Have[name]; !ok || have.Digest != held.Digest {
+		if have, ok := before[name]; !ok || have != held {
 			receipt.Changed[name] = held
 		}
 	}
-	for name := range ask.Have {
+	for name := range before {
 		if _, ok := manifest[name]; !ok {
 			receipt.Removed = append(receipt.Removed, name)
 		}
@@ -117,12 +127,45 @@
 	}
 	for _, name := range names {
 		if group, ok := sheet.Carried(name); ok {
-			receipt.Groups[name] = group
+			receipt.Groups[name] = s.short(name, ask.Held[name], group)
 		}
 	}
 	return receipt
 }
 
+// short is a target list as what differs from the one that the asker holds, if that
+// is known here and the difference is right.
+func (s *Server) short(name, held string, group wire.Group) wire.Group {
+	if held == "" || !strings.HasPrefix(name, plan.Targets) {
+		return group
+	}
+	key := name + " " + held + " " + group.Digest
+	s.mu.Lock()
+	delta, ok := s.deltas[key]
+	s.mu.Unlock()
+	if ok {
+		return delta
+	}
+	delta = group
+	if from, isKept := s.ledger.Held(name, held); isKept {
+		if put, gone, isShorter := plan.Delta(from, group.Data); isShorter {
+			if whole, err := plan.Patch(from, put, gone); err == nil && plan.Digest(whole) == group.Digest {
+				delta = wire.Group{Digest: group.Digest, Stamp: group.Stamp, Base: held, Put: put, Gone: gone}
+			}
+		}
+	}
+	s.mu.Lock()
+	if len(s.deltas) >= deltasKept || s.deltas == nil {
+		s.deltas = map[string]wire.Group{}
+	}
+	s.deltas[key] = delta
+	s.mu.Unlock()
+	return delta
+}
+
+// deltasKept bounds the differences that are kept for the next asker.
+const deltasKept = 256
+
 // pulse tells ages as the owner of the configuration part knows them, older by
 // the time that passed since this node asked.
 func (s *Server) pulse(ctx context.Context) (*wire.PulseReceipt, error) {
--- /dev/null
+++ b/internal/plan/delta.go
@@ -0,0 +1,58 @@
+// What differs between two target lists. Lists are long and change by a few targets
+// at a time, so proxies that hold an earlier one get the difference; whoever takes
+// it over holds the result against the digest of the whole.
+package plan
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Delta is what leads from one list to another; false if the whole is as short.
+func Delta(from, to json.RawMessage) (put []wire.Target, gone []string, ok bool) {
+	var old, now []wire.Target
+	if json.Unmarshal(from, &old) != nil || json.Unmarshal(to, &now) != nil {
+		return nil, nil, false
+	}
+	before := make(map[string]wire.Target, len(old))
+	for _, t := range old {
+		before[t.Instance] = t
+	}
+	for _, t := range now {
+		if had, isOld := before[t.Instance]; !isOld || had != t {
+			put = append(put, t)
+		}
+		delete(before, t.Instance)
+	}
+	for instance := range before {
+		gone = append(gone, instance)
+	}
+	sort.Strings(gone)
+	return put, gone, len(put) < len(now)
+}
+
+// Patch lays a difference over a list.
+func Patch(from json.RawMessage, put []wire.Target, gone []string) (json.RawMessage, error) {
+	var old []wire.Target
+	if err := json.Unmarshal(from, &old); err != nil {
+		return nil, err
+	}
+	out := make(map[string]bool, len(gone)+len(put))
+	for _, instance := range gone {
+		out[instance] = true
+	}
+	for _, t := range put {
+		out[t.Instance] = true
+	}
+	next := []wire.Target{}
+	for _, t := range old {
+		if !out[t.Instance] {
+			next = append(next, t)
+		}
+	}
+	next = append(next, put...)
+	sort.Slice(next, func(i, j int) bool { return next[i].Instance < next[j].Instance })
+	return json.Marshal(next)
+}
--- /dev/null
+++ b/internal/plan/delta_test.go
@@ -0,0 +1,38 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func TestADifferenceLeadsFromOneListToTheOther(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	draw := func() json.RawMessage {
+		list := []wire.Target{}
+		for i := range 40 {
+			if r.IntN(4) > 0 {
+				list = append(list, wire.Target{Instance: fmt.Sprintf("i%02d", i), Address: fmt.Sprint("10.0.0.1:", r.IntN(2)+1), Zone: "a", Weight: 100})
+			}
+		}
+		raw, _ := json.Marshal(list)
+		return raw
+	}
+	for range 200 {
+		from, to := draw(), draw()
+		put, gone, ok := Delta(from, to)
+		if !ok {
+			continue
+		}
+		got, err := Patch(from, put, gone)
+		if err != nil || string(got) != string(to) {
+			t.Fatalf("%v\n%s\n%s", err, got, to)
+		}
+	}
+	if _, err := Patch(json.RawMessage("{"), nil, nil); err == nil {
+		t.Error("a list that can't be read was patched")
+	}
+}
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -42,12 +43,18 @@
 	Version mark.Version
 	Groups  map[string]wire.Group
 	Changes []wire.ChangeReceipt
+
+	sum atomic.Pointer[string]
 }
 
+// pastKept is how many epochs are kept to tell what changed since.
+const pastKept = 64
+
 // Ledger folds the configuration part.
 type Ledger struct {
 	mu    sync.RWMutex
 	sheet *Sheet
+	past  []*Sheet // the epochs before, newest last
 	Told  func(*Sheet, *wire.Planned)
 }
 
@@ -90,6 +97,9 @@
 		sheet.Changes = append(changes, *planned.Change)
 	}
 	l.sheet = sheet
+	if l.past = append(l.past, old); len(l.past) > pastKept {
+		l.past = append([]*Sheet(nil), l.past[len(l.past)-pastKept:]...)
+	}
 	l.mu.Unlock()
 	if l.Told != nil {
 		l.Told(sheet, &planned)
@@ -97,6 +107,33 @@
 	return true
 }
 
+// Past is an epoch that was in force lately, or is; nil if it is not kept.
+func (l *Ledger) Past(epoch mark.Epoch) *Sheet {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.sheet.Epoch == epoch {
+		return l.sheet
+	}
+	for i := len(l.past) - 1; i >= 0; i-- {
+		if l.past[i].Epoch == epoch {
+			return l.past[i]
+		}
+	}
+	return nil
+}
+
+// Held is a group's data under a digest, of the epochs kept.
+func (l *Ledger) Held(name, digest string) (json.RawMessage, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for i := len(l.past) - 1; i >= 0; i-- {
+		if group, ok := l.past[i].Groups[name]; ok && group.Digest == digest {
+			return group.Data, true
+		}
+	}
+	return nil, false
+}
+
 // Sheet is the epoch in force, as far as this member knows.
 func (l *Ledger) Sheet() *Sheet {
 	l.mu.RLock()
--- a/internal/plan/ranges.go
+++ b/internal/plan/ranges.go
@@ -47,8 +47,8 @@
 func (l *Ledger) Mend(name string, data json.RawMessage) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sheet := *l.sheet
-	sheet.Groups = maps.Clone(sheet.Groups)
+	old := l.sheet
+	sheet := &Sheet{Epoch: old.Epoch, Changed: old.Changed, Version: old.Version, Groups: maps.Clone(old.Groups), Changes: old.Changes}
 	if group, ok := strings.CutPrefix(name, groupRange); ok {
 		var g *wire.Group
 		if err := json.Unmarshal(data, &g); err != nil {
@@ -66,6 +66,6 @@
 		}
 		sheet.Epoch, sheet.Changed, sheet.Version, sheet.Changes = head.Epoch, head.Changed, head.Version, head.Changes
 	}
-	l.sheet = &sheet
+	l.sheet, l.past = sheet, nil
 	return nil
 }
--- a/internal/plan/sheet.go
+++ b/internal/plan/sheet.go
@@ -121,3 +121,19 @@
 	sort.Slice(c.Services, func(i, j int) bool { return c.Services[i].Name < c.Services[j].Name })
 	sort.Slice(c.Limits, func(i, j int) bool { return c.Limits[i].Service < c.Limits[j].Service })
 }
+
+// Sum is one digest over the digests and stamps of all that goes to the proxies.
+func (s *Sheet) Sum() string {
+	if sum := s.sum.Load(); sum != nil {
+		return *sum
+	}
+	sum := SumOf(s.Manifest())
+	s.sum.Store(&sum)
+	return sum
+}
+
+// SumOf is one digest over a manifest.
+func SumOf(manifest map[string]wire.Held) string {
+	raw, _ := json.Marshal(manifest)
+	return Digest(raw)
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -253,29 +253,35 @@
 	Stamp  mark.Stamp `json:"stamp"`
 }
 
-// ListenAsk is the held listener request.
+// ListenAsk is the held listener request: each group's digest and version, or, where the control node knows the epoch named, one sum over them.
 type ListenAsk struct {
 	Epoch mark.Epoch      `json:"epoch"`
+	Sum   string          `json:"sum,omitempty"`
 	Have  map[string]Held `json:"have,omitempty"`
 }
 
-// ListenReceipt names the groups that differ; none when the hold time is over.
+// ListenReceipt names the groups that differ; none when the hold time is over; lost says that the sum is of nothing known here.
 type ListenReceipt struct {
 	Epoch   mark.Epoch      `json:"epoch"`
+	Lost    bool            `json:"lost,omitempty"`
 	Changed map[string]Held `json:"changed,omitempty"`
 	Removed []string        `json:"removed,omitempty"`
 }
 
-// FetchAsk fetches groups; all of them when none is named.
+// FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do.
 type FetchAsk struct {
-	Groups []string `json:"groups,omitempty"`
+	Groups []string          `json:"groups,omitempty"`
+	Held   map[string]string `json:"held,omitempty"`
 }
 
-// Group is one configuration group.
+// Group is one configuration group; of a target list it may be what differs from the one with the digest named as base.
 type Group struct {
 	Digest string          `json:"digest"`
 	Stamp  mark.Stamp      `json:"stamp"`
-	Data   json.RawMessage `json:"data"`
+	Data   json.RawMessage `json:"data,omitempty"`
+	Base   string          `json:"base,omitempty"`
+	Put    []Target        `json:"put,omitempty"`
+	Gone   []string        `json:"gone,omitempty"`
 }
 
 // FetchReceipt is groups of one epoch, with the manifest if all were asked for.
