Narrow links: small differences come with the listener's receipt, large bodies in turn

Now the nearest control node sends differences of up to 4 KB along with the receipt; the fetch stays for all else and at all others. A difference fits any version held, staged or in use.

Ruled out: the core (commits in 85 ms), epochs too often (five a second).

--- a/internal/flow/cache.go
+++ b/internal/flow/cache.go
@@ -69,8 +69,8 @@
 			continue
 		}
 		if group.Base != "" {
-			old, ok := c.held(name)
-			if !ok || old.Digest != group.Base {
+			old, ok := c.under(name, group.Base)
+			if !ok {
 				continue
 			}
 			whole, err := plan.Patch(old.Data, group.Put, group.Gone)
@@ -99,6 +99,17 @@
 	return wire.Group{}, false
 }
 
+// under is a group held under a digest, staged or in use.
+func (c *Cache) under(name, digest string) (wire.Group, bool) {
+	if group, ok := c.staged[name]; ok && group.Digest == digest {
+		return group, true
+	}
+	if chart := c.Chart(); chart != nil && chart.groups[name].Digest == digest {
+		return chart.groups[name], true
+	}
+	return wire.Group{}, false
+}
+
 // Holds is the digests of the groups named that are held in some version.
 func (c *Cache) Holds(names []string) map[string]string {
 	c.mu.Lock()
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -181,6 +181,8 @@
 	ask := &wire.ListenAsk{Epoch: epoch, Have: have}
 	if chart := c.Cache.Chart(); chart != nil && chart.Epoch == epoch {
 		ask.Sum, ask.Have = chart.sum, nil
+		near := c.servers()
+		ask.Small = c.r.Props.FlowServers > 0 && len(near) > 0 && near[0].Wire == address
 	}
 	if err := c.w.Ask(ctx, address, "flow.listen", ask, &receipt); err != nil {
 		return false, err
@@ -195,7 +197,12 @@
 	if receipt.Epoch <= epoch {
 		return true, nil
 	}
+	isNewer = len(receipt.Groups) > 0 && c.Cache.Stage(receipt.Groups)
 	manifest := c.Cache.Delta(have, &receipt)
+	if len(c.Cache.Missing(manifest)) == 0 {
+		ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+		return ok || isNewer, err
+	}
 	c.fetching.Lock()
 	defer c.fetching.Unlock()
 	if now, _ := c.Cache.Have(); receipt.Epoch <= now {
@@ -213,7 +220,7 @@
 		if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: missing, Held: c.Cache.Holds(missing)}, &fetched); err != nil {
 			return false, err
 		}
-		isNewer = c.Cache.Stage(fetched.Groups)
+		isNewer = c.Cache.Stage(fetched.Groups) || isNewer
 		left := c.Cache.Missing(manifest)
 		left = slices.DeleteFunc(left, func(name string) bool { return fetched.Groups[name].Base == "" })
 		if len(left) > 0 {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -82,7 +82,11 @@
 		change := s.p.Part(mark.Config).Watch()
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
-			return differ(sheet, have), nil
+			receipt := differ(sheet, have)
+			if ask.Small {
+				s.along(sheet, have, receipt)
+			}
+			return receipt, nil
 		}
 		select {
 		case <-change:
@@ -96,6 +100,33 @@
 	}
 }
 
+// along sends differences with the receipt if all of them are small.
+func (s *Server) along(sheet *plan.Sheet, have map[string]wire.Held, receipt *wire.ListenReceipt) {
+	groups := map[string]wire.Group{}
+	size := 0
+	for name := range receipt.Changed {
+		group, ok := sheet.Carried(name)
+		if !ok {
+			return
+		}
+		group = s.short(name, have[name].Digest, group)
+		size += len(group.Data) + targetSize*len(group.Put) + instanceSize*len(group.Gone)
+		if size > alongMost {
+			return
+		}
+		groups[name] = group
+	}
+	receipt.Groups = groups
+}
+
+// What comes along with a receipt, in bytes at most, and what a target and an
+// instance are reckoned at.
+const (
+	alongMost    = 4096
+	targetSize   = 120
+	instanceSize = 24
+)
+
 func differ(sheet *plan.Sheet, before map[string]wire.Held) *wire.ListenReceipt {
 	receipt := &wire.ListenReceipt{Epoch: sheet.Epoch, Changed: map[string]wire.Held{}}
 	manifest := sheet.Manifest()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,7 @@
 	budget   *Budget
 	orders   *Orders
 	counters sync.Map
+	lane     *lane
 	isPlain  bool // answers bear an opaque seal, and nothing of ours is added
 	inflight atomic.Int64
 	isGoing  atomic.Bool
@@ -54,7 +55,7 @@
 }
 
 func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
-	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
+	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), lane: newLane(r.Props.GateRate, r.Props.GateBodies), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
@@ -247,6 +248,9 @@
 	sent, misses := 0, 0
 	isWritten := false
 	for sent < most && misses < targetsMost {
+		if !g.lane.await(ctx, r.ContentLength) {
+			break
+		}
 		p := g.assign(c, r.ContentLength)
 		if p == nil || sent > 0 && (time.Now().After(c.deadline) || !g.extra(c)) {
 			break
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -34,6 +34,11 @@
 	if r.ContentLength == 0 {
 		return func() io.Reader { return nil }, true, nil
 	}
+	done, ok := g.lane.begin(r.ContentLength, c.deadline)
+	if !ok {
+		return nil, false, fault.New(fault.Overload, "too many large bodies at once")
+	}
+	defer done()
 	if r.ContentLength > 0 && (r.ContentLength <= smallBody || g.isPlain) {
 		whole := make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, whole); err != nil {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -67,6 +67,8 @@
 	HeaderUnrun    string        // header by which a target says that it did not run the request
 	HeaderWeight   string        // header by which a target tells what it has to do: requests running, waiting, and its slots
 	GateReturn     time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
+	GateRate       int           // kilobytes a second at which large request bodies go out together; 0 is no bound
+	GateBodies     int           // how many large request bodies are read at once; 0 is no bound
 }
 
 var table = []entry{
@@ -131,4 +133,6 @@
 	{key: "header.unrun", kind: "string", fallback: "Sumac-Not-Run", low: "", high: "", doc: "header by which a target says that it did not run the request", set: func(p *Props, v any) { p.HeaderUnrun = v.(string) }},
 	{key: "header.weight", kind: "string", fallback: "Sumac-Weight", low: "", high: "", doc: "header by which a target tells what it has to do: requests running, waiting, and its slots", set: func(p *Props, v any) { p.HeaderWeight = v.(string) }},
 	{key: "gate.return", kind: "duration", fallback: "1s", low: "10ms", high: "1m", doc: "the least that Retry-After asks for, spread over three times that; below a second it is told in fractions", set: func(p *Props, v any) { p.GateReturn = v.(time.Duration) }},
+	{key: "gate.rate", kind: "int", fallback: "0", low: "0", high: "100000000", doc: "kilobytes a second at which large request bodies go out together; 0 is no bound", set: func(p *Props, v any) { p.GateRate = v.(int) }},
+	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -253,19 +253,21 @@
 	Stamp  mark.Stamp `json:"stamp"`
 }
 
-// ListenAsk is the held listener request: each group's digest and version, or, where the control node knows the epoch named, one sum over them.
+// ListenAsk is the held listener request: each group's digest and version, or, where the control node knows the epoch named, one sum over them; small asks for small differences at once.
 type ListenAsk struct {
 	Epoch mark.Epoch      `json:"epoch"`
 	Sum   string          `json:"sum,omitempty"`
+	Small bool            `json:"small,omitempty"`
 	Have  map[string]Held `json:"have,omitempty"`
 }
 
-// ListenReceipt names the groups that differ; none when the hold time is over; lost says that the sum is of nothing known here.
+// ListenReceipt names the groups that differ; none when the hold time is over; lost says that the sum is of nothing known here; groups are differences so small that they come along.
 type ListenReceipt struct {
-	Epoch   mark.Epoch      `json:"epoch"`
-	Lost    bool            `json:"lost,omitempty"`
-	Changed map[string]Held `json:"changed,omitempty"`
-	Removed []string        `json:"removed,omitempty"`
+	Epoch   mark.Epoch       `json:"epoch"`
+	Lost    bool             `json:"lost,omitempty"`
+	Groups  map[string]Group `json:"groups,omitempty"`
+	Changed map[string]Held  `json:"changed,omitempty"`
+	Removed []string         `json:"removed,omitempty"`
 }
 
 // FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do.
