Narrow links: no callers before the first plan, and time for connections between processes

Cause: after a loss of all, a gate on a full link refused uploads whose bodies kept coming, and its own connections to core nodes timed out after 0.5 s for 13 s on end; it never got a plan.

Ruled out: the core's return (serving 1 s after its start), targets (none was restarted).

--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -69,6 +69,8 @@
 	GateReturn     time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
 	GateRate       int           // kilobytes a second at which large request bodies go out together; 0 is no bound
 	GateBodies     int           // how many large request bodies are read at once; 0 is no bound
+	GateWait       time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
+	WireDial       time.Duration // time for a connection to another process
 }
 
 var table = []entry{
@@ -135,4 +137,6 @@
 	{key: "gate.return", kind: "duration", fallback: "1s", low: "10ms", high: "1m", doc: "the least that Retry-After asks for, spread over three times that; below a second it is told in fractions", set: func(p *Props, v any) { p.GateReturn = v.(time.Duration) }},
 	{key: "gate.rate", kind: "int", fallback: "0", low: "0", high: "100000000", doc: "kilobytes a second at which large request bodies go out together; 0 is no bound", set: func(p *Props, v any) { p.GateRate = v.(int) }},
 	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
+	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
+	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
 }
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -46,6 +46,7 @@
 	Flow    *flow.Client
 	Gate    *gate.Gate
 
+	mu      sync.Mutex
 	servers []*http.Server
 	owners  [mark.Parts + 1]atomic.Pointer[string]
 	isGoing atomic.Bool
@@ -122,8 +123,11 @@
 		}
 	}
 	if n.Gate != nil {
+		planned := make(chan struct{})
+		tell := sync.OnceFunc(func() { close(planned) })
+		n.Flow.Cache.Subscribe(func(*flow.Chart) { tell() })
 		n.Flow.Open()
-		if err := n.serve(p.GateAddress, "gate.address", n.Gate); err != nil {
+		if err := n.openGate(p.GateAddress, planned); err != nil {
 			return nil, err
 		}
 	}
@@ -136,6 +140,31 @@
 	return n, nil
 }
 
+// openGate takes callers' connections: at once, or when there is a first plan.
+func (n *Node) openGate(address string, planned <-chan struct{}) error {
+	wait := n.R.Props.GateWait
+	if wait == 0 {
+		return n.serve(address, "gate.address", n.Gate)
+	}
+	n.R.Go(func() {
+		late := time.NewTimer(wait)
+		defer late.Stop()
+		select {
+		case <-planned:
+		case <-late.C:
+		case <-n.R.Done():
+			return
+		}
+		if n.isGoing.Load() {
+			return
+		}
+		if err := n.serve(address, "gate.address", n.Gate); err != nil {
+			n.R.Sign.Say(sign.GateFailed, "cause", err.Error())
+		}
+	})
+	return nil
+}
+
 func (n *Node) openCore() error {
 	var machines []pact.Machine
 	for range mark.Parts {
@@ -188,7 +217,9 @@
 		return fault.New(fault.BadProps, "%s: %v", key, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, BaseContext: func(net.Listener) context.Context { return n.R }}
+	n.mu.Lock()
 	n.servers = append(n.servers, server)
+	n.mu.Unlock()
 	n.R.Go(func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !n.R.IsOver() {
 			n.R.Sign.Say(sign.MessageRefused, "cause", err.Error())
@@ -228,7 +259,10 @@
 	}
 	n.Kin.Leave()
 	var all sync.WaitGroup
-	for _, server := range n.servers {
+	n.mu.Lock()
+	servers := n.servers
+	n.mu.Unlock()
+	for _, server := range servers {
 		all.Add(1)
 		n.R.Go(func() { defer all.Done(); server.Shutdown(ctx) })
 	}
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -38,4 +38,5 @@
 	BeatRefused    = Event{No: 702, Name: "BeatRefused", Level: "warn", Text: "a beat was refused"}
 	PropsReread    = Event{No: 801, Name: "PropsReread", Level: "info", Text: "the settings were read again"}
 	PropsRefused   = Event{No: 802, Name: "PropsRefused", Level: "warn", Text: "changed settings are faulty; the old ones stay"}
+	GateFailed     = Event{No: 803, Name: "GateFailed", Level: "error", Text: "the address for callers can't be taken"}
 )
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -34,7 +34,6 @@
 // dropped: a connection that lived through a cut may otherwise stay silent for
 // as long as TCP's own growing pauses last.
 const (
-	dialTime = 500 * time.Millisecond
 	deafTime = 300 * time.Millisecond
 )
 
@@ -60,7 +59,7 @@
 }
 
 func (p *pipe) run() {
-	ctx, end := context.WithTimeout(p.w.r, dialTime)
+	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
 	conn, err := p.w.r.Net.Dial(ctx, p.address)
 	end()
 	if err != nil {
