Come back later for a plan than for room

Cause: a gate without a plan asked callers back after 100 to 300 ms, and their one further try met the same gate, still without.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -26,6 +26,10 @@
 const (
 	smallBody = 64 << 10
 
+	// noPlanTimes is how much later than for room a caller is asked to come back for
+	// a plan.
+	noPlanTimes = 5
+
 	// targetsMost is how many targets one request is sent to, if its mapping names
 	// no number.
 	targetsMost = 4
@@ -331,7 +335,12 @@
 		h.Set(HeaderOutcome, p.Code.Outcome)
 	}
 	if p.Code.Status >= 500 || p.Code.Status == http.StatusTooManyRequests || p.Code.Status == http.StatusConflict {
-		h.Set("Retry-After", comeBack(g.r.Props.GateReturn))
+		least := g.r.Props.GateReturn
+		if p.Code.No == fault.NotFresh.No && least < time.Second {
+			// A plan comes later than room does.
+			least *= noPlanTimes
+		}
+		h.Set("Retry-After", comeBack(least))
 	}
 	status := p.Code.Status
 	if status == 499 {
