A set is known by its id, not by its value: a value can be set back

Cause: a set was taken for a repeat by its name and value alone, so that setting a key back to an earlier value got the old receipt and changed nothing. Found by reading, not by a run; the new test failed before. Whoever repeats gives an id, as other calls do; the adapter gives the value, which is unique there.

--- a/internal/bond/book.go
+++ b/internal/bond/book.go
@@ -71,7 +71,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.applied = index
-	if op.Op == "set" {
+	if op.Op == "set" && op.Id != "" {
 		op.Id = setId(&op)
 	}
 	if op.Id != "" {
--- a/internal/bond/space.go
+++ b/internal/bond/space.go
@@ -17,10 +17,11 @@
 	return space
 }
 
-// setId is what a set is known by: its name and value, so that a repeat is known
-// for one whatever revision it names.
+// setId is what a set under an id is known by: its name and that id, so that a
+// repeat is known for one whatever revision it names. Without an id a set is never
+// a repeat: a value may be set again.
 func setId(op *wire.BondOp) string {
-	sum := sha256.Sum256([]byte(op.Name + "\x00" + string(op.Value)))
+	sum := sha256.Sum256([]byte(op.Name + "\x00" + op.Id))
 	return "set/" + hex.EncodeToString(sum[:16])
 }
 
--- a/internal/bond/space_test.go
+++ b/internal/bond/space_test.go
@@ -16,7 +16,7 @@
 )
 
 func set(b *Book, index mark.Stamp, name, value string, rev ...mark.Stamp) *wire.BondReceipt {
-	op := wire.BondOp{Op: "set", Name: name, Value: json.RawMessage(value)}
+	op := wire.BondOp{Op: "set", Id: value, Name: name, Value: json.RawMessage(value)}
 	if len(rev) > 0 {
 		op.Rev = &rev[0]
 	}
@@ -49,6 +49,19 @@
 	}
 }
 
+func TestAValueIsSetAgainWithoutAnId(t *testing.T) {
+	b := NewBook()
+	for i, value := range []string{"1", "2", "1"} {
+		got := apply(b, mark.Stamp(i+1), wire.BondOp{Op: "set", Name: "s/a", Value: json.RawMessage(value)})
+		if got.Code != 0 || got.Rev != mark.Stamp(i+1) {
+			t.Fatal(i, got)
+		}
+	}
+	if record, _ := b.Get(Key, "s/a"); record.Rev != 3 || string(record.Value) != "1" {
+		t.Fatal("a value that was set back is not there", record)
+	}
+}
+
 func TestARepeatedSetGetsItsFirstRevision(t *testing.T) {
 	b := NewBook()
 	set(b, 1, "s/a", `"x"`, 0)
--- a/internal/dream/spaces.go
+++ b/internal/dream/spaces.go
@@ -72,7 +72,7 @@
 			}
 			key, value := fmt.Sprint(counted, "k", r.IntN(3)), mark.NewID()
 			raw, _ := json.Marshal(value)
-			op := &wire.BondOp{Op: "set", Name: key, Value: raw}
+			op := &wire.BondOp{Op: "set", Id: value, Name: key, Value: raw}
 			rec := judge.Record{Request: value, Digest: value}
 			if r.IntN(2) == 0 {
 				got, outcome := f.direct(node, judge.Record{Op: "look"}, &wire.BondOp{Op: "get", Name: key})
