A held call that was passed on outlives the owner it was passed to

Cause: a watch or a follow that one core node passes to the owner of its part ended in an error when that owner went without a word, some time after another message on the same pipe went unanswered: "it is not known whether the write was accepted", though it only reads. Its caller had to begin again.

Now whoever passed it on looks every 50 ms who owns the part, and asks there for what is left of the time; a lost reply to a held call is asked for again. Writes are as they were.

--- a/internal/seat/pass.go
+++ b/internal/seat/pass.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -27,8 +28,14 @@
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
+	held, began := heldCall(o), n.R.Now()
 	var problem error
 	for try := 0; ctx.Err() == nil; try++ {
+		if held != nil && try > 0 {
+			rest := *held
+			rest.Hold = max(0, held.Hold-n.R.Since(began).Milliseconds())
+			raw, _ = json.Marshal(&rest)
+		}
 		if n.Pact != nil && n.Pact.Part(o.part).IsServing() {
 			got, err := n.do(ctx, o.part, o.name, raw)
 			if err == nil {
@@ -37,7 +44,15 @@
 			problem = err
 		} else if address := n.ownerOf(o.part, try); address != "" {
 			var receipt wire.PassReceipt
-			err := n.Wire.AskHop(ctx, address, "seat.pass", hops+1, &wire.PassAsk{Part: o.part, Op: o.name, Body: raw}, &receipt)
+			limited, end := ctx, context.CancelFunc(func() {})
+			if held != nil {
+				limited, end = n.whileOwnedAt(ctx, o.part, address)
+			}
+			err := n.Wire.AskHop(limited, address, "seat.pass", hops+1, &wire.PassAsk{Part: o.part, Op: o.name, Body: raw}, &receipt)
+			if err != nil && held != nil && (context.Cause(limited) == errMoved || fault.Is(err, fault.ReplyLost)) {
+				err = fault.New(fault.NoOwner, "part %d: %v", o.part, err)
+			}
+			end()
 			if err == nil {
 				n.owners[o.part].Store(&address)
 				return json.Unmarshal(receipt.Body, into)
@@ -62,6 +77,65 @@
 	return problem
 }
 
+// errMoved ends the wait of a held call for a node that no longer owns the part.
+var errMoved = errors.New("part has another owner")
+
+// movedLook is how often whoever passed a held call on looks who owns the part.
+const movedLook = 50 * time.Millisecond
+
+// heldCall is the call if it is held until something happens: it only reads, so that
+// it may be asked for again at another owner.
+func heldCall(o op) *wire.BondOp {
+	if o.name != "bond" {
+		return nil
+	}
+	call, ok := o.body.(*wire.BondOp)
+	if raw, isRaw := o.body.(json.RawMessage); isRaw {
+		call = &wire.BondOp{}
+		ok = json.Unmarshal(raw, call) == nil
+	}
+	if !ok || call.Hold <= 0 || call.Op != "follow" && call.Op != "watch" {
+		return nil
+	}
+	return call
+}
+
+// whileOwnedAt ends once the part is owned elsewhere: an owner that lost its power
+// answers nothing, and a held call is silent for so long that silence says nothing.
+func (n *Node) whileOwnedAt(ctx context.Context, no mark.Part, address string) (context.Context, context.CancelFunc) {
+	limited, end := context.WithCancelCause(ctx)
+	if n.Pact != nil {
+		n.R.Go(func() {
+			look := time.NewTicker(movedLook)
+			defer look.Stop()
+			for {
+				select {
+				case <-limited.Done():
+					return
+				case <-look.C:
+				}
+				if n.isOwnedElsewhere(no, address) {
+					end(errMoved)
+					return
+				}
+			}
+		})
+	}
+	return limited, func() { end(nil) }
+}
+
+func (n *Node) isOwnedElsewhere(no mark.Part, address string) bool {
+	name, ok := n.Pact.Owner(no)
+	if !ok {
+		return false
+	}
+	if name == n.R.Name {
+		return n.Pact.Part(no).IsServing()
+	}
+	m, ok := n.Kin.Of(name)
+	return ok && m.Wire != address
+}
+
 // isRetryable is true only for what certainly did not run.
 func isRetryable(err error) bool {
 	for _, code := range []fault.Code{fault.NotOwner, fault.NoOwner, fault.Unreached, fault.TooManyHops, fault.Stopping} {
