An address that was let go has its new target in the epoch after, not at the next collection

Now the planner looks again at once after an epoch by which a waiting claim is freed.

Two tests of settle take its third result and hold what they held.

--- /dev/null
+++ b/internal/dream/address_test.go
@@ -0,0 +1,68 @@
+// An address that passes from one service to another is in two epochs: the first lets it
+// go, the second gives it. Nothing but the making of an epoch may lie between them.
+package dream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func TestAnAddressThatWasLetGoSoonHasItsNewTarget(t *testing.T) {
+	shape := one()
+	shape.Settings["plan.poll"] = "2s"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		core := f.Cores()[0]
+		holds := func(service, instance string) bool {
+			owner := ownerOf(f, mark.Config, nil)
+			if owner == nil {
+				return false
+			}
+			for _, target := range owner.Node().Ledger.Sheet().Targets(service) {
+				if target.Instance == instance {
+					return true
+				}
+			}
+			return false
+		}
+		for i := range 4 {
+			address := fmt.Sprintf("10.77.0.%d:8080", i+1)
+			beat := func(service, instance string, seq uint64) {
+				_, err := core.Node().Take(f.ctx, &wire.Beat{Service: service, Instance: instance, Seq: seq, Address: address, Zone: "zone1", Weight: 100, State: "serving"})
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			old, young := fmt.Sprint("old", i), fmt.Sprint("young", i)
+			isIn := false
+			for seq := uint64(1); seq < 20 && !isIn; seq++ {
+				beat("bookings", old, seq)
+				isIn = f.Until(200*time.Millisecond, func() bool { return holds("bookings", old) })
+			}
+			if !isIn {
+				t.Fatal("the old target did not come in")
+			}
+			var gone time.Time
+			isIn = false
+			for seq := uint64(1); seq < 40 && !isIn; seq++ {
+				beat("rates", young, seq)
+				isIn = f.Until(200*time.Millisecond, func() bool {
+					if gone.IsZero() && !holds("bookings", old) {
+						gone = time.Now()
+					}
+					return holds("rates", young)
+				})
+			}
+			if !isIn {
+				t.Fatal("the young target did not come in")
+			}
+			if late := time.Since(gone); late > 500*time.Millisecond {
+				t.Errorf("round %d: the address was free for %v", i, late)
+			}
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -45,6 +45,8 @@
 	settled  *Sheet
 	clashes  map[clash]bool
 	zero     time.Time
+
+	isAwaited bool // a target waits for the epoch after the one planned last
 }
 
 func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *Ledger) *Planner {
@@ -202,6 +204,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isAwaited && len(planned.Put) > 0 {
+		l.Kick()
+	}
 	if l.term == term {
 		for no, at := range asOf {
 			if l.reflects[no].Before(at) {
@@ -258,7 +263,8 @@
 		want = groupsOf(*config)
 	}
 	want[Shares] = shares
-	targets, clashes := settle(sheet, services, l.news)
+	targets, clashes, isAwaited := settle(sheet, services, l.news)
+	l.isAwaited = isAwaited
 	for _, c := range clashes {
 		if !l.clashes[c] {
 			l.clashes[c] = true
--- a/internal/plan/settle.go
+++ b/internal/plan/settle.go
@@ -36,8 +36,8 @@
 // settle gives each address to one instance, and lists for every service of
 // which there is news the targets that are in. The newest claim stands and older
 // ones go out in the same epoch; an address that another service holds in the
-// epoch in force comes in only once that epoch is past.
-func settle(sheet *Sheet, services []wire.Service, all map[mark.Part]*news) (map[string][]wire.Target, []clash) {
+// epoch in force comes in only once that epoch is past; it tells whether one waits so.
+func settle(sheet *Sheet, services []wire.Service, all map[mark.Part]*news) (map[string][]wire.Target, []clash, bool) {
 	lists := map[string][]wire.Listed{}
 	owners, newest := map[string]string{}, map[string]int64{}
 	holders := map[string]string{}
@@ -66,6 +66,7 @@
 			owners[t.Address], newest[t.Address], holders[t.Address] = id, t.Since, s.Name
 		}
 	}
+	isAwaited := false
 	for name := range sheet.Groups {
 		service, ok := strings.CutPrefix(name, Targets)
 		if !ok {
@@ -73,7 +74,7 @@
 		}
 		for _, t := range sheet.Targets(service) {
 			if now, ok := holders[t.Address]; ok && now != service {
-				owners[t.Address] = ""
+				owners[t.Address], isAwaited = "", true
 			}
 		}
 	}
@@ -87,7 +88,7 @@
 		}
 		sort.Slice(targets[service], func(i, j int) bool { return targets[service][i].Instance < targets[service][j].Instance })
 	}
-	return targets, clashes
+	return targets, clashes, isAwaited
 }
 
 // elders names the targets of a part that are in an epoch.
--- a/internal/plan/settle_test.go
+++ b/internal/plan/settle_test.go
@@ -55,7 +55,7 @@
 	} {
 		sheet := sheetWith(map[string][]wire.Target{"s": inForce})
 		all := map[mark.Part]*news{mark.PartOf("s"): {PartNews: wire.PartNews{Young: c.young, Lists: map[string][]wire.Listed{"s": c.list}}}}
-		got, _ := settle(sheet, []wire.Service{{Name: "s"}}, all)
+		got, _, _ := settle(sheet, []wire.Service{{Name: "s"}}, all)
 		if !reflect.DeepEqual(got["s"], c.want) {
 			t.Errorf("%s: %+v, want %+v", name, got["s"], c.want)
 		}
@@ -71,11 +71,11 @@
 	all[mark.PartOf("t")].Lists["t"] = []wire.Listed{{Instance: "n", Address: "A", Since: 5}}
 	all[mark.PartOf("t")].Lists["stranger"] = []wire.Listed{{Instance: "o", Address: "A", Since: 9}}
 	sheet := sheetWith(map[string][]wire.Target{"s": {{Instance: "a", Address: "A"}}, "t": {}})
-	one, _ := settle(sheet, services, all)
+	one, _, _ := settle(sheet, services, all)
 	if len(one["s"])+len(one["t"]) != 0 {
 		t.Fatalf("%+v", one)
 	}
-	two, _ := settle(sheetWith(one), services, all)
+	two, _, _ := settle(sheetWith(one), services, all)
 	if len(two["s"]) != 0 || len(two["t"]) != 1 {
 		t.Fatalf("%+v", two)
 	}
