--- a/internal/seat/pass.go
+++ b/internal/seat/pass.go
@@ -81,7 +81,7 @@
 var errMoved = errors.New("part has another owner")
 
 // movedLook is how often whoever passed a held call on looks who owns the part.
-const movedLook = 50 * time.Millisecond
+const movedLook = 200 * time.Millisecond
 
 // heldCall is the call if it is held until something happens: it only reads, so that
 // it may be asked for again at another owner.
