A list that goes to and fro is taken each time: a kept difference bears the step's own version

Cause: a control node keeps the answer to "from this digest to that one" for the next asker, version included.

Now the version is that of the group asked for.

Ruled out: membership after a heal (all known 0.5 s later), owners (all parts owned in 0.8 s).

--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -175,6 +175,8 @@
 	delta, ok := s.deltas[key]
 	s.mu.Unlock()
 	if ok {
+		// The same step may have been made before, when it bore another version.
+		delta.Stamp = group.Stamp
 		return delta
 	}
 	delta = group
