Hollow gates tell how long ago an epoch came into use, not at what time of day

Cause: times went between processes as wall clock, which the test of clocks refuses, rightly also for a tool. Ages go now, as everywhere. Found by the whole tests; the same test passes.

--- a/internal/hollow/part.go
+++ b/internal/hollow/part.go
@@ -51,7 +51,7 @@
 	Traffic map[string][2]int64
 	Events  map[string]uint64
 	Whole   int     // gates that know every member and hold a chart
-	Reached []int64 // when gates took the epoch asked about into use, unix nanoseconds
+	Reached []int64 // how long ago gates took the epoch asked about into use, nanoseconds
 	Epoch   uint64  // the newest any gate holds
 	Groups  map[string]int64
 	Beats   int64
@@ -200,7 +200,7 @@
 			reading.Whole++
 		}
 		if at, ok := g.reached(mark.Epoch(ask.Epoch)); ok {
-			reading.Reached = append(reading.Reached, at.UnixNano())
+			reading.Reached = append(reading.Reached, time.Since(at).Nanoseconds())
 		}
 		epoch, _ := g.node.Flow.Cache.Have()
 		reading.Epoch = max(reading.Epoch, uint64(epoch))
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -260,13 +260,14 @@
 				if err != nil {
 					return err
 				}
-				times = append(times, reading.Reached...)
+				now := time.Since(began).Nanoseconds()
+				for _, age := range reading.Reached {
+					times = append(times, now-age)
+				}
 			}
 		}
 		missing += r.Gates - len(times)
-		for _, at := range times {
-			took = append(took, at-began.UnixNano())
-		}
+		took = append(took, times...)
 	}
 	after, err := r.gauge(ctx, roles)
 	if err != nil {
