The word of a drain and of a change set waits half a second, so that full links have heard

The core had the drain in force within 0.3 s; the gate's link held word and request for 1.2 s each, and a receipt that has just gone out lets the next word wait for one more round.

Now the answer to a drain, a sign-off or a change set waits for plan.hold after it is in force (0 by default, 0.5 s on the platform, where a caller of control waits a second): what counts from the acknowledgement counts from when proxies had time to hear.

The new test holds the order.

--- /dev/null
+++ b/internal/dream/hold_test.go
@@ -0,0 +1,42 @@
+// The word of a drain and of a change set may wait for the proxies to hear of it.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func TestWordOfADrainComesAfterTheProxiesHaveIt(t *testing.T) {
+	shape := one()
+	shape.Settings["plan.hold"] = "500ms"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		server, proxy := f.Servers("rates")[0], f.Of("proxy1").Node()
+		began := time.Now()
+		beat := &wire.Beat{Service: "rates", Instance: server.Instance, Seq: 1 << 30, Address: server.Address, Zone: "zone1", Weight: 100, State: "draining"}
+		if _, err := f.Cores()[0].Node().Take(f.ctx, beat); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took < 500*time.Millisecond || took > 950*time.Millisecond {
+			t.Error("the word came after", took)
+		}
+		if list := proxy.Flow.Cache.Chart().Targets["rates"]; len(list) != 0 {
+			t.Error("the proxy still has", list)
+		}
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		view, err := client.Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		receipt, err := client.Submit(f.ctx, f.setChange(f.Rand, "held", view))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if chart := proxy.Flow.Cache.Chart(); chart.Epoch < mark.Epoch(receipt.Epoch) {
+			t.Error("acknowledged in epoch", receipt.Epoch, "the proxy has", chart.Epoch)
+		}
+	})
+}
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -153,6 +153,10 @@
 	if op != nil || isNew {
 		l.stir()
 	}
+	if op != nil && op.Op == "mark" {
+		// The proxies hear of it before whoever goes may count on it.
+		linger(ctx, l.r)
+	}
 	return nil
 }
 
@@ -176,6 +180,20 @@
 	return err
 }
 
+// linger lets a moment pass between what is in force and the word that it is.
+func linger(ctx context.Context, r *realm.Realm) {
+	if r.Props.PlanHold == 0 {
+		return
+	}
+	wakeup := time.NewTimer(r.Props.PlanHold)
+	defer wakeup.Stop()
+	select {
+	case <-wakeup.C:
+	case <-ctx.Done():
+	case <-r.Done():
+	}
+}
+
 // renew forgets what was heard under another term.
 func (l *Roll) renew(no mark.Part, term mark.Term) {
 	if l.terms[no] == term {
--- a/internal/plan/submit.go
+++ b/internal/plan/submit.go
@@ -14,17 +14,25 @@
 
 // Submit takes a change set whole, or not at all.
 func (l *Planner) Submit(ctx context.Context, change *wire.Change) (*wire.ChangeReceipt, error) {
+	receipt, isNew, err := l.submit(ctx, change)
+	if isNew {
+		linger(ctx, l.r)
+	}
+	return receipt, err
+}
+
+func (l *Planner) submit(ctx context.Context, change *wire.Change) (receipt *wire.ChangeReceipt, isNew bool, err error) {
 	l.planning.Lock()
 	defer l.planning.Unlock()
 	if err := l.part.Confirm(ctx, l.r.Now()); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	raw, _ := json.Marshal(change)
 	digest := Digest(raw)
 	sheet := l.ledger.Sheet()
 	first, err := sheet.Judge(change, digest)
 	if first != nil {
-		return first, nil
+		return first, false, nil
 	}
 	var config wire.Config
 	if err == nil {
@@ -37,17 +45,17 @@
 		if !fault.Is(err, fault.ChangeReused) {
 			l.r.Sign.Say(sign.ChangeRefused, "id", change.Id, "code", fault.Of(err).Code.No)
 		}
-		return nil, err
+		return nil, false, err
 	}
-	receipt := &wire.ChangeReceipt{Id: change.Id, State: "accepted", Digest: digest, Version: change.Version}
+	receipt = &wire.ChangeReceipt{Id: change.Id, State: "accepted", Digest: digest, Version: change.Version}
 	if err := l.plan(ctx, receipt, &config); err != nil {
 		if fault.Is(err, fault.NotOwner) {
-			return nil, err
+			return nil, false, err
 		}
-		return nil, fault.New(fault.ChangeUnknown, "%v", err)
+		return nil, false, fault.New(fault.ChangeUnknown, "%v", err)
 	}
 	l.r.Sign.Say(sign.ChangeAccepted, "id", change.Id, "epoch", uint64(receipt.Epoch))
-	return receipt, nil
+	return receipt, true, nil
 }
 
 // AskChange tells what became of a change set. It waits for all that is in the
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -33,6 +33,7 @@
 	PlanStrangers  bool          // keep the beats of services that no configuration names yet
 	PlanBeat       time.Duration // pause between two beats of a server, as servers are told
 	PlanGather     time.Duration // how long news of targets is gathered before an epoch is made of it
+	PlanHold       time.Duration // how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard
 	PlanLinger     time.Duration // how long a proxy that went keeps its share
 	PlanPoll       time.Duration // pause between two collections of the parts' news
 	FlowHold       time.Duration // how long a listener request is held
@@ -101,6 +102,7 @@
 	{key: "plan.strangers", kind: "bool", fallback: "false", low: "", high: "", doc: "keep the beats of services that no configuration names yet", set: func(p *Props, v any) { p.PlanStrangers = v.(bool) }},
 	{key: "plan.beat", kind: "duration", fallback: "300ms", low: "50ms", high: "1m", doc: "pause between two beats of a server, as servers are told", set: func(p *Props, v any) { p.PlanBeat = v.(time.Duration) }},
 	{key: "plan.gather", kind: "duration", fallback: "0s", low: "0s", high: "1s", doc: "how long news of targets is gathered before an epoch is made of it", set: func(p *Props, v any) { p.PlanGather = v.(time.Duration) }},
+	{key: "plan.hold", kind: "duration", fallback: "0s", low: "0s", high: "1s", doc: "how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard", set: func(p *Props, v any) { p.PlanHold = v.(time.Duration) }},
 	{key: "plan.linger", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "how long a proxy that went keeps its share", set: func(p *Props, v any) { p.PlanLinger = v.(time.Duration) }},
 	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "5s", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
