Narrow links: a gate that can't tell that its epoch is the newest refuses after 1.5 s

Now flow.behind bounds how long a proxy goes on after it last knew its epoch for the newest; on narrow links 1.5 s, with pulses each 0.4 s. It is the product's own freshness, beside flow.stay; all other sites set none and are as before.

--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -349,7 +349,11 @@
 	}
 	if stay := c.r.Props.FlowStay; stay > 0 {
 		word := c.word.Load()
-		return word != nil && c.r.Since(*word) < stay
+		if word == nil || c.r.Since(*word) >= stay {
+			return false
+		}
+		behind := c.r.Props.FlowBehind
+		return behind == 0 || c.isNewest(chart, behind)
 	}
 	held := c.ages.Load()
 	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
@@ -361,6 +365,17 @@
 	return false
 }
 
+// isNewest tells whether the chart was known to be the newest within that time.
+func (c *Client) isNewest(chart *Chart, bound time.Duration) bool {
+	held := c.ages.Load()
+	for _, a := range []*Ages{&held.Newest, &held.Before} {
+		if a.Epoch > 0 && a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound {
+			return true
+		}
+	}
+	return false
+}
+
 // Ages is what the shell shows.
 func (c *Client) Ages() Ages { return c.ages.Load().Newest }
 
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -37,6 +37,7 @@
 	PlanLinger     time.Duration // how long a proxy that went keeps its share
 	PlanPoll       time.Duration // pause between two collections of the parts' news
 	FlowHold       time.Duration // how long a listener request is held
+	FlowBehind     time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
 	FlowServers    int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
 	FlowPause      time.Duration // pause after a fetch that brought nothing newer
 	FlowRetry      time.Duration // pause between tries after an error
@@ -106,6 +107,7 @@
 	{key: "plan.linger", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "how long a proxy that went keeps its share", set: func(p *Props, v any) { p.PlanLinger = v.(time.Duration) }},
 	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "5s", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
+	{key: "flow.behind", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays", set: func(p *Props, v any) { p.FlowBehind = v.(time.Duration) }},
 	{key: "flow.servers", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all", set: func(p *Props, v any) { p.FlowServers = v.(int) }},
 	{key: "flow.pause", kind: "duration", fallback: "200ms", low: "10ms", high: "30s", doc: "pause after a fetch that brought nothing newer", set: func(p *Props, v any) { p.FlowPause = v.(time.Duration) }},
 	{key: "flow.retry", kind: "duration", fallback: "200ms", low: "10ms", high: "5s", doc: "pause between tries after an error", set: func(p *Props, v any) { p.FlowRetry = v.(time.Duration) }},
