Reads that are overdue or that a target failed at go to a second target

Cause: a read whose target was silent was held to its end, and one that its target answered with a failure of its own was passed on as it was, though another target would have answered.

Now an overdue read is sent to a second target, paid from the budget of extra tries; the first good answer is taken, and the other try goes on to its end. A read that failed is tried again.

Both tests of reads fail without the change; that of orders holds either way.

--- /dev/null
+++ b/internal/dream/double_test.go
@@ -0,0 +1,82 @@
+// Reads whose target is late, silent or failing: a second target answers them, as
+// far as the budget goes. Orders go to one target only, whatever becomes of them.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// withOneIll has three servers of each service, callers that the proxy has learnt
+// from, and one server that then misbehaves.
+func withOneIll(t *testing.T, service, way string, play func(f *Fleet, call func(method, path string) (int, time.Duration))) {
+	shape := one()
+	shape.Servers = map[string]int{"rates": 3, "bookings": 3}
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		for _, name := range []string{"rates", "bookings"} {
+			for _, s := range f.Servers(name) {
+				s.Work = 50 * time.Millisecond
+			}
+		}
+		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		defer caller.Close()
+		call := func(method, path string) (int, time.Duration) {
+			began := time.Now()
+			got := caller.Call(f.ctx, f.Of("proxy1").Gate(), method, path, "", nil)
+			return got.Status, time.Since(began)
+		}
+		for range 40 {
+			call("GET", "/rates")
+			call("POST", "/bookings")
+		}
+		f.replace(f.Servers(service)[0], func(int64) string { return way })
+		time.Sleep(2 * time.Second)
+		play(f, call)
+	})
+}
+
+func TestAReadThatIsOverdueIsAnsweredByASecondTarget(t *testing.T) {
+	withOneIll(t, "rates", sham.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+		for i := range 12 {
+			if status, took := call("GET", "/rates"); status != 200 || took > time.Second {
+				t.Errorf("read %d: %d after %s", i, status, took)
+			}
+		}
+	})
+}
+
+func TestAReadAtWhichATargetFailedIsAnsweredByAnother(t *testing.T) {
+	withOneIll(t, "rates", sham.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+		for i := range 12 {
+			if status, _ := call("GET", "/rates"); status != 200 {
+				t.Errorf("read %d: %d", i, status)
+			}
+		}
+	})
+}
+
+func TestAnOrderThatIsOverdueGoesToOneTarget(t *testing.T) {
+	withOneIll(t, "bookings", sham.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+		before := len(f.H.Records())
+		for range 12 {
+			call("POST", "/bookings")
+		}
+		time.Sleep(3 * time.Second)
+		runs := map[string]int{}
+		for _, r := range f.H.Records()[before:] {
+			if r.Kind == "ran" && r.Service == "bookings" {
+				runs[r.Call]++
+			}
+		}
+		for id, n := range runs {
+			if n != 1 {
+				t.Errorf("order %s ran %d times", id, n)
+			}
+		}
+		if len(runs) != 12 {
+			t.Errorf("%d of 12 orders ran", len(runs))
+		}
+	})
+}
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -192,6 +192,12 @@
 	return false
 }
 
+// isUsable tells whether the post is neither out nor full.
+func (p *post) isUsable(now time.Time) bool {
+	_, ok := p.expect(now, time.Second, 1)
+	return ok
+}
+
 // begin and the verbs after it note what becomes of a try.
 func (p *post) begin(now time.Time) {
 	p.mu.Lock()
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -23,6 +23,8 @@
 	service      wire.Service
 	crew         *crew
 	tried        []*post
+	most         int // targets that it may be sent to
+	doubles      int // sent beside a first try
 	sharers      int
 	aim          time.Duration
 	deadline     time.Time
@@ -166,7 +168,10 @@
 	if !ok {
 		return c, fault.New(fault.NoTarget, "service of %s", c.mapping.Name)
 	}
-	c.service, c.isRepeatable = service, c.mapping.Repeatable
+	c.service, c.isRepeatable, c.most = service, c.mapping.Repeatable, targetsMost
+	if c.mapping.Tries > 0 {
+		c.most = c.mapping.Tries
+	}
 	if isOnce := c.mapping.Once == nil || *c.mapping.Once; c.key != 0 && isOnce && !c.isRepeatable {
 		c.claim = claimName(r)
 	}
--- /dev/null
+++ b/internal/gate/double.go
@@ -0,0 +1,104 @@
+// A repeatable request whose answer is overdue is sent to a second target too, paid
+// from the budget of extra tries, and the first good answer is taken. The other try
+// goes on by itself to its end: a target at work is not broken off, its connection is
+// used again, and how long it took is learnt. When an answer is overdue follows from
+// what the service usually takes and from the request's aim, so that a service which
+// is slow as a whole is not given more to do.
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+)
+
+// outcome is what a try came to.
+type outcome struct {
+	got   *answer
+	wrote bool
+	err   error
+}
+
+// isGood tells whether nothing better can be had from another target.
+func (o outcome) isGood() bool { return o.err == nil && o.got.response.StatusCode < 500 }
+
+// overdue is how long after a request was sent its answer is overdue: late enough
+// that most answers have come, early enough that a second one may still come inside
+// the aim. Where the aim leaves no room for a second one, only silence counts.
+func overdue(usual, aim time.Duration) time.Duration {
+	at := min(max(aim-usual*5/4, usual*7/5), 2*usual)
+	if at+usual > aim {
+		return 3 * usual
+	}
+	return at
+}
+
+// await waits for the answer of a try, and for that of its double once it is overdue.
+func (g *Gate) await(ctx context.Context, c *course, r *http.Request, a *asking, body func() io.Reader, no int) (*answer, bool, error) {
+	var late <-chan time.Time
+	if usual := c.crew.typical(); usual > 0 && no == 0 && c.most > 1 && c.isRepeatable && r.ContentLength == 0 {
+		wakeup := time.NewTimer(overdue(usual, c.aim))
+		defer wakeup.Stop()
+		late = wakeup.C
+	}
+	var double chan outcome
+	for {
+		select {
+		case got := <-a.out:
+			first := outcome{}
+			first.got, first.wrote, first.err = g.finish(c, a, &got)
+			a.to.end()
+			if double != nil && !first.isGood() {
+				if second := <-double; second.isGood() || first.err != nil {
+					first = second
+				}
+			}
+			return first.got, true, first.err
+		case <-late:
+			double = g.double(c, r, body, no+1)
+		case second := <-double:
+			double = nil
+			if second.isGood() {
+				g.r.Go(func() { g.outlive(c, a) })
+				return second.got, true, nil
+			}
+		case <-ctx.Done():
+			a.pipe.kill()
+			a.to.strike(time.Now(), false)
+			a.to.end()
+			return nil, true, fault.New(fault.DeadlinePassed, "%s", a.to.target.Instance)
+		}
+	}
+}
+
+// double sends the request to a second target; nil if there is none, or no budget.
+func (g *Gate) double(c *course, r *http.Request, body func() io.Reader, no int) chan outcome {
+	p := g.assign(c, r.ContentLength)
+	if p == nil || !p.isUsable(time.Now()) || !g.extra(c) {
+		return nil
+	}
+	c.tried = append(c.tried, p)
+	c.doubles++
+	out := make(chan outcome, 1)
+	g.r.Go(func() {
+		ctx, end := context.WithDeadline(g.r, c.deadline)
+		defer end()
+		got, wrote, err := g.try(ctx, c, r, p, body, no)
+		out <- outcome{got, wrote, err}
+	})
+	return out
+}
+
+// outlive waits for an answer that nobody needs any more; the pipe's deadline bounds it.
+func (g *Gate) outlive(c *course, a *asking) {
+	defer a.to.end()
+	select {
+	case got := <-a.out:
+		g.finish(c, a, &got)
+	case <-g.r.Done():
+		a.pipe.kill()
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -236,7 +236,8 @@
 // carry tries targets until one answers. A try that ran nothing, as far as is
 // known for certain, may be followed by another; one that may have run something
 // only if the request may be repeated. Each target that a request was sent to,
-// beyond the first, is paid from the budget of extra tries.
+// beyond the first, is paid from the budget of extra tries. A target's own failure at a
+// request that may be repeated is passed on only if no other target does better.
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
 	ctx, end := context.WithDeadline(g.r, c.deadline)
 	defer end()
@@ -244,14 +245,11 @@
 	if err != nil {
 		return nil, err
 	}
-	most := targetsMost
-	if c.mapping.Tries > 0 {
-		most = c.mapping.Tries
-	}
 	var problem error
+	var failed *answer
 	sent, misses := 0, 0
 	isWritten := false
-	for sent < most && misses < targetsMost {
+	for sent < c.most && misses < targetsMost {
 		if !g.lane.await(ctx, r.ContentLength) {
 			break
 		}
@@ -261,8 +259,14 @@
 		}
 		c.tried = append(c.tried, p)
 		got, wrote, err := g.try(ctx, c, r, p, body, sent)
+		sent, c.doubles = sent+c.doubles, 0
 		if err == nil {
-			return got, nil
+			if got.response.StatusCode < 500 || !c.isRepeatable || !isWhole {
+				return got, nil
+			}
+			failed = got
+			sent++
+			continue
 		}
 		isRun := wrote && got == nil
 		isWritten = isWritten || isRun
@@ -279,6 +283,9 @@
 			break
 		}
 	}
+	if failed != nil {
+		return failed, nil
+	}
 	if problem == nil {
 		problem = fault.New(fault.NotWritten, "%s", c.service.Name)
 	}
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -90,9 +90,13 @@
 // try is one write of the request to one target, at most. An answer beside a
 // problem is a target's word that it did not run the request.
 func (g *Gate) try(ctx context.Context, c *course, r *http.Request, to *post, body func() io.Reader, no int) (*answer, bool, error) {
-	began := time.Now()
-	to.begin(began)
-	defer to.end()
+	to.begin(time.Now())
+	isHeld := false
+	defer func() {
+		if !isHeld {
+			to.end()
+		}
+	}()
 	target := to.target
 	p, err := g.pool.get(ctx, to.at, target.Address)
 	if err != nil {
@@ -133,28 +137,37 @@
 		to.strike(time.Now(), true)
 		return nil, counted.n > 0 || request.ContentLength != 0, broken(request, counted.n, err)
 	}
-	select {
-	case got := <-out:
-		if got.err != nil {
-			p.kill()
-			to.strike(time.Now(), false)
-			return nil, true, lost(&got, target.Instance)
-		}
-		if err := g.verify(c, target, &got); err != nil {
-			p.kill()
-			to.strike(time.Now(), false)
-			return nil, true, err
-		}
-		g.count(target, counted.n+len(got.body))
-		p.conn.SetDeadline(time.Time{})
-		p.keepFor(got.response.Header.Get("Keep-Alive"))
-		g.pool.put(to.at, p)
-		return g.judge(c, to, &got, sent)
-	case <-ctx.Done():
-		p.kill()
-		to.strike(time.Now(), false)
-		return nil, true, fault.New(fault.DeadlinePassed, "%s", target.Instance)
-	}
+	isHeld = true
+	return g.await(ctx, c, r, &asking{to: to, pipe: p, out: out, sent: sent, wrote: counted}, body, no)
+}
+
+// asking is a try that was written, and whose answer is awaited.
+type asking struct {
+	to    *post
+	pipe  *pipe
+	out   chan answer
+	sent  time.Time
+	wrote *counted
+}
+
+// finish takes what a written try came to: an answer with a right seal, or a problem.
+func (g *Gate) finish(c *course, a *asking, got *answer) (*answer, bool, error) {
+	target := a.to.target
+	if got.err != nil {
+		a.pipe.kill()
+		a.to.strike(time.Now(), false)
+		return nil, true, lost(got, target.Instance)
+	}
+	if err := g.verify(c, target, got); err != nil {
+		a.pipe.kill()
+		a.to.strike(time.Now(), false)
+		return nil, true, err
+	}
+	g.count(target, a.wrote.n+len(got.body))
+	a.pipe.conn.SetDeadline(time.Time{})
+	a.pipe.keepFor(got.response.Header.Get("Keep-Alive"))
+	g.pool.put(a.to.at, a.pipe)
+	return g.judge(c, a.to, got, a.sent)
 }
 
 // judge tells an answer that ran from a target's word that nothing did.
--- a/internal/sham/server.go
+++ b/internal/sham/server.go
@@ -35,6 +35,7 @@
 	Surplus  = "surplus"  // runs it, answers with another's answer and then with its own
 	Denied   = "denied"   // runs it, and says beside its success that it did not
 	Full     = "full"     // turns it away and says so
+	Failing  = "failing"  // runs it, and answers that it failed
 )
 
 // Server is one stand-in back end.
@@ -196,7 +197,11 @@
 		reply.Pad = strings.Repeat("x", 64<<10)
 	}
 	answer, _ := json.Marshal(reply)
-	seal := gate.Seal(s.Key, request, s.Service, s.Instance, 200, answer)
+	status := http.StatusOK
+	if way == Failing {
+		status = http.StatusInternalServerError
+	}
+	seal := gate.Seal(s.Key, request, s.Service, s.Instance, status, answer)
 	if s.IsPlain {
 		w.Header().Set(gate.HeaderRequest, request)
 	}
@@ -239,5 +244,6 @@
 		w.Header().Set(gate.HeaderSeal, seal)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	w.Write(answer)
 }
