Targets that fail are left by what became of requests, told within a zone

Now failures add to a target's illness, which fades; what is above the illness of the service's other targets puts it out or makes it dear. Proxies of a zone tell one another of failures, 250 ms apart at least. Doubles and silence count only while the service is as quick as in calmer times, and doubles are six in a hundred at most. A target that refuses again and again is asked less often.

Ruled out: dealing a zone's targets out among its proxies (docs/design.md).

The tests fail without the change: 12 of 12 reads, and most orders, went where they fail.

--- a/internal/dream/double_test.go
+++ b/internal/dream/double_test.go
@@ -27,7 +27,8 @@
 			got := caller.Call(f.ctx, f.Of("proxy1").Gate(), method, path, "", nil)
 			return got.Status, time.Since(began)
 		}
-		for range 40 {
+		// The servers were quicker while the fleet booted; a proxy forgets that slowly.
+		for range 800 {
 			call("GET", "/rates")
 			call("POST", "/bookings")
 		}
@@ -80,3 +81,17 @@
 		}
 	})
 }
+
+func TestOrdersLeaveATargetThatFails(t *testing.T) {
+	withOneIll(t, "bookings", sham.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+		failed := 0
+		for range 40 {
+			if status, _ := call("POST", "/bookings"); status != 200 {
+				failed++
+			}
+		}
+		if failed > 8 {
+			t.Errorf("%d of 40 orders were sent where they fail", failed)
+		}
+	})
+}
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -23,19 +23,23 @@
 	quietLeast   = 400 * time.Millisecond
 	outFirst     = 500 * time.Millisecond
 	outMost      = 4 * time.Second
+	fullMost     = time.Second
 	toldFor      = 250 * time.Millisecond
 	paceForgets  = 3 * time.Second
 	farBody      = 4096
+	calmPercent  = 140
 )
 
 // post is one target as this proxy knows it.
 type post struct {
 	at     string
+	mark   string // by what proxies name it to one another
 	target wire.Target
 	isNear bool
 
 	mu       sync.Mutex
 	under    int           // requests under way from here
+	overdue  int           // those of them whose answers are overdue
 	pace     time.Duration // how long an answer takes, smoothed
 	word     time.Time     // when anything last came from it
 	pending  time.Time     // since when something is under way without a word
@@ -43,10 +47,13 @@
 	isBarred bool // another instance has its address
 	strikes  int
 	full     time.Time // until when it is held for full
+	fulls    int       // refusals since the last answer that ran
 	cold     time.Time
 	told     int // running and waiting there, as it last told
 	toldAt   time.Time
-	toldWith int // what was under way from here then
+	toldWith int     // what was under way from here then
+	ills     float64 // failures seen here or told of, fading
+	illAt    time.Time
 }
 
 // crew is the posts of one service in an epoch.
@@ -54,13 +61,19 @@
 	posts []*post
 	mu    sync.Mutex
 	pace  time.Duration
+	calm  time.Duration // the pace of calmer times
+
+	ills   float64 // of all posts
+	illsAt time.Time
+
+	allowance float64 // of doubles
 }
 
 func (g *Gate) newCrew(service string, list []wire.Target, old *crew, now time.Time) *crew {
 	c := &crew{}
 	known := map[string]*post{}
 	if old != nil {
-		c.pace = old.typical()
+		c.pace, c.calm, c.allowance = old.state()
 		for _, p := range old.posts {
 			known[p.at] = p
 		}
@@ -72,7 +85,7 @@
 		at := place(service, t.Instance, t.Address)
 		p := known[at]
 		if p == nil {
-			p = &post{at: at, target: t, isNear: t.Zone == g.r.Props.Zone}
+			p = &post{at: at, mark: markOf(at), target: t, isNear: t.Zone == g.r.Props.Zone}
 			if t.Cold > 0 && old != nil {
 				p.cold = now.Add(time.Duration(t.Cold) * time.Millisecond)
 			}
@@ -88,6 +101,21 @@
 	return c.pace
 }
 
+// isCalm tells whether answers take about as long as in calmer times. If not, that one
+// of them is long in coming says little about its target.
+func (c *crew) isCalm() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pace <= c.calm*calmPercent/100
+}
+
+// state is what the crew of the next epoch takes over.
+func (c *crew) state() (pace, calm time.Duration, allowance float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pace, c.calm, c.allowance
+}
+
 // learn folds how long one answer took into what the service usually takes.
 func (c *crew) learn(took time.Duration) {
 	c.mu.Lock()
@@ -96,6 +124,13 @@
 		c.pace = took
 	}
 	c.pace += (took - c.pace) / 32
+	switch {
+	case c.calm == 0 || c.pace < c.calm:
+		c.calm = c.pace
+	default:
+		c.calm += (c.pace - c.calm) / 512
+	}
+	c.allowance = min(c.allowance+doublePart, doubleMost)
 }
 
 // near counts the proxies that share the targets of this zone.
@@ -110,7 +145,7 @@
 }
 
 // expect is how long an answer from the post should take, if it can be had.
-func (p *post) expect(now time.Time, usual time.Duration, sharers int) (time.Duration, bool) {
+func (p *post) expect(now time.Time, usual time.Duration, sharers int, ills float64, peers int) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isBarred {
@@ -140,8 +175,10 @@
 	if now.Before(p.cold) {
 		expected *= 2
 	}
-	isUsable := now.After(p.outUntil) && now.After(p.full)
-	if p.under > 0 && now.Sub(p.pending) > max(quietLeast, 6*pace) {
+	over := p.over(now, ills, peers)
+	expected *= 1 + 2*over
+	isUsable := now.After(p.outUntil) && now.After(p.full) && over < 1
+	if p.overdue > 0 || p.under > 0 && now.Sub(p.pending) > max(quietLeast, 6*pace) {
 		isUsable = false
 	}
 	return time.Duration(expected), isUsable
@@ -156,13 +193,14 @@
 		usual = max(c.aim/4, time.Millisecond)
 	}
 	far := time.Duration(float64(c.aim) * float64(g.r.Props.GateSpill) / 100 * (1 + float64(size)/farBody))
+	ills := c.crew.illness(now)
 	var best, spare *post
 	var bestCost, spareCost time.Duration
 	for _, p := range c.crew.posts {
 		if c.hasTried(p) {
 			continue
 		}
-		cost, isUsable := p.expect(now, usual, c.sharers)
+		cost, isUsable := p.expect(now, usual, c.sharers, ills, len(c.crew.posts)-1)
 		if cost == 0 && !isUsable {
 			continue
 		}
@@ -194,7 +232,7 @@
 
 // isUsable tells whether the post is neither out nor full.
 func (p *post) isUsable(now time.Time) bool {
-	_, ok := p.expect(now, time.Second, 1)
+	_, ok := p.expect(now, time.Second, 1, 0, 1)
 	return ok
 }
 
@@ -208,18 +246,30 @@
 	p.mu.Unlock()
 }
 
+// isOverdue notes that an answer is overdue, or no longer.
+func (p *post) isOverdue(n int) {
+	p.mu.Lock()
+	p.overdue += n
+	p.mu.Unlock()
+}
+
 func (p *post) end() {
 	p.mu.Lock()
 	p.under--
 	p.mu.Unlock()
 }
 
-// answered notes an answer and how long it took; a refusal says nothing on pace.
-func (p *post) answered(now time.Time, took time.Duration, isRun bool, told string) {
+// answered notes an answer and how long it took; a refusal says nothing on pace, nor
+// does a failure, which may come sooner than any answer.
+func (p *post) answered(now time.Time, took time.Duration, isRun, isGood bool, told string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.word, p.pending, p.strikes, p.outUntil = now, now, 0, time.Time{}
+	p.word, p.pending = now, now
+	if isGood {
+		p.strikes, p.outUntil = 0, time.Time{}
+	}
 	if isRun {
+		p.fulls = 0
 		if p.pace == 0 {
 			p.pace = took
 		}
@@ -230,10 +280,12 @@
 	}
 }
 
-// isFull notes that the target turned a request away.
+// isFull notes that the target turned a request away; one that does so again and again
+// is asked ever less often.
 func (p *post) isFull(now time.Time, usual time.Duration) {
 	p.mu.Lock()
-	p.full = now.Add(min(max(usual/2, 10*time.Millisecond), 250*time.Millisecond))
+	p.full = now.Add(min(max(usual/2, 10*time.Millisecond)<<min(p.fulls, 6), fullMost))
+	p.fulls++
 	p.mu.Unlock()
 }
 
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -39,12 +39,13 @@
 	chart  *flow.Chart
 	paths  map[string][]*wire.Mapping
 	places map[string]bool
+	marks  map[string]*post // by what proxies name them to one another
 	crews  map[string]*crew
 	near   int
 }
 
 func (g *Gate) newTable(chart *flow.Chart, old *table) *table {
-	t := &table{chart: chart, places: map[string]bool{}, crews: map[string]*crew{}, near: g.near(chart)}
+	t := &table{chart: chart, places: map[string]bool{}, marks: map[string]*post{}, crews: map[string]*crew{}, near: g.near(chart)}
 	if t.isSameRoutes(old) {
 		t.paths = old.paths
 	} else {
@@ -66,6 +67,9 @@
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
+		for _, p := range t.crews[service].posts {
+			t.marks[p.mark] = p
+		}
 	}
 	return t
 }
--- a/internal/gate/double.go
+++ b/internal/gate/double.go
@@ -15,6 +15,14 @@
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 )
 
+// silentTimes is after how many times the usual a target that has not answered counts
+// as silent.
+const silentTimes = 5
+
+// doublePart is how large a part of the requests may be doubled, and doubleMost how many
+// at once.
+const doublePart, doubleMost = 0.06, 3
+
 // outcome is what a try came to.
 type outcome struct {
 	got   *answer
@@ -22,6 +30,18 @@
 	err   error
 }
 
+// mayDouble takes a double out of the crew's allowance, a part of the requests: when all
+// targets are slow, doubles would make them slower.
+func (c *crew) mayDouble() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.allowance < 1 {
+		return false
+	}
+	c.allowance--
+	return true
+}
+
 // isGood tells whether nothing better can be had from another target.
 func (o outcome) isGood() bool { return o.err == nil && o.got.response.StatusCode < 500 }
 
@@ -29,8 +49,8 @@
 // that most answers have come, early enough that a second one may still come inside
 // the aim. Where the aim leaves no room for a second one, only silence counts.
 func overdue(usual, aim time.Duration) time.Duration {
-	at := min(max(aim-usual*5/4, usual*7/5), 2*usual)
-	if at+usual > aim {
+	at := min(usual*5/2, aim-usual)
+	if at < usual*3/2 {
 		return 3 * usual
 	}
 	return at
@@ -39,8 +59,14 @@
 // await waits for the answer of a try, and for that of its double once it is overdue.
 func (g *Gate) await(ctx context.Context, c *course, r *http.Request, a *asking, body func() io.Reader, no int) (*answer, bool, error) {
 	var late <-chan time.Time
-	if usual := c.crew.typical(); usual > 0 && no == 0 && c.most > 1 && c.isRepeatable && r.ContentLength == 0 {
-		wakeup := time.NewTimer(overdue(usual, c.aim))
+	usual := c.crew.typical()
+	isDoubled := no == 0 && c.most > 1 && c.isRepeatable && r.ContentLength == 0
+	if usual > 0 {
+		patience := silentTimes * usual
+		if isDoubled {
+			patience = overdue(usual, c.aim)
+		}
+		wakeup := time.NewTimer(patience)
 		defer wakeup.Stop()
 		late = wakeup.C
 	}
@@ -50,7 +76,7 @@
 		case got := <-a.out:
 			first := outcome{}
 			first.got, first.wrote, first.err = g.finish(c, a, &got)
-			a.to.end()
+			a.end()
 			if double != nil && !first.isGood() {
 				if second := <-double; second.isGood() || first.err != nil {
 					first = second
@@ -58,26 +84,42 @@
 			}
 			return first.got, true, first.err
 		case <-late:
-			double = g.double(c, r, body, no+1)
+			if !c.crew.isCalm() {
+				break
+			}
+			a.to.isOverdue(1)
+			a.isLate = true
+			if isDoubled {
+				double = g.double(c, r, body, no+1)
+			} else {
+				g.fails(a.to)
+			}
 		case second := <-double:
 			double = nil
 			if second.isGood() {
-				g.r.Go(func() { g.outlive(c, a) })
+				g.r.Go(func() { g.outlive(c, a, usual) })
 				return second.got, true, nil
 			}
 		case <-ctx.Done():
 			a.pipe.kill()
 			a.to.strike(time.Now(), false)
-			a.to.end()
+			a.end()
 			return nil, true, fault.New(fault.DeadlinePassed, "%s", a.to.target.Instance)
 		}
 	}
 }
 
+func (a *asking) end() {
+	if a.isLate {
+		a.to.isOverdue(-1)
+	}
+	a.to.end()
+}
+
 // double sends the request to a second target; nil if there is none, or no budget.
 func (g *Gate) double(c *course, r *http.Request, body func() io.Reader, no int) chan outcome {
 	p := g.assign(c, r.ContentLength)
-	if p == nil || !p.isUsable(time.Now()) || !g.extra(c) {
+	if p == nil || !p.isUsable(time.Now()) || !c.crew.mayDouble() || !g.extra(c) {
 		return nil
 	}
 	c.tried = append(c.tried, p)
@@ -93,12 +135,22 @@
 }
 
 // outlive waits for an answer that nobody needs any more; the pipe's deadline bounds it.
-func (g *Gate) outlive(c *course, a *asking) {
-	defer a.to.end()
-	select {
-	case got := <-a.out:
-		g.finish(c, a, &got)
-	case <-g.r.Done():
-		a.pipe.kill()
+func (g *Gate) outlive(c *course, a *asking, usual time.Duration) {
+	defer a.end()
+	silent := time.NewTimer(time.Until(a.sent.Add(silentTimes * usual)))
+	defer silent.Stop()
+	for {
+		select {
+		case got := <-a.out:
+			g.finish(c, a, &got)
+			return
+		case <-silent.C:
+			if c.crew.isCalm() {
+				g.fails(a.to)
+			}
+		case <-g.r.Done():
+			a.pipe.kill()
+			return
+		}
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -51,6 +51,7 @@
 	// isLeaving is set while a stopping proxy still serves whoever comes.
 	isLeaving atomic.Bool
 	gossip    *gossip
+	sick      *sick
 	kin       *kin.Kin
 	wire      *wire.Wire
 	settles   chan settled
@@ -62,6 +63,7 @@
 	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), lane: newLane(r.Props.GateRate, r.Props.GateBodies), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
+	g.sick = newSick(g)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := g.newTable(chart, g.table.Load())
 		g.table.Store(t)
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -148,6 +148,8 @@
 	out   chan answer
 	sent  time.Time
 	wrote *counted
+	// isLate is set once the answer is overdue.
+	isLate bool
 }
 
 // isForgotten tells whether the target seems to have forgotten the pipe: it had idled,
@@ -167,12 +169,14 @@
 			g.pool.forgotten(a.pipe.idled, now)
 		} else {
 			a.to.strike(now, false)
+			g.fails(a.to)
 		}
 		return nil, true, lost(got, target.Instance)
 	}
 	if err := g.verify(c, target, got); err != nil {
 		a.pipe.kill()
 		a.to.strike(time.Now(), false)
+		g.fails(a.to)
 		return nil, true, err
 	}
 	g.count(target, a.wrote.n+len(got.body))
@@ -189,7 +193,11 @@
 	isUnrun := h.Get(g.r.Props.HeaderUnrun) != "" && status >= 400
 	isElsewhere := status == http.StatusMisdirectedRequest && g.isPlain
 	took := now.Sub(sent)
-	to.answered(now, took, !isUnrun && !isElsewhere, h.Get(g.r.Props.HeaderWeight))
+	isFailure := !isUnrun && status >= 500
+	to.answered(now, took, !isUnrun && !isElsewhere && !isFailure, !isFailure, h.Get(g.r.Props.HeaderWeight))
+	if isFailure && status != http.StatusGatewayTimeout {
+		g.fails(to)
+	}
 	switch {
 	case isElsewhere:
 		to.bar()
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -510,6 +510,11 @@
 	Keys []uint64 `json:"keys"`
 }
 
+// IllAsk tells other proxies how often targets failed since the last word, by the hash of service, instance and address.
+type IllAsk struct {
+	Fails map[string]int `json:"fails"`
+}
+
 // CompareAsk names the digests of a part's ranges at a stamp.
 type CompareAsk struct {
 	Part    mark.Part         `json:"part"`
