--- /dev/null
+++ b/internal/dream/late_test.go
@@ -0,0 +1,266 @@
+// How late a proxy with a way to the control nodes may come to know an epoch, on each
+// path by which it can: the bound is 1.25 pulses, the pause before a catch-up, and the
+// ways there and back, whatever the listening tasks wait for.
+package dream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const lateBound = 2 * time.Second
+
+// submitted has a change set accepted, and tells its epoch.
+func submitted(t *testing.T, f *Fleet, name string) mark.Epoch {
+	t.Helper()
+	operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
+	var epoch mark.Epoch
+	if !f.Until(20*time.Second, func() bool {
+		view, err := operator.Epoch(f.ctx)
+		if err != nil {
+			return false
+		}
+		receipt, err := operator.Submit(f.ctx, f.change(name, view.Epoch))
+		if err == nil {
+			epoch = mark.Epoch(receipt.Epoch)
+		}
+		return err == nil
+	}) {
+		t.Fatal("no change set was accepted")
+	}
+	return epoch
+}
+
+// hasBy tells whether a proxy has an epoch by then.
+func hasBy(proxy *Machine, epoch mark.Epoch, by time.Time) bool {
+	for proxy.Node().Flow.Cache.Chart().Epoch < epoch {
+		if time.Now().After(by) {
+			return false
+		}
+		time.Sleep(touchLook)
+	}
+	return true
+}
+
+// The listening tasks are all in their long pause when the way is back.
+func TestWordOfAnEpochDoesNotWaitForTheLongPause(t *testing.T) {
+	shape := one()
+	shape.Settings["flow.cool"], shape.Settings["kin.suspect"] = "5m", "1m"
+	inFleet(t, stays(shape), func(t *testing.T, f *Fleet) {
+		proxy := f.Of("proxy1")
+		for i := range 5 {
+			f.isolate([]*Machine{proxy})
+			time.Sleep(10 * time.Second)
+			epoch := submitted(t, f, fmt.Sprint("cool", i))
+			f.W.Heal()
+			if !hasBy(proxy, epoch, time.Now().Add(lateBound)) {
+				t.Errorf("round %d: the proxy does not have epoch %d %s after its ways are whole", i, epoch, lateBound)
+			}
+		}
+	})
+}
+
+// The proxy holds all core nodes for down, and many others beside them.
+func TestWordOfAnEpochDoesNotWaitForOpinionsOnWhoIsThere(t *testing.T) {
+	shape := one()
+	shape.Proxies = 14
+	inFleet(t, stays(shape), func(t *testing.T, f *Fleet) {
+		proxy := f.Of("proxy1")
+		for _, other := range f.Proxies() {
+			if other != proxy {
+				other.Kill(true)
+			}
+		}
+		for i := range 12 {
+			f.isolate([]*Machine{proxy})
+			if !f.Until(30*time.Second, func() bool { return len(proxy.Node().Kin.Cores()) == 0 }) {
+				t.Fatal("the proxy still holds a core node for live")
+			}
+			epoch := submitted(t, f, fmt.Sprint("down", i))
+			f.W.Heal()
+			healed := time.Now()
+			if !hasBy(proxy, epoch, healed.Add(lateBound)) {
+				t.Errorf("round %d: the proxy does not have epoch %d %s after its ways are whole", i, epoch, lateBound)
+			}
+			if !f.Until(time.Until(healed.Add(touchTime)), func() bool { return len(proxy.Node().Kin.Cores()) == 3 }) {
+				t.Errorf("round %d: %s after its ways are whole the proxy knows %d of 3 core nodes", i, touchTime, len(proxy.Node().Kin.Cores()))
+			}
+		}
+	})
+}
+
+// stagedCore is a control node of which a test decides what it answers.
+type stagedCore struct {
+	*wire.Wire
+	address string
+	epoch   atomic.Uint64 // what its pulses tell
+	gives   atomic.Uint64 // what it gives to those who listen
+	listens atomic.Int64
+	stuck   atomic.Int64 // how many of the listener requests so far are never answered
+	hangs   atomic.Bool  // whether its fetches hang
+}
+
+func stagedNode(t *testing.T, w *World, name, zone, address string, seeds string, isCore bool, settings map[string]string) (*realm.Realm, *wire.Wire, *kin.Kin) {
+	set := map[string]string{"name": name, "zone": zone, "wire.address": address, "seeds": seeds, "flow.pulse": "1s", "flow.stay": "1h"}
+	set["api.address"], set["gate.address"] = host(address)+":7001", host(address)+":7002"
+	for key, value := range settings {
+		set[key] = value
+	}
+	p, err := props.Load("", set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := realm.New(t.Context(), p, sign.New(io.Discard, "error", name), w.Net(host(address)))
+	line := wire.New(r)
+	who := kin.New(r, line, wire.Member{Name: mark.Name(name), Birth: mark.Birth("b" + name), Wire: address, Zone: zone, Core: isCore, Keeps: isCore})
+	return r, line, who
+}
+
+func groupsAt(epoch mark.Epoch) (map[string]wire.Group, map[string]wire.Held) {
+	raw, _ := json.Marshal([]wire.Service{{Name: fmt.Sprint("s", epoch)}})
+	group := wire.Group{Digest: plan.Digest(raw), Stamp: mark.Stamp(epoch), Data: raw}
+	return map[string]wire.Group{plan.Services: group}, map[string]wire.Held{plan.Services: {Digest: group.Digest, Stamp: group.Stamp}}
+}
+
+// handle answers a proxy by what the test says.
+func (s *stagedCore) handle(r *realm.Realm) {
+	s.epoch.Store(1)
+	s.gives.Store(1)
+	s.Handle("flow.pulse", func(*wire.Call) (any, error) {
+		return &wire.PulseReceipt{Epoch: mark.Epoch(s.epoch.Load()), Parts: make([]int64, mark.Parts)}, nil
+	})
+	s.Handle("flow.listen", func(c *wire.Call) (any, error) {
+		var ask wire.ListenAsk
+		if err := c.Read(&ask); err != nil {
+			return nil, err
+		}
+		no := s.listens.Add(1)
+		for mark.Epoch(s.gives.Load()) <= ask.Epoch || no <= s.stuck.Load() {
+			if c.Err() != nil || !r.Pause(5*time.Millisecond) {
+				return &wire.ListenReceipt{Epoch: ask.Epoch}, nil
+			}
+		}
+		epoch := mark.Epoch(s.gives.Load())
+		_, held := groupsAt(epoch)
+		return &wire.ListenReceipt{Epoch: epoch, Changed: held}, nil
+	})
+	s.Handle("flow.fetch", func(c *wire.Call) (any, error) {
+		if s.hangs.Load() {
+			<-c.Done()
+			return nil, c.Err()
+		}
+		epoch := mark.Epoch(s.gives.Load())
+		groups, held := groupsAt(epoch)
+		return &wire.FetchReceipt{Epoch: epoch, Manifest: held, Groups: groups}, nil
+	})
+}
+
+// staged is a proxy among control nodes of which a test decides what they answer;
+// the first is in the proxy's zone.
+func staged(t *testing.T, n int, settings map[string]string, play func(t *testing.T, client *flow.Client, cores []*stagedCore)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(1)
+		var realms []*realm.Realm
+		var cores []*stagedCore
+		open := func(r *realm.Realm, line *wire.Wire, who *kin.Kin) {
+			realms = append(realms, r)
+			if err := line.Open(); err != nil {
+				t.Fatal(err)
+			}
+			if err := who.Open(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		seeds := ""
+		for i := range n {
+			seeds += fmt.Sprintf(",10.%d.0.1:7000", i+1)
+		}
+		for i := range n {
+			zone, address := fmt.Sprint("zone", i+1), fmt.Sprintf("10.%d.0.1:7000", i+1)
+			w.Place(host(address), zone)
+			r, line, who := stagedNode(t, w, fmt.Sprint("core", i+1), zone, address, seeds[1:], true, settings)
+			core := &stagedCore{Wire: line, address: address}
+			core.handle(r)
+			cores = append(cores, core)
+			open(r, line, who)
+		}
+		w.Place("10.1.0.9", "zone1")
+		r, line, who := stagedNode(t, w, "proxy1", "zone1", "10.1.0.9:7000", seeds[1:], false, settings)
+		open(r, line, who)
+		client := flow.NewClient(r, line, who)
+		time.Sleep(2 * time.Second)
+		client.Open()
+		time.Sleep(3 * time.Second)
+		if chart := client.Cache.Chart(); chart == nil || chart.Epoch != 1 || len(who.Cores()) != n {
+			t.Fatalf("the proxy has %+v and knows %d core nodes", chart, len(who.Cores()))
+		}
+		play(t, client, cores)
+		for _, r := range realms {
+			r.End()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// has waits for an epoch, in virtual time.
+func has(client *flow.Client, epoch mark.Epoch, limit time.Duration) bool {
+	over, end := context.WithTimeout(context.Background(), limit)
+	defer end()
+	for client.Cache.Chart().Epoch < epoch {
+		if sleep(over, touchLook) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// All held requests hang, and the first node that tells of the newer epoch doesn't
+// give it: the next one that is asked does.
+func TestANodeThatTellsOfAnEpochAndDoesNotGiveItIsPassedBy(t *testing.T) {
+	for _, servers := range []string{"0", "2"} {
+		staged(t, 3, map[string]string{"flow.servers": servers}, func(t *testing.T, client *flow.Client, cores []*stagedCore) {
+			for i, core := range cores {
+				core.stuck.Store(core.listens.Load())
+				core.epoch.Store(2)
+				if i > 0 {
+					core.gives.Store(2)
+				}
+			}
+			if !has(client, 2, 5*time.Second) {
+				t.Errorf("flow.servers=%s: the proxy is at epoch %d after 5 s", servers, client.Cache.Chart().Epoch)
+			}
+		})
+	}
+}
+
+// A fetch that hangs at one control node holds up no other's.
+func TestAFetchThatHangsHoldsUpNoOther(t *testing.T) {
+	staged(t, 2, nil, func(t *testing.T, client *flow.Client, cores []*stagedCore) {
+		cores[0].hangs.Store(true)
+		cores[0].gives.Store(2)
+		time.Sleep(200 * time.Millisecond)
+		for _, core := range cores {
+			core.epoch.Store(2)
+			core.gives.Store(2)
+		}
+		if !has(client, 2, time.Second) {
+			t.Errorf("the proxy is at epoch %d a second after a control node that can be fetched from gave word of epoch 2", client.Cache.Chart().Epoch)
+		}
+	})
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -29,8 +29,8 @@
 type Vouched struct{ Newest, Before Ages }
 
 const (
-	nearPause    = 40 * time.Millisecond
-	catchUpPause = 100 * time.Millisecond
+	nearPause = 40 * time.Millisecond
+	fetchTurn = 500 * time.Millisecond
 )
 
 // Client is one proxy's.
@@ -44,7 +44,8 @@
 	born  time.Time
 	began atomic.Bool
 
-	isCatchingUp atomic.Bool
+	pick     atomic.Uint64 // whom the pulse asks
+	catching sync.Map      // addresses at which a catch-up is under way
 
 	mu        sync.Mutex
 	listening map[mark.Name]string
@@ -151,7 +152,7 @@
 		if !slices.ContainsFunc(c.servers(), func(m wire.Member) bool { return m.Name == name && m.Wire == address }) {
 			return
 		}
-		isNewer, err := c.poll(address)
+		isNewer, err := c.poll(c.r, address)
 		pause := time.Duration(0)
 		switch {
 		case err != nil:
@@ -173,9 +174,9 @@
 }
 
 // poll is one held listener request and, if it names groups, their fetch.
-func (c *Client) poll(address string) (isNewer bool, err error) {
+func (c *Client) poll(life context.Context, address string) (isNewer bool, err error) {
 	epoch, have := c.Cache.Have()
-	ctx, end := context.WithTimeout(c.r, c.r.Props.FlowHold+2*time.Second)
+	ctx, end := context.WithTimeout(life, c.r.Props.FlowHold+2*time.Second)
 	defer end()
 	var receipt wire.ListenReceipt
 	ask := &wire.ListenAsk{Epoch: epoch, Have: have}
@@ -203,17 +204,16 @@
 		ok, err := c.Cache.Swap(receipt.Epoch, manifest)
 		return ok || isNewer, err
 	}
-	c.fetching.Lock()
-	defer c.fetching.Unlock()
+	c.leaveToNear(address)
+	// Groups are fetched once, but nobody waits long for another's fetch: its control
+	// node may have gone.
+	if c.fetching.LockWithin(fetchTurn) {
+		defer c.fetching.Unlock()
+	}
 	if now, _ := c.Cache.Have(); receipt.Epoch <= now {
 		return true, nil
 	}
 	if missing := c.Cache.Missing(manifest); len(missing) > 0 {
-		if c.leavesToNear(address) {
-			if now, _ := c.Cache.Have(); receipt.Epoch <= now {
-				return true, nil
-			}
-		}
 		limited, stop := context.WithTimeout(c.r, 3*time.Second)
 		defer stop()
 		var fetched wire.FetchReceipt
@@ -236,65 +236,12 @@
 	return ok || isNewer, err
 }
 
-// leavesToNear gives the listener of a control node in the own zone a moment to
+// leaveToNear gives the listener of a control node in the own zone a moment to
 // fetch first, if there is one, so that groups seldom come from another zone.
-func (c *Client) leavesToNear(address string) bool {
-	if cores := c.k.Keepers(); c.k.IsNear(address) || len(cores) == 0 || !c.k.IsNear(cores[0].Wire) {
-		return false
-	}
-	c.fetching.Unlock()
-	defer c.fetching.Lock()
-	return c.r.Pause(nearPause)
-}
-
-// pulse renews freshness through one control node, the nearest that answers. Until
-// the first plan is fresh it asks more often, for so long nothing can be served.
-func (c *Client) pulse() {
-	pick := 0
-	for c.r.Pause(realm.Jitter(c.pulsePause())) {
-		cores := c.k.Keepers()
-		if len(cores) == 0 {
-			continue
-		}
-		for try := 0; try < 2; try++ {
-			m := cores[pick%len(cores)]
-			sent := c.r.Now()
-			ctx, end := context.WithTimeout(c.r, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond)
-			var receipt wire.PulseReceipt
-			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
-			end()
-			if err == nil {
-				c.renew(sent, &receipt)
-				c.catchUp(m.Wire, receipt.Epoch)
-				break
-			}
-			pick++
-		}
-		c.tell()
-	}
-}
-
-// catchUp asks where a newer epoch was heard of, if those listened to are slow to
-// tell of it.
-func (c *Client) catchUp(address string, epoch mark.Epoch) {
-	isBehind := func() bool { now, _ := c.Cache.Have(); return now > 0 && now < epoch }
-	if c.r.Props.FlowServers == 0 || !isBehind() || !c.isCatchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	c.r.Go(func() {
-		defer c.isCatchingUp.Store(false)
-		if c.r.Pause(catchUpPause) && isBehind() {
-			c.poll(address)
-		}
-	})
-}
-
-// pulsePause is short until the first word has come.
-func (c *Client) pulsePause() time.Duration {
-	if c.Ages().Epoch == 0 {
-		return min(c.r.Props.FlowPulse, 150*time.Millisecond)
+func (c *Client) leaveToNear(address string) {
+	if cores := c.k.Keepers(); !c.k.IsNear(address) && len(cores) > 0 && c.k.IsNear(cores[0].Wire) {
+		c.r.Pause(nearPause)
 	}
-	return c.r.Props.FlowPulse
 }
 
 // heard notes word from a control node.
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -6,7 +6,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
@@ -18,7 +22,7 @@
 // random member from time to time.
 func (k *Kin) sync() {
 	isIn := false
-	for {
+	for round := 0; ; round++ {
 		var addresses []string
 		seeds := *k.seeds.Load()
 		if !isIn {
@@ -33,22 +37,16 @@
 				pick := rand.IntN(len(addresses))
 				addresses = addresses[pick : pick+1]
 			}
-			if lost := k.lost(); len(lost) > 0 {
-				addresses = append(addresses, lost[rand.IntN(len(lost))])
-			}
+			addresses = append(addresses, k.lostInTurn(round)...)
 			if len(seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
 				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
-		for _, address := range addresses {
-			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
-				isIn = true
-			}
-		}
+		isIn = k.syncAll(addresses, isIn) || isIn
 		pause := 300 * time.Millisecond
 		if isIn {
 			pause = realm.Jitter(10 * time.Second)
-			if len(k.View()) < 3 || len(k.lost()) > 0 {
+			if len(k.View()) < 3 || len(k.Lost()) > 0 {
 				pause = realm.Jitter(time.Second)
 			}
 		}
@@ -58,17 +56,67 @@
 	}
 }
 
-// lost is the addresses of members that went down of late without a word: each
-// side of a healed cut holds the other for down, and neither probes it.
-func (k *Kin) lost() (addresses []string) {
+// syncAll exchanges lists with some: one after another while this node is new, as
+// the second then has little to tell; else all at once, so that one that is silent
+// holds up none that has come back.
+func (k *Kin) syncAll(addresses []string, isIn bool) (isAnswered bool) {
+	var all sync.WaitGroup
+	var anyOf atomic.Bool
+	for _, address := range addresses {
+		if address == k.r.Props.WireAddress || address == k.r.Props.WireAdvertise {
+			continue
+		}
+		ask := func() {
+			if k.Sync(address) {
+				anyOf.Store(true)
+			}
+		}
+		if !isIn {
+			ask()
+			continue
+		}
+		all.Add(1)
+		k.r.Go(func() { defer all.Done(); ask() })
+	}
+	all.Wait()
+	return anyOf.Load()
+}
+
+// Lost is the members that went down of late without a word, by name: each side of
+// a healed cut holds the other for down, and neither probes it.
+func (k *Kin) Lost() (members []wire.Member) {
 	for _, s := range k.View() {
 		if s.State == Down && time.Since(s.Since) < lostKept {
-			addresses = append(addresses, s.Wire)
+			members = append(members, s.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b wire.Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return members
+}
+
+// lostInTurn is whom of the lost to ask in a round: some core nodes, without which
+// nothing is decided or heard of, and one of the others; each has its turn.
+func (k *Kin) lostInTurn(round int) (addresses []string) {
+	var cores, others []string
+	for _, m := range k.Lost() {
+		if m.Core {
+			cores = append(cores, m.Wire)
+		} else {
+			others = append(others, m.Wire)
 		}
 	}
+	for i := range min(lostCores, len(cores)) {
+		addresses = append(addresses, cores[(round*lostCores+i)%len(cores)])
+	}
+	if len(others) > 0 {
+		addresses = append(addresses, others[round%len(others)])
+	}
 	return addresses
 }
 
+// lostCores is how many lost core nodes are asked in one round.
+const lostCores = 3
+
 // Sync exchanges whole lists with one address, and once more if that showed
 // this node that it was held for down.
 func (k *Kin) Sync(address string) bool {
@@ -94,7 +142,12 @@
 	}
 	k.take(receipt.Members, true)
 	if mine := k.newer(receipt.Members); len(mine) > 0 {
-		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest()}, &receipt) == nil
+		var again wire.KinSync
+		if err := k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest()}, &again); err != nil {
+			return false
+		}
+		// One that was held for down here has refuted that in its second answer.
+		k.take(again.Members, true)
 	}
 	return true
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -157,3 +157,15 @@
 
 func (t Turn) Lock()   { t <- struct{}{} }
 func (t Turn) Unlock() { <-t }
+
+// LockWithin gives up after a time; it tells whether the lock is held.
+func (t Turn) LockWithin(d time.Duration) bool {
+	wakeup := time.NewTimer(d)
+	defer wakeup.Stop()
+	select {
+	case t <- struct{}{}:
+		return true
+	case <-wakeup.C:
+		return false
+	}
+}
