Judge: a version is gone by an unnumbered set of a later epoch, whatever try was answered

The change came into force in epoch 14 by its first try, whose answer was lost (7.85 s); a set that replaces all came in epoch 15 (8.67 s); the third try was told "accepted in epoch 14" (9.38 s). The checker held the set's time against the start of the third try, so it took the set for older than the version.

Now it goes by epochs, which both are told: gone by a set of a later epoch, up to the one read back. That is stricter where the epoch is known (times alone forgave a set that came in before); a set of which it never became known whether it was accepted may have done it, unless it is absent at the end.

Ruled out: a lost change; the ledger held both, in order.

Test: TestAVersionIsGoneByASetOfALaterEpochOnly; its first half failed before, its second holds that a set of an earlier epoch excuses nothing.

--- a/internal/judge/spaces.go
+++ b/internal/judge/spaces.go
@@ -166,13 +166,13 @@
 			}
 		}
 	}
-	wholes := of(all, Changed)
+	wholes := wholesOf(all)
 	for _, back := range of(all, ReadBack) {
 		for id, r := range ids {
 			digest, isThere := back.Lead[id]
 			isGone := false
 			for _, w := range wholes {
-				isGone = isGone || w.IsWhole && w.Outcome != "refused" && w.At > r.Start && w.Start < back.At
+				isGone = isGone || w.Epoch > r.Epoch && w.Epoch <= back.Epoch || w.Epoch == 0 && w.Start < back.At
 			}
 			switch {
 			case states[id] == "refused" && isThere:
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// wholesOf is the change sets that replaced all others, by the epochs that brought
+// them into force; those of which that was never known bear none.
+func wholesOf(all []Record) (wholes []Record) {
+	epochs, isAbsent := map[string]uint64{}, map[string]bool{}
+	for _, r := range all {
+		switch {
+		case (r.Kind == Changed || r.Kind == Asked) && r.Outcome == "accepted":
+			epochs[r.Name] = r.Epoch
+		case r.Kind == Asked:
+			isAbsent[r.Name] = r.Outcome == "absent"
+		}
+	}
+	for _, r := range of(all, Changed) {
+		epoch, isKnown := epochs[r.Name]
+		if r.IsWhole && (isKnown || r.Outcome != "refused" && !isAbsent[r.Name]) {
+			r.Epoch = epoch
+			wholes = append(wholes, r)
+		}
+	}
+	return wholes
+}
--- a/internal/judge/spaces_test.go
+++ b/internal/judge/spaces_test.go
@@ -93,6 +93,32 @@
 	}
 }
 
+// A numbered change that an unnumbered set replaced is gone, also if it was known only
+// later that it had been accepted before; one of a later epoch is not gone by that set.
+func TestAVersionIsGoneByASetOfALaterEpochOnly(t *testing.T) {
+	version := func(at time.Duration, outcome string, epoch uint64) Record {
+		return Record{Kind: Version, Start: at, At: at + 9, Name: "w9", Stamp: 9, From: 2, Digest: "w9", Epoch: epoch, Outcome: outcome}
+	}
+	whole := func(epoch uint64) Record {
+		return Record{Kind: Changed, Start: 16 * s, At: 16*s + 9, Name: "all", Base: epoch - 1, Epoch: epoch, Outcome: "accepted", IsWhole: true}
+	}
+	back := Record{Kind: ReadBack, Start: 18 * s, At: 18*s + 9, Stamp: 9, Epoch: 30, Lead: map[string]string{}}
+	for name, c := range map[string]struct {
+		epoch uint64
+		want  []string
+	}{
+		"replaced before it was known": {20, nil},
+		"accepted after the set":       {22, []string{"versions"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := Judge(append(sound(), version(15*s, "unknown", 0), whole(21), version(17*s, "accepted", c.epoch), back))
+			if diff := cmp.Diff(c.want, rules(v)); diff != "" {
+				t.Errorf("%s%s", diff, v)
+			}
+		})
+	}
+}
+
 // A server that is quiet for less than its own time, and a repeat of a try that is
 // told of its try, are sound.
 func TestWhatTheSecondMannerAllowsIsClean(t *testing.T) {
