Narrow links: dials and words have the time the link's queue takes; uploads keep to a lane

Four things made it grow without end: - dials to targets had 250 ms, less than the queue: 45 a second a gate failed, four to a request, each taking its target out, until the request was refused; - refused uploads were read by the server before and after the answer, and came again; - a pulse without an answer within 0.5 s closed the pipe on which a fetch was under way: what a change of 1,200 routes brought (some 400 kB) began anew, again and again; - pulses went one after another with 0.5 s each, so that no word came at all over a longer queue, and flow.behind refused.

Ruled out: small receive buffers (gate.window): the platform's windows are 80 KB whatever is asked for, so a body comes in whether it is read or not; the setting stays, for real systems heed it. Reading of bodies as a bound: no body waited to be read.

Tests, each seen failing first: a refused upload is left unread; a long receipt keeps its pipe; a proxy on a slow link hears which epoch is the newest. The simulator's network has links with a rate and a queue for that.

--- a/internal/dream/conn.go
+++ b/internal/dream/conn.go
@@ -184,34 +184,52 @@
 		c.mu.Lock()
 		patience := c.patience
 		c.mu.Unlock()
-		c.w.mu.Lock()
-		delay := c.w.delay(c.local, c.remote)
-		c.w.count(c.local, c.remote, len(p)+40)
-		c.w.mu.Unlock()
-		c.out.mu.Lock()
 		h := c.out
-		if h.isBroken || h.isShut {
-			h.mu.Unlock()
+		h.mu.Lock()
+		isOver, isFull, change := h.isBroken || h.isShut, h.size >= halfMost, h.change
+		h.mu.Unlock()
+		switch {
+		case isOver:
 			return 0, syscall.EPIPE
+		case isFull:
+			wait(by, time.Time{}, change, deadline)
+			continue
 		}
-		if h.size < halfMost {
-			due := time.Now().Add(delay)
-			if n := len(h.chunks); n > 0 && due.Before(h.chunks[n-1].due) {
-				due = h.chunks[n-1].due
+		pieces := c.cut(p)
+		h.mu.Lock()
+		for _, one := range pieces {
+			if n := len(h.chunks); n > 0 && one.due.Before(h.chunks[n-1].due) {
+				one.due = h.chunks[n-1].due
 			}
-			one := chunk{due: due, data: append([]byte(nil), p...)}
 			if patience > 0 {
-				one.late = due.Add(patience)
+				one.late = one.due.Add(patience)
 			}
 			h.chunks = append(h.chunks, one)
-			h.size += len(p)
-			h.stir()
-			h.mu.Unlock()
-			return len(p), nil
 		}
-		change := h.change
+		h.size += len(p)
+		h.stir()
 		h.mu.Unlock()
-		wait(by, time.Time{}, change, deadline)
+		return len(p), nil
+	}
+}
+
+// cut makes of what is written the pieces in which it arrives: one, unless a link on the
+// way is narrow.
+func (c *conn) cut(p []byte) (pieces []chunk) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.w.count(c.local, c.remote, len(p)+40)
+	most := len(p)
+	if c.w.isNarrow(c.local, c.remote) {
+		most = packetMost
+	}
+	now := time.Now()
+	for {
+		n := min(len(p), most)
+		pieces = append(pieces, chunk{due: c.w.arrival(c.local, c.remote, now, n+40), data: append([]byte(nil), p[:n]...)})
+		if p = p[n:]; len(p) == 0 {
+			return pieces
+		}
 	}
 }
 
@@ -344,8 +362,12 @@
 	if target == nil || w.blocked(from, host(to.String())) || w.rand.Float64() < w.loss {
 		return len(b), nil
 	}
+	due := w.arrival(from, host(to.String()), time.Now(), len(b)+28)
+	if time.Until(due) > queueMost {
+		return len(b), nil
+	}
 	select {
-	case target.queue <- packet{time.Now().Add(w.delay(from, host(to.String()))), p.address, append([]byte(nil), b...)}:
+	case target.queue <- packet{due, p.address, append([]byte(nil), b...)}:
 	default:
 	}
 	return len(b), nil
--- /dev/null
+++ b/internal/dream/links_test.go
@@ -0,0 +1,115 @@
+// On a narrow link words come late, and are still right: what is long must not make a
+// proxy let go of its pipes, and a proxy must not call its epoch old for it.
+package dream
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func TestANarrowLinkQueuesWhatItCantCarry(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		from, to := f.outside(4), f.outside(5)
+		f.W.Narrow(to, 100_000)
+		listener, err := f.W.Net(to).Listen(to + ":9000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := f.W.Net(from).Dial(f.ctx, to+":9000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, _ := listener.Accept()
+		began := time.Now()
+		conn.Write(make([]byte, 100_000))
+		if in, out := f.W.Queue(to); in < time.Second || out != 0 {
+			t.Error("queues of", in, out)
+		}
+		for n, buffer := 0, make([]byte, 32<<10); n < 100_000; {
+			k, err := other.Read(buffer)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n += k; n == packetMost && time.Since(began) > 300*time.Millisecond {
+				t.Error("the first piece came after", time.Since(began))
+			}
+		}
+		if took := time.Since(began); took < time.Second || took > 1100*time.Millisecond {
+			t.Error("100 kB at 100 kB/s took", took)
+		}
+	})
+}
+
+func TestALongReceiptOnANarrowLinkKeepsItsPipe(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		core, proxy := f.Cores()[0], f.Of("proxy1")
+		long := strings.Repeat("x", 300_000)
+		core.Node().Wire.Handle("test.long", func(*wire.Call) (any, error) { return long, nil })
+		core.Node().Wire.Handle("test.short", func(*wire.Call) (any, error) { return "here", nil })
+		f.W.Narrow(proxy.IP, 100_000)
+		got := make(chan error, 1)
+		go func() {
+			ctx, end := context.WithTimeout(f.ctx, 10*time.Second)
+			defer end()
+			var whole string
+			got <- proxy.Node().Wire.Ask(ctx, core.Wire(), "test.long", struct{}{}, &whole)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		ctx, end := context.WithTimeout(f.ctx, 500*time.Millisecond)
+		defer end()
+		if err := proxy.Node().Wire.Ask(ctx, core.Wire(), "test.short", struct{}{}, nil); err == nil {
+			t.Fatal("the short receipt overtook the long one")
+		}
+		if err := <-got; err != nil {
+			t.Error("the long receipt was lost:", err)
+		}
+	})
+}
+
+func TestAProxyWhoseLinkIsSlowStillHearsWhichEpochIsTheNewest(t *testing.T) {
+	shape := one()
+	shape.Settings["flow.stay"], shape.Settings["flow.behind"] = "1h", "1700ms"
+	shape.Settings["flow.servers"], shape.Settings["plan.linger"] = "2", "30s"
+	shape.Settings["flow.pulse"], shape.Settings["wire.deaf"], shape.Settings["wire.dial"] = "300ms", "1500ms", "2s"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		proxy, from := f.Of("proxy1"), f.outside(4)
+		f.W.Narrow(proxy.IP, 100_000)
+		listener, err := f.W.Net(proxy.IP).Listen(proxy.IP + ":9000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := f.W.Net(from).Dial(f.ctx, proxy.IP+":9000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, _ := listener.Accept()
+		go func() {
+			for buffer := make([]byte, 32<<10); ; {
+				if _, err := other.Read(buffer); err != nil {
+					return
+				}
+			}
+		}()
+		node := proxy.Node()
+		for range 200 {
+			if in, _ := f.W.Queue(proxy.IP); in < 600*time.Millisecond {
+				conn.Write(make([]byte, 10_000))
+			}
+			time.Sleep(50 * time.Millisecond)
+			if age := node.R.Since(node.Flow.Ages().Config); age > 1700*time.Millisecond {
+				in, out := f.W.Queue(proxy.IP)
+				t.Fatal("the last word of the newest epoch is old by", age, "while words wait", in, out)
+			}
+		}
+		conn.Close()
+		f.isolate([]*Machine{proxy})
+		time.Sleep(1800 * time.Millisecond)
+		if node.Flow.IsFresh(node.Flow.Cache.Chart(), "rates") {
+			t.Error("a proxy that was cut off goes on for longer than flow.behind")
+		}
+	})
+}
--- a/internal/dream/world.go
+++ b/internal/dream/world.go
@@ -34,6 +34,7 @@
 	packets   map[string]*packetConn
 	conns     map[*conn]bool
 	disks     map[string]*Disk
+	links     map[string]*link
 	nextPort  int
 	loss      float64
 	hurts     int // how often something was done to a way or a machine
@@ -44,7 +45,7 @@
 
 func NewWorld(seed uint64) *World {
 	return &World{rand: rand.New(rand.NewPCG(seed, 1)), change: make(chan struct{}), zones: map[string]string{}, cuts: map[[2]string]bool{}, held: map[string]bool{}, life: map[string]int{}, slept: map[string]time.Duration{},
-		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, disks: map[string]*Disk{}, nextPort: 40000}
+		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, disks: map[string]*Disk{}, links: map[string]*link{}, nextPort: 40000}
 }
 
 func host(address string) string {
@@ -225,9 +226,10 @@
 			return nil, fmt.Errorf("dial %s: no network", address)
 		}
 		if !w.blocked(ip, to) && !w.blocked(to, ip) {
-			wait := w.delay(ip, to) + w.delay(to, ip)
+			there := w.arrival(ip, to, time.Now(), packetSize)
+			back := there.Add(w.delay(to, ip))
 			w.mu.Unlock()
-			if err := sleep(ctx, wait); err != nil {
+			if err := sleep(ctx, time.Until(back)); err != nil {
 				return nil, err
 			}
 			w.mu.Lock()
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -1,7 +1,7 @@
 // The proxy's tasks: one full fetch at start, trying the control nodes in list
-// order; then one listening task for each control node; and beside them one
-// pulse, which renews how freshly the epoch in use is confirmed. The pauses of
-// the source are shortened and spread, for here two seconds are the bound.
+// order; then one listening task for each control node; and beside them the
+// pulses (fresh.go). The pauses of the source are shortened and spread, for here
+// two seconds are the bound.
 package flow
 
 import (
@@ -31,6 +31,7 @@
 const (
 	nearPause    = 40 * time.Millisecond
 	catchUpPause = 100 * time.Millisecond
+	pulsesMost   = 6
 )
 
 // Client is one proxy's.
@@ -45,6 +46,8 @@
 	began atomic.Bool
 
 	isCatchingUp atomic.Bool
+	pick         atomic.Uint32 // which control node is asked
+	pulses       atomic.Int32  // how many pulses are under way
 
 	mu        sync.Mutex
 	listening map[mark.Name]string
@@ -78,8 +81,7 @@
 func (c *Client) fetchAll() bool {
 	for _, m := range c.k.Keepers() {
 		ctx, end := context.WithTimeout(c.r, 5*time.Second)
-		var receipt wire.FetchReceipt
-		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
+		receipt, err := c.fetch(ctx, m.Wire, &wire.FetchAsk{})
 		end()
 		if err != nil {
 			c.r.Sign.Say(sign.FetchFailed, "node", string(m.Name), "cause", err.Error())
@@ -216,8 +218,8 @@
 		}
 		limited, stop := context.WithTimeout(c.r, 3*time.Second)
 		defer stop()
-		var fetched wire.FetchReceipt
-		if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: missing, Held: c.Cache.Holds(missing)}, &fetched); err != nil {
+		fetched, err := c.fetch(limited, address, &wire.FetchAsk{Groups: missing, Held: c.Cache.Holds(missing)})
+		if err != nil {
 			return false, err
 		}
 		isNewer = c.Cache.Stage(fetched.Groups) || isNewer
@@ -225,8 +227,7 @@
 		left = slices.DeleteFunc(left, func(name string) bool { return fetched.Groups[name].Base == "" })
 		if len(left) > 0 {
 			// A difference that did not fit is fetched whole.
-			fetched = wire.FetchReceipt{}
-			if err := c.w.Ask(limited, address, "flow.fetch", &wire.FetchAsk{Groups: left}, &fetched); err != nil {
+			if fetched, err = c.fetch(limited, address, &wire.FetchAsk{Groups: left}); err != nil {
 				return false, err
 			}
 			isNewer = c.Cache.Stage(fetched.Groups) || isNewer
@@ -246,149 +247,3 @@
 	defer c.fetching.Lock()
 	return c.r.Pause(nearPause)
 }
-
-// pulse renews freshness through one control node, the nearest that answers. Until
-// the first plan is fresh it asks more often, for so long nothing can be served.
-func (c *Client) pulse() {
-	pick := 0
-	for c.r.Pause(realm.Jitter(c.pulsePause())) {
-		cores := c.k.Keepers()
-		if len(cores) == 0 {
-			continue
-		}
-		for try := 0; try < 2; try++ {
-			m := cores[pick%len(cores)]
-			sent := c.r.Now()
-			ctx, end := context.WithTimeout(c.r, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond)
-			var receipt wire.PulseReceipt
-			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
-			end()
-			if err == nil {
-				c.renew(sent, &receipt)
-				c.catchUp(m.Wire, receipt.Epoch)
-				break
-			}
-			pick++
-		}
-		c.tell()
-	}
-}
-
-// catchUp asks where a newer epoch was heard of, if those listened to are slow to
-// tell of it.
-func (c *Client) catchUp(address string, epoch mark.Epoch) {
-	isBehind := func() bool { now, _ := c.Cache.Have(); return now > 0 && now < epoch }
-	if c.r.Props.FlowServers == 0 || !isBehind() || !c.isCatchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	c.r.Go(func() {
-		defer c.isCatchingUp.Store(false)
-		if c.r.Pause(catchUpPause) && isBehind() {
-			c.poll(address)
-		}
-	})
-}
-
-// pulsePause is short until the first word has come.
-func (c *Client) pulsePause() time.Duration {
-	if c.Ages().Epoch == 0 {
-		return min(c.r.Props.FlowPulse, 150*time.Millisecond)
-	}
-	return c.r.Props.FlowPulse
-}
-
-// heard notes word from a control node.
-func (c *Client) heard() {
-	now := c.r.Now()
-	c.word.Store(&now)
-}
-
-// renew takes over what a pulse brought. Ages that name an epoch newer than the
-// one in use can't vouch for it, but those held before still do until they are
-// too old; so both are kept.
-func (c *Client) renew(sent time.Time, receipt *wire.PulseReceipt) {
-	c.heard()
-	held := c.ages.Load()
-	if receipt.Epoch < held.Newest.Epoch || len(receipt.Parts) != mark.Parts {
-		return
-	}
-	next := Ages{Epoch: receipt.Epoch, Config: sent.Add(-time.Duration(receipt.Age) * time.Microsecond)}
-	for i, age := range receipt.Parts {
-		if age >= 0 {
-			next.Parts[i] = sent.Add(-time.Duration(age) * time.Microsecond)
-		}
-	}
-	both := &Vouched{Newest: next, Before: held.Before}
-	if receipt.Epoch == held.Newest.Epoch {
-		both.Newest.raise(&held.Newest)
-	} else if chart := c.Cache.Chart(); chart != nil && chart.Epoch >= held.Newest.Epoch {
-		both.Before = held.Newest
-	}
-	c.ages.Store(both)
-}
-
-// raise keeps the later of two words about one epoch.
-func (a *Ages) raise(o *Ages) {
-	if a.Config.Before(o.Config) {
-		a.Config = o.Config
-	}
-	for i := range a.Parts {
-		if a.Parts[i].Before(o.Parts[i]) {
-			a.Parts[i] = o.Parts[i]
-		}
-	}
-}
-
-// IsFresh tells whether a chart may be acted on for a service now. Ages that
-// name an older epoch vouch for a newer chart too: what was known then is in it.
-// Word from before this process was started vouches for nothing: an earlier life
-// of this proxy may have used an epoch that a deposed owner does not know.
-func (c *Client) IsFresh(chart *Chart, service string) bool {
-	if chart == nil {
-		return false
-	}
-	if stay := c.r.Props.FlowStay; stay > 0 {
-		word := c.word.Load()
-		if word == nil || c.r.Since(*word) >= stay {
-			return false
-		}
-		behind := c.r.Props.FlowBehind
-		return behind == 0 || c.isNewest(chart, behind)
-	}
-	held := c.ages.Load()
-	no, bound := mark.PartOf(service), c.r.Props.FlowFresh
-	for _, a := range []*Ages{&held.Newest, &held.Before} {
-		if a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound && a.Config.After(c.born) && (service == "" || c.r.Since(a.Parts[no]) < bound) {
-			return true
-		}
-	}
-	return false
-}
-
-// isNewest tells whether the chart was known to be the newest within that time.
-func (c *Client) isNewest(chart *Chart, bound time.Duration) bool {
-	held := c.ages.Load()
-	for _, a := range []*Ages{&held.Newest, &held.Before} {
-		if a.Epoch > 0 && a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound {
-			return true
-		}
-	}
-	return false
-}
-
-// Ages is what the shell shows.
-func (c *Client) Ages() Ages { return c.ages.Load().Newest }
-
-// tell writes an event when freshness of the configuration is lost or back.
-func (c *Client) tell() {
-	chart, ages := c.Cache.Chart(), c.Ages()
-	isFresh := chart != nil && chart.Epoch >= ages.Epoch && c.r.Since(ages.Config) < max(c.r.Props.FlowFresh, 3*c.r.Props.FlowPulse)
-	if isFresh != c.isFresh {
-		c.isFresh = isFresh
-		if isFresh {
-			c.r.Sign.Say(sign.FreshAgain, "epoch", uint64(ages.Epoch))
-		} else {
-			c.r.Sign.Say(sign.FreshLost, "epoch", uint64(ages.Epoch))
-		}
-	}
-}
--- /dev/null
+++ b/internal/flow/pack.go
@@ -0,0 +1,93 @@
+// What a fetch brings goes deflated to an asker that says it can read it: on a narrow
+// link a configuration of many routes, much alike, would fill the link for seconds, and
+// all that is small would wait behind it. What was packed is kept for the next asker.
+package flow
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+const (
+	packLeast = 2048 // bytes from which on groups are packed
+	packsKept = 16
+)
+
+// fetch asks for groups and unpacks them.
+func (c *Client) fetch(ctx context.Context, address string, ask *wire.FetchAsk) (*wire.FetchReceipt, error) {
+	ask.Packs = true
+	receipt := &wire.FetchReceipt{}
+	if err := c.w.Ask(ctx, address, "flow.fetch", ask, receipt); err != nil {
+		return nil, err
+	}
+	if len(receipt.Packed) == 0 {
+		return receipt, nil
+	}
+	groups, err := unpack(receipt.Packed, int64(c.r.Props.WireLine))
+	if err != nil {
+		return nil, fault.New(fault.BadMessage, "flow.fetch from %s: %v", address, err)
+	}
+	receipt.Groups, receipt.Packed = groups, nil
+	return receipt, nil
+}
+
+// pack replaces the groups of a receipt by their packed form, if that is shorter.
+func (s *Server) pack(receipt *wire.FetchReceipt) {
+	size, key := 0, strings.Builder{}
+	for _, name := range slices.Sorted(maps.Keys(receipt.Groups)) {
+		group := receipt.Groups[name]
+		size += len(group.Data) + targetSize*len(group.Put) + instanceSize*len(group.Gone)
+		// A version is not in the digest: the same text may come again under another.
+		stamp, _ := json.Marshal(group.Stamp)
+		key.WriteString(name + " " + group.Digest + " " + group.Base + " " + string(stamp) + "\n")
+	}
+	if size < packLeast {
+		return
+	}
+	s.mu.Lock()
+	packed, ok := s.packs[key.String()]
+	s.mu.Unlock()
+	if !ok {
+		raw, err := json.Marshal(receipt.Groups)
+		if err != nil {
+			return
+		}
+		packed = deflate(raw)
+		s.mu.Lock()
+		if len(s.packs) >= packsKept || s.packs == nil {
+			s.packs = map[string][]byte{}
+		}
+		s.packs[key.String()] = packed
+		s.mu.Unlock()
+	}
+	receipt.Groups, receipt.Packed = nil, packed
+}
+
+func deflate(raw []byte) []byte {
+	out := &bytes.Buffer{}
+	w, _ := flate.NewWriter(out, flate.BestSpeed)
+	w.Write(raw)
+	w.Close()
+	return out.Bytes()
+}
+
+func unpack(packed []byte, limit int64) (map[string]wire.Group, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(raw)) > limit {
+		return nil, fault.New(fault.LineTooLong, "over %d bytes", limit)
+	}
+	var groups map[string]wire.Group
+	return groups, json.Unmarshal(raw, &groups)
+}
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -35,6 +35,7 @@
 	running *relay
 	waiting *relay
 	deltas  map[string]wire.Group
+	packs   map[string][]byte
 }
 
 // relay is one pulse to the owner, shared by all proxies that wait for it.
@@ -59,7 +60,11 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		return s.fetch(&ask), nil
+		receipt := s.fetch(&ask)
+		if ask.Packs {
+			s.pack(receipt)
+		}
+		return receipt, nil
 	})
 	w.Handle("flow.pulse", func(c *wire.Call) (any, error) { return s.pulse(c) })
 	return s
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -29,6 +29,7 @@
 	isRepeatable bool
 	key          uint64
 	isRepeat     bool
+	isRead       bool // some of the body may have been read
 	claim        string
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -100,7 +100,7 @@
 	}
 	c, got, err := g.handle(w, r, id, n)
 	if err != nil {
-		g.refuse(w, orderOf(r), err)
+		g.refuse(w, r, c, err)
 		return
 	}
 	g.pass(w, c, got)
@@ -123,16 +123,16 @@
 		w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
 	}
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	done, err := g.gate(c)
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	defer done()
 	if err := g.claim(c); err != nil {
 		g.orders.End(c.key, how(err))
-		return nil, nil, err
+		return c, nil, err
 	}
 	got, err := g.carry(c, r)
 	g.orders.End(c.key, how(err))
@@ -240,7 +240,7 @@
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
 	ctx, end := context.WithDeadline(g.r, c.deadline)
 	defer end()
-	body, isWhole, err := g.body(c, r)
+	body, isWhole, err := g.body(ctx, c, r)
 	if err != nil {
 		return nil, err
 	}
@@ -252,7 +252,7 @@
 	sent, misses := 0, 0
 	isWritten := false
 	for sent < most && misses < targetsMost {
-		if !g.lane.await(ctx, r.ContentLength) {
+		if len(c.tried) > 0 && !g.lane.await(ctx, r.ContentLength, c.deadline) {
 			break
 		}
 		p := g.assign(c, r.ContentLength)
@@ -322,9 +322,9 @@
 
 // refuse answers at once, and spreads the time to come back. What is said is
 // true of the order, if the request bore a key and the order is known here.
-func (g *Gate) refuse(w http.ResponseWriter, key uint64, err error) {
+func (g *Gate) refuse(w http.ResponseWriter, r *http.Request, c *course, err error) {
 	p := fault.Of(err)
-	if key != 0 {
+	if key := orderOf(r); key != 0 {
 		p = ofOrder(g.orders.Of(key), p)
 	}
 	g.note(p.Code.Name)
@@ -346,8 +346,14 @@
 	if status == 499 {
 		status = http.StatusBadGateway
 	}
+	text, _ := json.Marshal(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
+	text = append(text, '\n')
+	isUnread := r.ContentLength != 0 && isLarge(r.ContentLength) && (c == nil || !c.isRead)
+	if isUnread && g.lane.rate > 0 && g.leave(w, status, text) {
+		return
+	}
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
+	w.Write(text)
 }
 
 // comeBack spreads the time to come back over one to three times the least, in
--- a/internal/gate/lane_test.go
+++ b/internal/gate/lane_test.go
@@ -1,23 +1,48 @@
 package gate
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
 )
 
 func TestLargeBodiesTakeTheLaneInTurn(t *testing.T) {
 	l, now := newLane(100, 1), time.Now()
-	if at := l.turn(now, 50_000); at != now {
-		t.Error("the first waits", at.Sub(now))
+	late := now.Add(time.Hour)
+	reserve := func(at time.Time, size int64) time.Duration {
+		got, ok := l.reserve(at, size, late)
+		if !ok {
+			t.Error("no place for", size)
+		}
+		return got.Sub(at)
+	}
+	if d := reserve(now, 50_000); d != 0 {
+		t.Error("the first waits", d)
+	}
+	if d := reserve(now, 50_000); d != 500*time.Millisecond {
+		t.Error("the second goes after", d)
 	}
-	if at := l.turn(now, 50_000); at.Sub(now) != 500*time.Millisecond {
-		t.Error("the second goes out after", at.Sub(now))
+	if d := reserve(now, 400); d != 0 {
+		t.Error("a small one waits", d)
 	}
-	if at := l.turn(now, 400); at != now {
-		t.Error("a small one waits")
+	if _, ok := l.reserve(now, 50_000, now.Add(999*time.Millisecond)); ok {
+		t.Error("one that comes too late got a place")
 	}
-	if at := l.turn(now.Add(2*time.Second), 50_000); at != now.Add(2*time.Second) {
-		t.Error("an empty lane holds one up")
+	if d := reserve(now, 50_000); d != time.Second {
+		t.Error("the refused one took a place: the next goes after", d)
+	}
+	if d := reserve(now.Add(2*time.Second), 50_000); d != 0 {
+		t.Error("an empty lane holds one up", d)
 	}
 	end, ok := l.begin(50_000, now.Add(time.Hour))
 	if !ok {
@@ -34,7 +59,70 @@
 		t.Error("the place was not given back")
 	}
 	free := newLane(0, 0)
-	if _, ok := free.begin(1<<20, now); !ok || free.turn(now, 1<<20) != now {
+	if _, ok := free.begin(1<<20, now); !ok {
 		t.Error("a lane without bounds bounds")
 	}
+	if at, ok := free.reserve(now, 1<<20, now); !ok || at != now {
+		t.Error("a lane without bounds holds up")
+	}
+}
+
+// counting counts what is read from a connection.
+type counting struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c counting) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+type countingListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return counting{conn, l.n}, err
+}
+
+// A refused upload must cost the link next to nothing: its answer comes before its
+// body, and its body is left unread.
+func TestARefusedUploadIsLeftUnread(t *testing.T) {
+	r := realm.New(t.Context(), &props.Props{GateReturn: time.Second}, sign.New(io.Discard, "info", "n"), realm.Net{})
+	g := &Gate{r: r, lane: newLane(100, 1)}
+	n := &atomic.Int64{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		g.refuse(w, q, nil, fault.New(fault.Overload, "no place"))
+	}))
+	server.Listener = countingListener{server.Listener, n}
+	server.Start()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		io.WriteString(conn, "POST /upload HTTP/1.1\r\nHost: a.example\r\nContent-Length: 200000\r\n\r\n")
+		conn.Write(make([]byte, 200_000))
+	}()
+	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" || !got.Close {
+		t.Error("refused with", got.Status, got.Header)
+	}
+	body, err := io.ReadAll(got.Body)
+	if err != nil || int64(len(body)) != got.ContentLength {
+		t.Error("the answer is not whole", err)
+	}
+	conn.Close()
+	r.End()
+	server.Close()
+	if read := n.Load(); read > 8192 {
+		t.Error("of the refused body", read, "bytes were read")
+	}
 }
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -23,7 +23,7 @@
 
 // body reads small bodies, so that they can be sent again; others stream. Where
 // targets can't be asked whether they want a body, it is read whole in any case.
-func (g *Gate) body(c *course, r *http.Request) (func() io.Reader, bool, error) {
+func (g *Gate) body(ctx context.Context, c *course, r *http.Request) (func() io.Reader, bool, error) {
 	most := int64(g.r.Props.GateRequest)
 	if manners := c.chart.Manners; manners != nil && manners.Body > 0 {
 		most = min(most, manners.Body)
@@ -34,11 +34,16 @@
 	if r.ContentLength == 0 {
 		return func() io.Reader { return nil }, true, nil
 	}
-	done, ok := g.lane.begin(r.ContentLength, c.deadline)
+	limit := c.latest(time.Now())
+	if !g.lane.await(ctx, r.ContentLength, limit) {
+		return nil, false, fault.New(fault.Overload, "the link has no place for %d bytes in time", r.ContentLength)
+	}
+	done, ok := g.lane.begin(r.ContentLength, limit)
 	if !ok {
 		return nil, false, fault.New(fault.Overload, "too many large bodies at once")
 	}
 	defer done()
+	c.isRead = true
 	if r.ContentLength > 0 && (r.ContentLength <= smallBody || g.isPlain) {
 		whole := make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, whole); err != nil {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -69,10 +69,12 @@
 	HeaderUnrun    string        // header by which a target says that it did not run the request
 	HeaderWeight   string        // header by which a target tells what it has to do: requests running, waiting, and its slots
 	GateReturn     time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
-	GateRate       int           // kilobytes a second at which large request bodies go out together; 0 is no bound
+	GateRate       int           // kilobytes a second of the link, in each direction, that large request bodies may take together; 0 is no bound
 	GateBodies     int           // how many large request bodies are read at once; 0 is no bound
 	GateWait       time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
 	WireDial       time.Duration // time for a connection to another process
+	WireDeaf       time.Duration // for how long nothing may come over a connection to another process while an ask waits, before it is given up
+	GateWindow     int           // receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own
 }
 
 var table = []entry{
@@ -139,8 +141,10 @@
 	{key: "header.unrun", kind: "string", fallback: "Sumac-Not-Run", low: "", high: "", doc: "header by which a target says that it did not run the request", set: func(p *Props, v any) { p.HeaderUnrun = v.(string) }},
 	{key: "header.weight", kind: "string", fallback: "Sumac-Weight", low: "", high: "", doc: "header by which a target tells what it has to do: requests running, waiting, and its slots", set: func(p *Props, v any) { p.HeaderWeight = v.(string) }},
 	{key: "gate.return", kind: "duration", fallback: "1s", low: "10ms", high: "1m", doc: "the least that Retry-After asks for, spread over three times that; below a second it is told in fractions", set: func(p *Props, v any) { p.GateReturn = v.(time.Duration) }},
-	{key: "gate.rate", kind: "int", fallback: "0", low: "0", high: "100000000", doc: "kilobytes a second at which large request bodies go out together; 0 is no bound", set: func(p *Props, v any) { p.GateRate = v.(int) }},
+	{key: "gate.rate", kind: "int", fallback: "0", low: "0", high: "100000000", doc: "kilobytes a second of the link, in each direction, that large request bodies may take together; 0 is no bound", set: func(p *Props, v any) { p.GateRate = v.(int) }},
 	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
 	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
 	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
+	{key: "wire.deaf", kind: "duration", fallback: "300ms", low: "50ms", high: "30s", doc: "for how long nothing may come over a connection to another process while an ask waits, before it is given up", set: func(p *Props, v any) { p.WireDeaf = v.(time.Duration) }},
+	{key: "gate.window", kind: "int", fallback: "0", low: "0", high: "1073741824", doc: "receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own", set: func(p *Props, v any) { p.GateWindow = v.(int) }},
 }
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -217,6 +217,14 @@
 		return fault.New(fault.BadProps, "%s: %v", key, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, BaseContext: func(net.Listener) context.Context { return n.R }}
+	if key == "gate.address" && n.R.Props.GateWindow > 0 {
+		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			if c, ok := conn.(interface{ SetReadBuffer(int) error }); ok {
+				c.SetReadBuffer(n.R.Props.GateWindow)
+			}
+			return ctx
+		}
+	}
 	n.mu.Lock()
 	n.servers = append(n.servers, server)
 	n.mu.Unlock()
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -270,10 +270,11 @@
 	Removed []string         `json:"removed,omitempty"`
 }
 
-// FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do.
+// FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do; packs tells that the asker reads packed groups.
 type FetchAsk struct {
 	Groups []string          `json:"groups,omitempty"`
 	Held   map[string]string `json:"held,omitempty"`
+	Packs  bool              `json:"packs,omitempty"`
 }
 
 // Group is one configuration group; of a target list it may be what differs from the one with the digest named as base.
@@ -286,11 +287,12 @@
 	Gone   []string        `json:"gone,omitempty"`
 }
 
-// FetchReceipt is groups of one epoch, with the manifest if all were asked for.
+// FetchReceipt is groups of one epoch, with the manifest if all were asked for; packed is the groups, deflated.
 type FetchReceipt struct {
 	Epoch    mark.Epoch       `json:"epoch"`
 	Manifest map[string]Held  `json:"manifest,omitempty"`
 	Groups   map[string]Group `json:"groups,omitempty"`
+	Packed   []byte           `json:"packed,omitempty"`
 }
 
 // PulseAsk renews freshness.
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -30,12 +30,21 @@
 	lastGot time.Time
 }
 
-// A pipe on which nothing came for the length of an ask that ran out of time is
-// dropped: a connection that lived through a cut may otherwise stay silent for
-// as long as TCP's own growing pauses last.
-const (
-	deafTime = 300 * time.Millisecond
-)
+// heard notes each byte that comes. A pipe on which none came for the length of an ask
+// that ran out of time is dropped: a connection that lived through a cut may otherwise
+// stay silent for as long as TCP's own growing pauses last. One that is in the midst of
+// a long receipt is not: that would begin anew, and fill the link that made it late.
+type heard struct{ p *pipe }
+
+func (h heard) Read(to []byte) (int, error) {
+	n, err := h.p.conn.Read(to)
+	if n > 0 {
+		h.p.mu.Lock()
+		h.p.lastGot = time.Now()
+		h.p.mu.Unlock()
+	}
+	return n, err
+}
 
 func (w *Wire) pipe(ctx context.Context, address string) (*pipe, error) {
 	w.mu.Lock()
@@ -76,7 +85,7 @@
 		return
 	}
 	close(p.ready)
-	reader := bufio.NewReaderSize(conn, 16<<10)
+	reader := bufio.NewReaderSize(heard{p}, 16<<10)
 	for {
 		line, err := readLine(reader, p.w.r.Props.WireLine)
 		if err != nil {
@@ -87,7 +96,6 @@
 			break
 		}
 		p.mu.Lock()
-		p.lastGot = time.Now()
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -152,7 +160,7 @@
 	case <-ctx.Done():
 		p.mu.Lock()
 		delete(p.waiting, frame.Id)
-		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > deafTime
+		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > p.w.r.Props.WireDeaf
 		p.mu.Unlock()
 		if isDeaf {
 			p.close()
