After a loss of all: a pre-vote, and parts are owned once a majority is back

Now a member that has heard nobody since its start asks all others; where a majority answers and none knows of an owner, the first of them stands at once. Terms don't rise by asking, and whoever owns a part, heard its owner or promised it a moment ago says so.

--- /dev/null
+++ b/internal/dream/prevote_test.go
@@ -0,0 +1,80 @@
+// Standing early: a core that lost all its processes owns its parts soon after the
+// last of them is back, and a member that comes back alone takes nothing from others.
+package dream
+
+import (
+	"bytes"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+)
+
+// served is how many parts have an owner that serves.
+func served(f *Fleet) (n int) {
+	for no := range mark.Parts + 1 {
+		if ownerOf(f, mark.Part(no), nil) != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func TestACoreThatReturnsAsAWholeSoonOwnsItsParts(t *testing.T) {
+	for _, shape := range []Shape{Small(), five()} {
+		inFleet(t, shape, func(t *testing.T, f *Fleet) {
+			for i := range 8 {
+				for _, m := range f.Cores() {
+					m.Kill(i%2 == 0)
+				}
+				time.Sleep(800 * time.Millisecond)
+				for _, m := range f.Cores() {
+					f.up(m)
+				}
+				back := time.Now()
+				for served(f) < mark.Parts+1 && time.Since(back) < 10*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if took := time.Since(back); took > 450*time.Millisecond {
+					t.Error("the parts were owned after", took)
+				}
+				time.Sleep(3 * time.Second)
+			}
+		})
+	}
+}
+
+// seized counts parts that were taken from an owner, not passed on by it.
+type seized struct{ n atomic.Int64 }
+
+func (s *seized) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(`"event":304`)) && !bytes.Contains(line, []byte("handed over")) {
+		s.n.Add(1)
+	}
+	return len(line), nil
+}
+
+func TestAMemberThatComesBackAloneTakesNothing(t *testing.T) {
+	inFleet(t, five(), func(t *testing.T, f *Fleet) {
+		var taken seized
+		f.Log = &taken // heard from whoever starts from now on
+		time.Sleep(3 * time.Second)
+		for _, m := range f.Cores() {
+			m.Kill(true)
+			time.Sleep(4 * time.Second)
+			f.up(m)
+			time.Sleep(time.Second)
+		}
+		for _, m := range f.Cores() {
+			m.Kill(true)
+			time.Sleep(4 * time.Second)
+			before := taken.n.Load()
+			f.up(m)
+			time.Sleep(time.Second)
+			if n := taken.n.Load() - before; n > 0 {
+				t.Errorf("%s came back, and %d parts changed their owner", m.Name, n)
+			}
+		}
+	})
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -48,6 +49,8 @@
 	isBusy  map[mark.Part]bool
 	isGoing bool
 	Ready   chan struct{}
+
+	isAsking atomic.Bool
 }
 
 type claimed struct {
@@ -89,6 +92,7 @@
 		}
 		return part.promise(ask)
 	})
+	handle(w, "pact.prevote", func(c *wire.Call, ask *wire.PrevoteAsk) (any, error) { return p.spoken(ask), nil })
 	handle(w, "pact.append", func(c *wire.Call, ask *wire.AppendAsk) (any, error) {
 		part, err := p.part(ask.Part)
 		if err != nil {
@@ -208,6 +212,7 @@
 		}
 		p.keepRounds()
 		p.showKeeping()
+		p.prevote()
 		isStalled := p.store.Stalled() > time.Second
 		for _, part := range p.parts {
 			if isStalled {
--- /dev/null
+++ b/internal/pact/prevote.go
@@ -0,0 +1,122 @@
+// Standing early after a start. A member that has heard no owner since it started
+// asks all members of its parts whether they know of one (a pre-vote: nothing is
+// promised by it, and no term rises). Only where a majority answers, and everyone who
+// answers knows of none, does the first of them in the agreed order stand at once;
+// else the silence is awaited as ever. So nobody takes a part from a working owner,
+// and a fleet that lost all its processes does not wait for owners that are gone.
+package pact
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// prevoteTime is how long the members are waited for.
+const prevoteTime = 100 * time.Millisecond
+
+// isUnheard tells whether this member knows of no owner and of nobody who stands,
+// and has not waited long enough to stand without having asked.
+func (t *Part) isUnheard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.isOwner && holds(t.group, t.p.me) && t.heard.IsZero() && t.matchIn == mark.Term{}
+}
+
+// isSpoken tells whether this member owns the part, heard its owner of late, or
+// promised it to somebody a moment ago.
+func (t *Part) isSpoken() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	silence := t.p.r.Props.PactSilence
+	isHeard := !t.heard.IsZero() && t.p.r.Since(t.heard) < silence*3/4
+	isPromised := t.matchIn != mark.Term{} && t.p.r.Since(t.since) < silence/2
+	return t.isOwner || isHeard || isPromised
+}
+
+// spoken answers a pre-vote.
+func (p *Pact) spoken(ask *wire.PrevoteAsk) *wire.PrevoteReceipt {
+	receipt := &wire.PrevoteReceipt{From: p.me}
+	for _, no := range ask.Parts {
+		if t, err := p.part(no); err != nil || t.isSpoken() {
+			receipt.Spoken = append(receipt.Spoken, no)
+		}
+	}
+	return receipt
+}
+
+// prevote asks for all parts that nobody was heard of, one round at a time.
+func (p *Pact) prevote() {
+	var parts []mark.Part
+	for _, t := range p.parts {
+		if t.isUnheard() {
+			parts = append(parts, t.no)
+		}
+	}
+	if len(parts) == 0 || p.IsGoing() || !p.isAsking.CompareAndSwap(false, true) {
+		return
+	}
+	p.r.Go(func() {
+		defer p.isAsking.Store(false)
+		receipts := p.askPrevote(parts)
+		for _, no := range parts {
+			if t := p.parts[no]; t.isUnheard() && t.isFree(receipts) {
+				p.once(no, func() { t.stand(false) })
+			}
+		}
+	})
+}
+
+func (p *Pact) askPrevote(parts []mark.Part) map[wire.Peer]*wire.PrevoteReceipt {
+	ctx, end := context.WithTimeout(p.r, prevoteTime)
+	defer end()
+	var cores []wire.Member
+	for _, m := range p.k.Cores() {
+		if m.Name != p.r.Name {
+			cores = append(cores, m)
+		}
+	}
+	answers := make(chan *wire.PrevoteReceipt, len(cores))
+	for _, m := range cores {
+		p.r.Go(func() {
+			receipt := &wire.PrevoteReceipt{}
+			if p.w.Ask(ctx, m.Wire, "pact.prevote", &wire.PrevoteAsk{Parts: parts}, receipt) != nil {
+				receipt = nil
+			}
+			answers <- receipt
+		})
+	}
+	receipts := map[wire.Peer]*wire.PrevoteReceipt{}
+	for range cores {
+		if receipt := <-answers; receipt != nil {
+			receipts[receipt.From] = receipt
+		}
+	}
+	return receipts
+}
+
+// isFree tells whether a majority answered, all who did know of no owner, and this
+// member is the first of them.
+func (t *Part) isFree(receipts map[wire.Peer]*wire.PrevoteReceipt) bool {
+	t.mu.Lock()
+	group := t.group
+	t.mu.Unlock()
+	var there []wire.Peer
+	for _, peer := range group {
+		receipt := receipts[peer]
+		if peer != t.p.me && receipt == nil {
+			continue
+		}
+		if receipt != nil {
+			for _, no := range receipt.Spoken {
+				if no == t.no {
+					return false
+				}
+			}
+		}
+		there = append(there, peer)
+	}
+	return len(there) > len(group)/2 && Order(t.no, there)[0] == t.p.me
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -95,6 +95,17 @@
 	Entries  []Entry    `json:"entries,omitempty"`
 }
 
+// PrevoteAsk asks a member which of these parts it knows an owner of, or somebody who stands.
+type PrevoteAsk struct {
+	Parts []mark.Part `json:"parts"`
+}
+
+// PrevoteReceipt names the parts that are spoken for, as far as a member knows.
+type PrevoteReceipt struct {
+	From   Peer        `json:"from"`
+	Spoken []mark.Part `json:"spoken,omitempty"`
+}
+
 // Snapshot is a part's whole state at an index.
 type Snapshot struct {
 	Index mark.Stamp      `json:"index"`
