After a loss of all: seeds asked at once, hanging dials tried again beside, pre-votes in rounds

And pre-votes waited 0.1 s for members that were not up, and a whole tick until the next.

Now the seeds are asked at once, and again after 0.1 s while none answers; a dial that hangs is tried again beside itself, three times in wire.dial at most; the first fetch is tried again after 60 ms; pre-votes run in rounds 30 ms apart until no part is unheard of, and wait 30 ms for the others once one member has answered.

Ruled out: the fetch itself (some 10 ms from the owner's first entry to the epoch).

--- a/internal/dream/kin_test.go
+++ b/internal/dream/kin_test.go
@@ -39,3 +39,22 @@
 		}
 	})
 }
+
+// A seed that says nothing keeps nobody from asking the others.
+func TestAProxyWhoseFirstSeedIsSilentSoonKnowsTheFleet(t *testing.T) {
+	inFleet(t, Small(), func(t *testing.T, f *Fleet) {
+		silent := f.Cores()[0]
+		late := f.Add("late", 1, false, true)
+		f.W.Cut(silent.IP, late.IP)
+		f.W.Cut(late.IP, silent.IP)
+		f.up(late)
+		began := time.Now()
+		for len(late.Node().Kin.Cores()) < 3 && time.Since(began) < 5*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(began); took > 200*time.Millisecond {
+			t.Error("it knew the core after", took)
+		}
+		f.W.Heal()
+	})
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -31,6 +31,7 @@
 const (
 	nearPause    = 40 * time.Millisecond
 	catchUpPause = 100 * time.Millisecond
+	firstPause   = 60 * time.Millisecond // between tries of the first fetch: without it nothing is served
 )
 
 // Client is one proxy's.
@@ -65,7 +66,7 @@
 	}
 	c.r.Go(func() {
 		for !c.fetchAll() {
-			if !c.r.Pause(realm.Jitter(c.r.Props.FlowRetry)) {
+			if !c.r.Pause(realm.Jitter(min(c.r.Props.FlowRetry, firstPause))) {
 				return
 			}
 		}
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -14,6 +14,9 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
+// seekPause is how soon the seeds are asked again while none has answered.
+const seekPause = 100 * time.Millisecond
+
 // sync exchanges whole lists: with the seeds until one answers, and with a
 // random member from time to time.
 func (k *Kin) sync() {
@@ -40,12 +43,10 @@
 				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
-		for _, address := range addresses {
-			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
-				isIn = true
-			}
+		if k.syncAny(addresses) {
+			isIn = true
 		}
-		pause := 300 * time.Millisecond
+		pause := seekPause
 		if isIn {
 			pause = realm.Jitter(10 * time.Second)
 			if len(k.View()) < 3 || len(k.lost()) > 0 {
@@ -58,6 +59,26 @@
 	}
 }
 
+// syncAny exchanges with all of them at once, for one that is down says nothing for
+// as long as a dial may take, and is true as soon as one has answered.
+func (k *Kin) syncAny(addresses []string) bool {
+	answers := make(chan bool, len(addresses))
+	asked := 0
+	for _, address := range addresses {
+		if address == k.r.Props.WireAddress || address == k.r.Props.WireAdvertise {
+			continue
+		}
+		asked++
+		k.r.Go(func() { answers <- k.Sync(address) })
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 // lost is the addresses of members that went down of late without a word: each
 // side of a healed cut holds the other for down, and neither probes it.
 func (k *Kin) lost() (addresses []string) {
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -49,8 +48,6 @@
 	isBusy  map[mark.Part]bool
 	isGoing bool
 	Ready   chan struct{}
-
-	isAsking atomic.Bool
 }
 
 type claimed struct {
@@ -178,6 +175,7 @@
 // Open starts the tasks; kin and wire are open already.
 func (p *Pact) Open() {
 	p.r.Go(p.tend)
+	p.r.Go(p.prevotes)
 	p.r.Go(p.repair)
 }
 
@@ -212,7 +210,6 @@
 		}
 		p.keepRounds()
 		p.showKeeping()
-		p.prevote()
 		isStalled := p.store.Stalled() > time.Second
 		for _, part := range p.parts {
 			if isStalled {
--- a/internal/pact/prevote.go
+++ b/internal/pact/prevote.go
@@ -11,11 +11,17 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-// prevoteTime is how long the members are waited for.
-const prevoteTime = 100 * time.Millisecond
+// How long all members are waited for, and how long the others are once one has
+// answered; and the pause between two rounds.
+const (
+	prevoteTime  = 100 * time.Millisecond
+	prevoteMore  = 30 * time.Millisecond
+	prevotePause = 30 * time.Millisecond
+)
 
 // isUnheard tells whether this member knows of no owner and of nobody who stands,
 // and has not waited long enough to stand without having asked.
@@ -47,26 +53,31 @@
 	return receipt
 }
 
-// prevote asks for all parts that nobody was heard of, one round at a time.
-func (p *Pact) prevote() {
-	var parts []mark.Part
-	for _, t := range p.parts {
-		if t.isUnheard() {
-			parts = append(parts, t.no)
-		}
-	}
-	if len(parts) == 0 || p.IsGoing() || !p.isAsking.CompareAndSwap(false, true) {
+// prevotes asks in rounds for the parts that nobody was heard of, until there is
+// none: whoever has waited for the whole silence stands without having asked.
+func (p *Pact) prevotes() {
+	select {
+	case <-p.Ready:
+	case <-p.r.Done():
 		return
 	}
-	p.r.Go(func() {
-		defer p.isAsking.Store(false)
+	for p.r.Pause(realm.Jitter(prevotePause)) && !p.IsGoing() {
+		var parts []mark.Part
+		for _, t := range p.parts {
+			if t.isUnheard() {
+				parts = append(parts, t.no)
+			}
+		}
+		if len(parts) == 0 {
+			return
+		}
 		receipts := p.askPrevote(parts)
 		for _, no := range parts {
 			if t := p.parts[no]; t.isUnheard() && t.isFree(receipts) {
 				p.once(no, func() { t.stand(false) })
 			}
 		}
-	})
+	}
 }
 
 func (p *Pact) askPrevote(parts []mark.Part) map[wire.Peer]*wire.PrevoteReceipt {
@@ -89,9 +100,21 @@
 		})
 	}
 	receipts := map[wire.Peer]*wire.PrevoteReceipt{}
+	var late <-chan time.Time
 	for range cores {
-		if receipt := <-answers; receipt != nil {
+		select {
+		case receipt := <-answers:
+			if receipt == nil {
+				continue
+			}
 			receipts[receipt.From] = receipt
+			if late == nil {
+				wakeup := time.NewTimer(prevoteMore)
+				defer wakeup.Stop()
+				late = wakeup.C
+			}
+		case <-late:
+			return receipts
 		}
 	}
 	return receipts
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -59,9 +59,7 @@
 }
 
 func (p *pipe) run() {
-	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
-	conn, err := p.w.r.Net.Dial(ctx, p.address)
-	end()
+	conn, err := p.dial()
 	if err != nil {
 		p.problem = fault.New(fault.Unreached, "%s: %v", p.address, err)
 		p.forget()
@@ -98,6 +96,51 @@
 	p.close()
 }
 
+// dials is how many connections are tried for one pipe: a machine that was down when
+// the first was asked for is asked again by the system only after a second.
+const dials = 3
+
+// dial opens a connection. While none is there and none was refused, another is tried
+// beside it after a part of the time; the first that opens is the pipe's.
+func (p *pipe) dial() (net.Conn, error) {
+	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
+	defer end()
+	type opened struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan opened, dials)
+	begin := func() {
+		p.w.r.Go(func() {
+			conn, err := p.w.r.Net.Dial(ctx, p.address)
+			results <- opened{conn, err}
+		})
+	}
+	again := time.NewTicker(p.w.r.Props.WireDial / dials)
+	defer again.Stop()
+	begin()
+	begun := 1
+	for {
+		select {
+		case got := <-results:
+			left := begun - 1
+			p.w.r.Go(func() {
+				for range left {
+					if late := <-results; late.conn != nil {
+						late.conn.Close()
+					}
+				}
+			})
+			return got.conn, got.err
+		case <-again.C:
+			if begun < dials {
+				begin()
+				begun++
+			}
+		}
+	}
+}
+
 func (p *pipe) forget() {
 	p.w.mu.Lock()
 	if p.w.pipes[p.address] == p {
