A planner that has just started keeps the shares of proxies it has not met

Cause: the planner takes the shares from who seems there; one that went keeps its share for plan.linger, but a planner that has just started doesn't know that anybody went.

Now, for plan.linger after its start, whoever it has not met keeps the share of the epoch in force. Ruled out: target lists (young owners keep them: no group but the shares differed).

Test: no epoch after a return of all (seen failing: four to five epochs each time).

--- a/internal/dream/prevote_test.go
+++ b/internal/dream/prevote_test.go
@@ -78,3 +78,32 @@
 		}
 	})
 }
+
+// A planner that has just started knows nobody yet; the proxies that it has not met keep
+// their shares for as long as those that went, so that no epoch is made of its ignorance.
+func TestACoreThatReturnsAsAWholeMakesNoEpochOfIt(t *testing.T) {
+	shape := Small()
+	shape.Proxies = 6
+	shape.Settings["plan.keep"], shape.Settings["plan.settle"], shape.Settings["plan.linger"] = "true", "3s", "30s"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		epoch := f.Of("proxy1").Node().Flow.Cache.Chart().Epoch
+		for range 4 {
+			for _, m := range f.Machines {
+				m.Kill(true)
+			}
+			time.Sleep(800 * time.Millisecond)
+			for _, m := range append(f.Cores(), f.Proxies()...) {
+				if m.IsProxy {
+					time.Sleep(150 * time.Millisecond)
+				}
+				f.up(m)
+			}
+			time.Sleep(6 * time.Second)
+			if now := f.Of("proxy1").Node().Flow.Cache.Chart().Epoch; now != epoch {
+				t.Errorf("epoch %d became %d", epoch, now)
+				epoch = now
+			}
+		}
+	})
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -242,6 +242,16 @@
 			shares[name] = m.Strength
 		}
 	}
+	if l.r.Since(l.zero) < l.r.Props.PlanLinger {
+		// Whoever has just started does not know yet who is there.
+		var before map[mark.Name]int
+		json.Unmarshal(l.ledger.Sheet().Groups[Shares].Data, &before)
+		for name, strength := range before {
+			if _, isKnown := l.k.View()[name]; !isKnown {
+				shares[name] = strength
+			}
+		}
+	}
 	raw, _ := json.Marshal(shares)
 	return raw
 }
