Revert "Rounds and appends leave out the names and terms that the message tells already"

Ruled out: keeping both forms now (the version that a peer speaks is told by no message yet; that belongs to the rolling upgrade, where the short form can come back behind it).

--- a/internal/pact/claims.go
+++ b/internal/pact/claims.go
@@ -32,10 +32,7 @@
 		r.no = rand.Uint64() >> 2
 	}
 	r.no++
-	ask := &wire.RoundAsk{No: r.no, Base: r.heard.no}
-	if ask.Base == 0 {
-		ask.From = &from
-	}
+	ask := &wire.RoundAsk{From: from, No: r.no, Base: r.heard.no}
 	now := byPart(claims)
 	for _, c := range claims {
 		if old, ok := r.heard.claims[c.Part]; !ok || old != c {
@@ -58,27 +55,19 @@
 	}
 }
 
-// whole is who sent a message, and all that it claims; false if its base is not the
-// last heard.
-func (p *Pact) whole(ask *wire.RoundAsk) (from wire.Peer, claims map[mark.Part]wire.Claim, ok bool) {
+// whole is all that a message claims; false if its base is not the last heard.
+func (p *Pact) whole(ask *wire.RoundAsk) (map[mark.Part]wire.Claim, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	last := p.sayings[ask.From]
+	if ask.Base != 0 && last.no != ask.Base {
+		return nil, false
+	}
 	set := map[mark.Part]wire.Claim{}
 	if ask.Base != 0 {
-		for peer, last := range p.sayings {
-			if last.no != ask.Base {
-				continue
-			}
-			from, ok = peer, true
-			for no, c := range last.claims {
-				set[no] = c
-			}
+		for no, c := range last.claims {
+			set[no] = c
 		}
-	} else if ask.From != nil {
-		from, ok = *ask.From, true
-	}
-	if !ok {
-		return from, nil, false
 	}
 	for _, no := range ask.Gone {
 		delete(set, no)
@@ -86,6 +75,6 @@
 	for _, c := range ask.Claims {
 		set[c.Part] = c
 	}
-	p.sayings[from] = saying{no: ask.No, claims: set}
-	return from, set, true
+	p.sayings[ask.From] = saying{no: ask.No, claims: set}
+	return set, true
 }
--- a/internal/pact/feed.go
+++ b/internal/pact/feed.go
@@ -134,7 +134,7 @@
 			}
 			continue
 		}
-		ask := &wire.AppendAsk{Part: t.no, Term: term, Commit: t.commit}
+		ask := &wire.AppendAsk{Part: t.no, Term: term, From: t.p.me, Commit: t.commit}
 		if next <= t.base.Index {
 			snapshot := t.base
 			ask.Snapshot, ask.Prev, ask.PrevTerm = &snapshot, t.base.Index, t.base.Term
@@ -158,11 +158,8 @@
 		}
 		limited, end := context.WithTimeout(ctx, feedTime)
 		var receipt wire.AppendReceipt
-		err := t.p.w.Ask(limited, m.Wire, "pact.append", shorten(ask), &receipt)
+		err := t.p.w.Ask(limited, m.Wire, "pact.append", ask, &receipt)
 		end()
-		if receipt.Promised == (mark.Term{}) {
-			receipt.Promised = term
-		}
 		if err != nil || receipt.From != peer {
 			pause(100 * time.Millisecond)
 			continue
@@ -198,37 +195,8 @@
 	return ok && term == s.Term
 }
 
-// shorten leaves out the terms that are the message's own, as most are. Nothing is
-// ever written under no term, so that what is left out can be told.
-func shorten(ask *wire.AppendAsk) *wire.AppendAsk {
-	short := *ask
-	if short.PrevTerm == ask.Term {
-		short.PrevTerm = mark.Term{}
-	}
-	short.Entries = append([]wire.Entry(nil), ask.Entries...)
-	for i := range short.Entries {
-		if short.Entries[i].Term == ask.Term {
-			short.Entries[i].Term = mark.Term{}
-		}
-	}
-	return &short
-}
-
-// restore puts back what shorten left out. Before the first entry there is no term.
-func restore(ask *wire.AppendAsk) {
-	if ask.PrevTerm == (mark.Term{}) && ask.Prev > 0 {
-		ask.PrevTerm = ask.Term
-	}
-	for i := range ask.Entries {
-		if ask.Entries[i].Term == (mark.Term{}) {
-			ask.Entries[i].Term = ask.Term
-		}
-	}
-}
-
 // accept is a member's answer to what it is fed.
 func (t *Part) accept(ask *wire.AppendAsk) (*wire.AppendReceipt, error) {
-	restore(ask)
 	t.mu.Lock()
 	receipt := &wire.AppendReceipt{From: t.p.me, Promised: t.promised}
 	if ask.Term.Less(t.promised) {
@@ -244,7 +212,7 @@
 	if t.matchIn != ask.Term {
 		t.matchIn, t.matched = ask.Term, 0
 	}
-	receipt.Promised = mark.Term{}
+	receipt.Promised = ask.Term
 	t.heard = t.p.r.Now()
 	if ask.Snapshot != nil && ask.Snapshot.Index > t.commit && !t.contains(ask.Snapshot) {
 		if err := t.install(w, ask.Snapshot); err != nil {
@@ -264,7 +232,7 @@
 	if err := t.adopt(w, ask.Entries); err != nil {
 		t.p.store.Hand(w)
 		if fault.Is(err, fault.Internal) {
-			t.broken(err.Error(), "from", string(ask.Term.Node))
+			t.broken(err.Error(), "from", string(ask.From.Name))
 		}
 		t.mu.Unlock()
 		return nil, err
@@ -274,6 +242,6 @@
 	t.matched = max(t.matched, receipt.Match)
 	t.advance(min(ask.Commit, t.matched))
 	t.mu.Unlock()
-	t.p.heardOf(t.no, ask.Term.Node, ask.Term)
+	t.p.heardOf(t.no, ask.From.Name, ask.Term)
 	return receipt, w.Wait()
 }
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -116,7 +116,7 @@
 		ask := r.ask(p.me, claims)
 		err := p.w.Ask(limited, m.Wire, "pact.round", ask, &receipt)
 		end()
-		if err != nil || receipt.No != ask.No || !isFrom(&receipt, peer, ask.Base) {
+		if err != nil || receipt.From != peer || receipt.No != ask.No {
 			continue
 		}
 		r.took(ask, claims, receipt.Lost)
@@ -131,16 +131,6 @@
 	}
 }
 
-// isFrom tells whether a receipt is a member's word. One without a name answers a
-// message with a base; that is known only to the life of the member that heard it, and
-// named itself then.
-func isFrom(receipt *wire.RoundReceipt, peer wire.Peer, base uint64) bool {
-	if receipt.From == nil {
-		return base != 0
-	}
-	return *receipt.From == peer
-}
-
 func (p *Pact) claims() (claims []wire.Claim) {
 	for _, t := range p.parts {
 		t.mu.Lock()
@@ -176,11 +166,8 @@
 
 // hear answers a round.
 func (p *Pact) hear(ask *wire.RoundAsk) *wire.RoundReceipt {
-	receipt := &wire.RoundReceipt{No: ask.No}
-	if ask.Base == 0 {
-		receipt.From = &p.me
-	}
-	from, claims, ok := p.whole(ask)
+	receipt := &wire.RoundReceipt{From: p.me, No: ask.No}
+	claims, ok := p.whole(ask)
 	if !ok {
 		receipt.Lost = true
 		return receipt
@@ -202,7 +189,7 @@
 		}
 		t.mu.Unlock()
 		if claim.Serving {
-			p.heardOf(claim.Part, from.Name, claim.Term)
+			p.heardOf(claim.Part, ask.From.Name, claim.Term)
 		}
 	}
 	return receipt
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -69,7 +69,7 @@
 // Entry is one entry of a part's log.
 type Entry struct {
 	Index mark.Stamp      `json:"index"`
-	Term  mark.Term       `json:"term,omitzero"`
+	Term  mark.Term       `json:"term"`
 	Kind  string          `json:"kind,omitempty"`
 	Group []Peer          `json:"group,omitempty"`
 	Body  json.RawMessage `json:"body,omitempty"`
@@ -114,22 +114,23 @@
 	State json.RawMessage `json:"state"`
 }
 
-// AppendAsk carries entries from an owner to a member; a term that is left out is the message's own.
+// AppendAsk carries entries from an owner to a member.
 type AppendAsk struct {
 	Part     mark.Part  `json:"part"`
 	Term     mark.Term  `json:"term"`
+	From     Peer       `json:"from"`
 	Prev     mark.Stamp `json:"prev"`
-	PrevTerm mark.Term  `json:"prev_term,omitzero"`
+	PrevTerm mark.Term  `json:"prev_term"`
 	Commit   mark.Stamp `json:"commit"`
 	Snapshot *Snapshot  `json:"snapshot,omitempty"`
 	Entries  []Entry    `json:"entries,omitempty"`
 }
 
-// AppendReceipt tells what a member has synced; a promise that is left out is to the term of the ask.
+// AppendReceipt tells what a member has synced.
 type AppendReceipt struct {
 	From     Peer       `json:"from"`
 	Ok       bool       `json:"ok"`
-	Promised mark.Term  `json:"promised,omitzero"`
+	Promised mark.Term  `json:"promised"`
 	Match    mark.Stamp `json:"match"`
 }
 
@@ -141,18 +142,18 @@
 	Serving bool       `json:"serving,omitempty"`
 }
 
-// RoundAsk confirms all the terms that a node holds, in one message: those of the message named as base, but for what is said here; the base names the sender too.
+// RoundAsk confirms all the terms that a node holds, in one message: those of the message named as base, but for what is said here.
 type RoundAsk struct {
-	From   *Peer       `json:"from,omitempty"`
+	From   Peer        `json:"from"`
 	No     uint64      `json:"no"`
 	Base   uint64      `json:"base,omitempty"`
 	Claims []Claim     `json:"claims,omitempty"`
 	Gone   []mark.Part `json:"gone,omitempty"`
 }
 
-// RoundReceipt lists the parts whose claim is refused, with the term promised; or says that the base is lost, and nothing was heard; it names the member only where the ask has no base, for only the life of it that heard the base can know it.
+// RoundReceipt lists the parts whose claim is refused, with the term promised; or says that the base is lost, and nothing was heard.
 type RoundReceipt struct {
-	From    *Peer   `json:"from,omitempty"`
+	From    Peer    `json:"from"`
 	No      uint64  `json:"no"`
 	Refused []Claim `json:"refused,omitempty"`
 	Lost    bool    `json:"lost,omitempty"`
--- a/tools/mint/main.go
+++ b/tools/mint/main.go
@@ -111,9 +111,6 @@
 			if strings.HasSuffix(name, "-") {
 				name = strings.TrimSuffix(name, "-")
 				tag = name + ",omitempty"
-				if kind == "mark.Term" {
-					tag = name + ",omitzero"
-				}
 			}
 			fmt.Fprintf(&b, "%s %s `json:%q`\n", camel(name), kind, tag)
 		}
