--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -29,9 +29,9 @@
 type Vouched struct{ Newest, Before Ages }
 
 const (
-	nearPause    = 40 * time.Millisecond
-	catchUpPause = 100 * time.Millisecond
-	pulsesMost   = 6
+	nearPause  = 40 * time.Millisecond
+	fetchTurn  = 500 * time.Millisecond
+	firstPause = 60 * time.Millisecond // between tries of the first fetch: without it nothing is served
 )
 
 // Client is one proxy's.
@@ -45,9 +45,11 @@
 	born  time.Time
 	began atomic.Bool
 
-	isCatchingUp atomic.Bool
-	pick         atomic.Uint32 // which control node is asked
-	pulses       atomic.Int32  // how many pulses are under way
+	pick       atomic.Uint64 // whom the pulse asks
+	picked     atomic.Pointer[time.Time]
+	pulses     atomic.Int32 // how many are under way
+	isAnswered atomic.Bool  // whether the last pulse was
+	catching   sync.Map     // addresses at which a catch-up is under way
 
 	mu        sync.Mutex
 	listening map[mark.Name]string
@@ -68,7 +70,7 @@
 	}
 	c.r.Go(func() {
 		for !c.fetchAll() {
-			if !c.r.Pause(realm.Jitter(c.r.Props.FlowRetry)) {
+			if !c.r.Pause(realm.Jitter(min(c.r.Props.FlowRetry, firstPause))) {
 				return
 			}
 		}
@@ -153,7 +155,7 @@
 		if !slices.ContainsFunc(c.servers(), func(m wire.Member) bool { return m.Name == name && m.Wire == address }) {
 			return
 		}
-		isNewer, err := c.poll(address)
+		isNewer, err := c.poll(c.r, address)
 		pause := time.Duration(0)
 		switch {
 		case err != nil:
@@ -175,9 +177,9 @@
 }
 
 // poll is one held listener request and, if it names groups, their fetch.
-func (c *Client) poll(address string) (isNewer bool, err error) {
+func (c *Client) poll(life context.Context, address string) (isNewer bool, err error) {
 	epoch, have := c.Cache.Have()
-	ctx, end := context.WithTimeout(c.r, c.r.Props.FlowHold+2*time.Second)
+	ctx, end := context.WithTimeout(life, c.r.Props.FlowHold+2*time.Second)
 	defer end()
 	var receipt wire.ListenReceipt
 	ask := &wire.ListenAsk{Epoch: epoch, Have: have}
@@ -205,17 +207,16 @@
 		ok, err := c.Cache.Swap(receipt.Epoch, manifest)
 		return ok || isNewer, err
 	}
-	c.fetching.Lock()
-	defer c.fetching.Unlock()
+	c.leaveToNear(address)
+	// Groups are fetched once, but nobody waits long for another's fetch: its control
+	// node may have gone.
+	if c.fetching.LockWithin(fetchTurn) {
+		defer c.fetching.Unlock()
+	}
 	if now, _ := c.Cache.Have(); receipt.Epoch <= now {
 		return true, nil
 	}
 	if missing := c.Cache.Missing(manifest); len(missing) > 0 {
-		if c.leavesToNear(address) {
-			if now, _ := c.Cache.Have(); receipt.Epoch <= now {
-				return true, nil
-			}
-		}
 		limited, stop := context.WithTimeout(c.r, 3*time.Second)
 		defer stop()
 		fetched, err := c.fetch(limited, address, &wire.FetchAsk{Groups: missing, Held: c.Cache.Holds(missing)})
@@ -237,13 +238,10 @@
 	return ok || isNewer, err
 }
 
-// leavesToNear gives the listener of a control node in the own zone a moment to
+// leaveToNear gives the listener of a control node in the own zone a moment to
 // fetch first, if there is one, so that groups seldom come from another zone.
-func (c *Client) leavesToNear(address string) bool {
-	if cores := c.k.Keepers(); c.k.IsNear(address) || len(cores) == 0 || !c.k.IsNear(cores[0].Wire) {
-		return false
+func (c *Client) leaveToNear(address string) {
+	if cores := c.k.Keepers(); !c.k.IsNear(address) && len(cores) > 0 && c.k.IsNear(cores[0].Wire) {
+		c.r.Pause(nearPause)
 	}
-	c.fetching.Unlock()
-	defer c.fetching.Lock()
-	return c.r.Pause(nearPause)
 }
--- a/internal/flow/fresh.go
+++ b/internal/flow/fresh.go
@@ -1,88 +1,14 @@
-// Freshness: the pulses of a proxy renew how freshly the epoch in use is confirmed,
-// and by what they brought it is told whether a chart may be acted on.
+// Freshness: by what the pulses brought it is told whether a chart may be acted on.
 package flow
 
 import (
-	"context"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-// pulse renews freshness through one control node, the nearest that answers. Until
-// the first plan is fresh it asks more often, for so long nothing can be served. Where
-// a proxy goes by flow.behind its link may be slow, and a word that comes late is still
-// right, as it counts from when it was asked for: so pulses go out beside each other.
-func (c *Client) pulse() {
-	for c.r.Pause(realm.Jitter(c.pulsePause())) {
-		cores := c.k.Keepers()
-		if len(cores) == 0 {
-			continue
-		}
-		if behind := c.r.Props.FlowBehind; behind > 0 {
-			if c.pulses.Add(1) > pulsesMost {
-				c.pulses.Add(-1)
-				continue
-			}
-			c.r.Go(func() {
-				defer c.pulses.Add(-1)
-				c.pulseTo(cores, behind)
-				c.tell()
-			})
-			continue
-		}
-		for try := 0; try < 2; try++ {
-			if c.pulseTo(cores, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond) {
-				break
-			}
-		}
-		c.tell()
-	}
-}
-
-// pulseTo asks one control node; if it does not answer, the next is asked next time.
-func (c *Client) pulseTo(cores []wire.Member, limit time.Duration) bool {
-	pick := c.pick.Load()
-	m := cores[int(pick)%len(cores)]
-	sent := c.r.Now()
-	ctx, end := context.WithTimeout(c.r, limit)
-	defer end()
-	var receipt wire.PulseReceipt
-	if err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt); err != nil {
-		c.pick.CompareAndSwap(pick, pick+1)
-		return false
-	}
-	c.renew(sent, &receipt)
-	c.catchUp(m.Wire, receipt.Epoch)
-	return true
-}
-
-// catchUp asks where a newer epoch was heard of, if those listened to are slow to
-// tell of it.
-func (c *Client) catchUp(address string, epoch mark.Epoch) {
-	isBehind := func() bool { now, _ := c.Cache.Have(); return now > 0 && now < epoch }
-	if c.r.Props.FlowServers == 0 || !isBehind() || !c.isCatchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	c.r.Go(func() {
-		defer c.isCatchingUp.Store(false)
-		if c.r.Pause(catchUpPause) && isBehind() {
-			c.poll(address)
-		}
-	})
-}
-
-// pulsePause is short until the first word has come.
-func (c *Client) pulsePause() time.Duration {
-	if c.Ages().Epoch == 0 {
-		return min(c.r.Props.FlowPulse, 150*time.Millisecond)
-	}
-	return c.r.Props.FlowPulse
-}
-
 // heard notes word from a control node.
 func (c *Client) heard() {
 	now := c.r.Now()
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	running *relay
 	waiting *relay
+	last    *relay
 	deltas  map[string]wire.Group
 	packs   map[string][]byte
 }
@@ -201,6 +202,10 @@
 	return delta
 }
 
+// relayTime is how long what the owner said is passed on, with its age, without asking
+// it again.
+const relayTime = 50 * time.Millisecond
+
 // deltasKept bounds the differences that are kept for the next asker.
 const deltasKept = 256
 
@@ -212,6 +217,9 @@
 	}
 	s.mu.Lock()
 	mine := s.waiting
+	if last := s.last; last != nil && s.r.Since(last.sent) < relayTime {
+		mine = last
+	}
 	if mine == nil {
 		mine = &relay{done: make(chan struct{})}
 		s.waiting = mine
@@ -249,6 +257,9 @@
 		close(now.done)
 		s.mu.Lock()
 		s.running = nil
+		if now.err == nil {
+			s.last = now
+		}
 		if s.waiting != nil {
 			s.start()
 		}
