Metrics for scraping, and histograms of how long things take

A collector for client_golang reads, when it is scraped, what a node counts anyway (outcomes, refusals by code, tries, budget, pools, targets, traffic by kind, epochs and their age, parts, members, beats, planner, events). metrics.serve (off by default) shows it under /metrics on the API address; without it no collector is made. Five HDR histograms are kept always: time added by the gate, whole time by service and outcome, coordination calls, syncs, age of an epoch at use. A gate keeps the place of a service's times in its table of the epoch, so a request looks nothing up by name. `sumac shell latency` shows median, 99, 99.9. A listener's receipt says for how long the core node has had the epoch (milliseconds), which is what the age at use is counted from.

Ruled out: promauto counters with labels on the path of a request (a look-up and a second set of counters beside those there are); Prometheus' native histograms (no exact high quantiles for the shell, and not in the text format).

Tests: approved transcript of a proxy's and a core node's /metrics and of what the core nodes own in sum; every metric of the table is shown by some node and keeps the library's conventions (its own linter); off by default; latency view told apart from the server's time; histograms against known times, and no allocation.

--- a/cmd/sumac/calls.go
+++ b/cmd/sumac/calls.go
@@ -286,6 +286,7 @@
 epoch     the epoch in force: number, services and their targets
 counts    counters      traffic   messages and bytes to other processes, by kind
 events    newest log events       node      this node
+latency   how long requests, calls, syncs took: median, 99 and 99.9 of a hundred, most
 A query may be followed by words; only rows holding all of them are shown.
 `
 
--- a/internal/api/oas_client_gen.go
+++ b/internal/api/oas_client_gen.go
@@ -153,7 +153,8 @@
 	Ready(ctx context.Context, options ...RequestOption) (*Health, error)
 	// Show invokes show operation.
 	//
-	// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic.
+	// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic,
+	// latency.
 	//
 	// GET /v1/show/{what}
 	Show(ctx context.Context, params ShowParams, options ...RequestOption) (*Rows, error)
@@ -1251,7 +1252,8 @@
 
 // Show invokes show operation.
 //
-// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic.
+// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic,
+// latency.
 //
 // GET /v1/show/{what}
 func (c *Client) Show(ctx context.Context, params ShowParams, options ...RequestOption) (*Rows, error) {
--- a/internal/api/oas_handlers_gen.go
+++ b/internal/api/oas_handlers_gen.go
@@ -1409,7 +1409,8 @@
 
 // handleShowRequest handles show operation.
 //
-// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic.
+// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic,
+// latency.
 //
 // GET /v1/show/{what}
 func (s *Server) handleShowRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
--- a/internal/api/oas_schemas_gen.go
+++ b/internal/api/oas_schemas_gen.go
@@ -1604,6 +1604,7 @@
 	ShowWhatEvents  ShowWhat = "events"
 	ShowWhatTraffic ShowWhat = "traffic"
 	ShowWhatNode    ShowWhat = "node"
+	ShowWhatLatency ShowWhat = "latency"
 )
 
 // AllValues returns all ShowWhat values.
@@ -1617,6 +1618,7 @@
 		ShowWhatEvents,
 		ShowWhatTraffic,
 		ShowWhatNode,
+		ShowWhatLatency,
 	}
 }
 
@@ -1639,6 +1641,8 @@
 		return []byte(s), nil
 	case ShowWhatNode:
 		return []byte(s), nil
+	case ShowWhatLatency:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -1671,6 +1675,9 @@
 	case ShowWhatNode:
 		*s = ShowWhatNode
 		return nil
+	case ShowWhatLatency:
+		*s = ShowWhatLatency
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
--- a/internal/api/oas_server_gen.go
+++ b/internal/api/oas_server_gen.go
@@ -81,7 +81,8 @@
 	Ready(ctx context.Context) (*Health, error)
 	// Show implements show operation.
 	//
-	// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic.
+	// What this node knows, for the shell - members, parts, targets, ages, counts, events, traffic,
+	// latency.
 	//
 	// GET /v1/show/{what}
 	Show(ctx context.Context, params ShowParams) (*Rows, error)
--- a/internal/api/oas_validators_gen.go
+++ b/internal/api/oas_validators_gen.go
@@ -314,6 +314,8 @@
 		return nil
 	case "node":
 		return nil
+	case "latency":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- /dev/null
+++ b/internal/dream/metrics_test.go
@@ -0,0 +1,234 @@
+// What the nodes of a small fleet show for scraping, as an approved transcript in
+// which what differs with each run is masked; and that the metrics keep the
+// library's conventions.
+package dream
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
+	"github.com/sumactrestle/sumactrestle/internal/seat"
+)
+
+// steady is what reads the same in each run of one script.
+var steady = regexp.MustCompile(`^sumac_(node_info|node_ready|members|gate_requests_total|gate_requests_inflight|gate_refusals_total|gate_targets|gate_idle_connections|gate_request_seconds_count|gate_added_seconds_count|gate_tries_failed_total|planner_parts_heard|planner_address_clashes|bond_call_seconds_count|targets|parts_owned)\b`)
+
+// label is a label whose value differs; which kinds and events there are does too.
+var (
+	varied = regexp.MustCompile(`^sumac_(events_total|wire_messages_total|wire_sent_bytes_total|part_\w+|\w+_bucket)\{`)
+	booted = regexp.MustCompile(`outcome="not run"|NotFresh`) // how often the fleet was not up yet
+	spaced = regexp.MustCompile(` [^ ]+$`)
+	owned  = regexp.MustCompile(`^sumac_(parts_owned|part_confirmation_age_seconds|targets|planner_\w+|part_serving)\b`)
+)
+
+// scrape notes what a node shows, with one line for each group that varies.
+func (s *script) scrape(address string) {
+	response, err := s.http.Get("http://" + address + "/metrics")
+	if err != nil {
+		fmt.Fprintln(&s.out, "< no answer")
+		return
+	}
+	defer response.Body.Close()
+	raw, _ := io.ReadAll(response.Body)
+	fmt.Fprintf(&s.out, "> GET /metrics\n< %s\n< Content-Type: %s\n", response.Status, response.Header.Get("Content-Type"))
+	for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		name := strings.TrimPrefix(strings.TrimPrefix(line, "# HELP "), "# TYPE ")
+		switch {
+		case !strings.HasPrefix(name, "sumac_"):
+			continue // of the runtime and the process, by the library
+		case owned.MatchString(name):
+			continue // which core node owns what differs; see the sums
+		case strings.HasPrefix(line, "#"):
+		case varied.MatchString(line):
+			line = line[:strings.IndexByte(line, '{')] + "{...} <value>"
+			if strings.HasSuffix(s.out.String(), "< "+line+"\n") {
+				continue
+			}
+		case !steady.MatchString(line) || booted.MatchString(line):
+			line = spaced.ReplaceAllString(line, " <value>")
+		}
+		fmt.Fprintf(&s.out, "< %s\n", line)
+	}
+	fmt.Fprintln(&s.out)
+}
+
+// sums adds up over all core nodes what each owns.
+func (s *script) sums() {
+	sums := map[string]float64{}
+	for _, m := range s.f.Cores() {
+		response, err := s.http.Get("http://" + m.Api() + "/metrics")
+		if err != nil {
+			continue
+		}
+		raw, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		for _, line := range strings.Split(string(raw), "\n") {
+			if !owned.MatchString(line) || strings.Contains(line, "_age_") {
+				continue
+			}
+			cut := strings.LastIndexByte(line, ' ')
+			var value float64
+			fmt.Sscan(line[cut+1:], &value)
+			sums[line[:cut]] += value
+		}
+	}
+	var lines []string
+	for name, value := range sums {
+		lines = append(lines, fmt.Sprintf("< %s %g\n", name, value))
+	}
+	sort.Strings(lines)
+	fmt.Fprintln(&s.out, strings.Join(lines, ""))
+}
+
+func TestTranscriptMetrics(t *testing.T) {
+	shape := one()
+	shape.Settings = map[string]string{"metrics.serve": "true"}
+	transcript(t, "metrics", shape, func(s *script) {
+		gate, api := s.f.Of("proxy1").Gate(), s.f.Of("proxy1").Api()
+		before := s.out.Len()
+		for i := range 3 {
+			s.send(gate, "GET", "/rates", "", fmt.Sprint("X-Call: c", i))
+		}
+		s.send(gate, "GET", "/nowhere", "")
+		s.send(api, "PUT", "/v1/keys", `{"name":"app/a","value":1}`)
+		time.Sleep(time.Second)
+		s.out.Truncate(before)
+		s.say("a proxy that served three requests and refused one, and took one coordination call")
+		s.scrape(api)
+		s.say("a core node, but for what it owns")
+		s.scrape(s.f.Of("core1").Api())
+		s.say("what the core nodes own, added up")
+		s.sums()
+	})
+}
+
+func TestMetricsAreOffByDefault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, one(), io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		s := newScript(f)
+		defer s.http.CloseIdleConnections()
+		response, err := s.http.Get("http://" + f.Of("core1").Api() + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusNotFound {
+			t.Errorf("status %d", response.StatusCode)
+		}
+	})
+}
+
+func TestMetricsKeepTheConventions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, one(), io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		seen := map[string]bool{}
+		for _, m := range f.Machines {
+			registry := prometheus.NewPedanticRegistry()
+			registry.MustRegister(seat.NewCollector(m.Node()))
+			problems, err := testutil.GatherAndLint(registry)
+			if err != nil {
+				t.Error(m.Name, err)
+			}
+			for _, p := range problems {
+				t.Errorf("%s: %s: %s", m.Name, p.Metric, p.Text)
+			}
+			families, err := registry.Gather()
+			if err != nil {
+				t.Error(m.Name, err)
+			}
+			for _, family := range families {
+				seen[family.GetName()] = true
+				if got, want := strings.ToLower(family.GetType().String()), kindOf(family.GetName()); got != want {
+					t.Errorf("%s is a %s, in the table a %s", family.GetName(), got, want)
+				}
+			}
+		}
+		for _, m := range gauge.Metrics {
+			// No caller and no application has come yet, and a try that failed is none.
+			isOfLoad := m.Name == gauge.GateAdded.Name || m.Name == gauge.GateRequest.Name || m.Name == gauge.GateRefusals.Name || m.Name == gauge.BondCall.Name || m.Name == gauge.GateTries.Name || m.Name == gauge.GateTryBytes.Name || strings.Contains(m.Name, "_budget_")
+			if !seen[m.Name] && !isOfLoad {
+				t.Errorf("%s is in the table, and no node shows it", m.Name)
+			}
+		}
+	})
+}
+
+func kindOf(name string) string {
+	for _, m := range gauge.Metrics {
+		if m.Name == name {
+			return m.Kind
+		}
+	}
+	return ""
+}
+
+// A server works for two milliseconds, and nothing else takes that long but the way
+// there: the gate's own part must be told from it.
+func TestLatencyIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, one(), io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		s := newScript(f)
+		defer s.http.CloseIdleConnections()
+		proxy := f.Of("proxy1")
+		count := func(m gauge.Metric, words ...string) (sum gauge.Sum) {
+			proxy.Node().R.Times.Each(func(one gauge.Metric, labels []string, s gauge.Sum) {
+				if one.Name == m.Name && slices.Equal(labels, words) {
+					sum = s
+				}
+			})
+			return sum
+		}
+		before := count(gauge.GateRequest, "rates", "ran").Count
+		added := count(gauge.GateAdded).Count
+		for i := range 10 {
+			s.send(proxy.Gate(), "GET", "/rates", "", fmt.Sprint("X-Call: c", i))
+		}
+		whole := count(gauge.GateRequest, "rates", "ran")
+		if whole.Count != before+10 || whole.Median < 2*time.Millisecond {
+			t.Errorf("of 10 requests to a server that works for 2 ms: %+v", whole)
+		}
+		if own := count(gauge.GateAdded); own.Count != added+10 || own.Median >= time.Millisecond {
+			t.Errorf("added by the gate: %+v", own)
+		}
+		if age := count(gauge.EpochAge); age.Count == 0 || age.Median > time.Second {
+			t.Errorf("age of epochs: %+v", age)
+		}
+		var rows api.Rows
+		if err := rows.UnmarshalJSON([]byte(s.send(proxy.Api(), "GET", "/v1/show/latency", ""))); err != nil {
+			t.Fatal(err)
+		}
+		shown := map[string]string{}
+		for _, row := range rows.Rows {
+			shown[strings.Join(row[:3], " ")] = row[3]
+		}
+		if shown["gate_request rates ran"] != fmt.Sprint(whole.Count) || len(rows.Columns) != 8 {
+			t.Errorf("%v: %v", rows.Columns, shown)
+		}
+	})
+}
--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -197,10 +197,11 @@
 	if receipt.Epoch <= epoch {
 		return true, nil
 	}
+	made := time.Now().Add(-time.Duration(receipt.Age) * time.Millisecond)
 	isNewer = len(receipt.Groups) > 0 && c.Cache.Stage(receipt.Groups)
 	manifest := c.Cache.Delta(have, &receipt)
 	if len(c.Cache.Missing(manifest)) == 0 {
-		ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+		ok, err := c.swap(receipt.Epoch, manifest, made)
 		return ok || isNewer, err
 	}
 	c.fetching.Lock()
@@ -232,7 +233,7 @@
 			isNewer = c.Cache.Stage(fetched.Groups) || isNewer
 		}
 	}
-	ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+	ok, err := c.swap(receipt.Epoch, manifest, made)
 	return ok || isNewer, err
 }
 
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -83,6 +83,7 @@
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
 			receipt := differ(sheet, have)
+			receipt.Age = sheet.Age().Milliseconds()
 			if ask.Small {
 				s.along(sheet, have, receipt)
 			}
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
@@ -54,6 +55,7 @@
 	posts []*post
 	mu    sync.Mutex
 	pace  time.Duration
+	times *gauge.Service
 }
 
 func (g *Gate) newCrew(service string, list []wire.Target, old *crew, now time.Time) *crew {
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -30,6 +30,7 @@
 	key          uint64
 	isRepeat     bool
 	claim        string
+	away         time.Duration // how long targets took
 }
 
 // table finds mappings by path, and knows the targets of the epoch.
@@ -61,6 +62,7 @@
 			before = old.crews[service]
 		}
 		t.crews[service] = g.newCrew(service, list, before, now)
+		t.crews[service].times = g.r.Times.Service(service)
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -84,7 +84,7 @@
 func (g *Gate) Inflight() int64 { return g.inflight.Load() }
 
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n := g.inflight.Add(1)
+	began, n := time.Now(), g.inflight.Add(1)
 	defer g.inflight.Add(-1)
 	id := ""
 	if g.r.Props.GateIds == "caller" {
@@ -101,9 +101,10 @@
 	c, got, err := g.handle(w, r, id, n)
 	if err != nil {
 		g.refuse(w, orderOf(r), err)
-		return
+	} else {
+		g.pass(w, c, got)
 	}
-	g.pass(w, c, got)
+	g.took(c, began, err)
 }
 
 // handle plans a request, asks for what it needs, and carries it out.
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -119,6 +119,7 @@
 	g.budget.Seen(c.service.Name, g.bounds(c), c.key, c.isRepeat || no > 0)
 	counted := &counted{to: p.conn}
 	sent := time.Now()
+	defer c.back(sent)
 	if err := g.write(ctx, p, request, counted); err != nil {
 		select {
 		case got := <-out:
--- /dev/null
+++ b/internal/gauge/gauge_test.go
@@ -0,0 +1,134 @@
+// Times: what a histogram says of the times it was given, and that taking one
+// allocates nothing.
+package gauge
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestTimesAreCountedUnderTheirBounds(t *testing.T) {
+	var times Time
+	if s := times.Sum(); s.Count != 0 || s.Most != 0 {
+		t.Errorf("a histogram without a time says %+v", s)
+	}
+	for i := 1; i <= 1000; i++ {
+		times.Take(time.Duration(i) * time.Millisecond)
+	}
+	s := times.Sum()
+	if s.Count != 1000 || s.Seconds < 500 || s.Seconds > 501 {
+		t.Errorf("%d times of %f seconds, want 1000 of 500.5", s.Count, s.Seconds)
+	}
+	for name, c := range map[string]struct{ got, want time.Duration }{
+		"median": {s.Median, 500 * time.Millisecond}, "99": {s.P99, 990 * time.Millisecond}, "99.9": {s.P999, 999 * time.Millisecond}, "most": {s.Most, time.Second},
+	} {
+		if off := (c.got - c.want).Abs(); off > c.want/100 {
+			t.Errorf("%s is %v, want %v", name, c.got, c.want)
+		}
+	}
+	last := uint64(0)
+	for _, bound := range Bounds {
+		if s.Under[bound] < last {
+			t.Errorf("fewer times under %v than under the bound before", bound)
+		}
+		last = s.Under[bound]
+		if want := min(bound*1000, 1000); float64(last) > want+0.5 || float64(last) < want*0.98-1 {
+			t.Errorf("%d times under %v, want %v", last, bound, want)
+		}
+	}
+}
+
+func TestTimesOutsideTheRangeCountAsTheNearest(t *testing.T) {
+	var times Time
+	times.Take(-time.Second)
+	times.Take(time.Hour)
+	s := times.Sum()
+	if s.Count != 2 || s.Under[Bounds[0]] != 1 || s.Under[10] != 1 || s.Most < 59*time.Second {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestServicesAreToldApartUpToABound(t *testing.T) {
+	var times Times
+	times.Service("a").Take(Ran, time.Second)
+	times.Service("a").Take(Unknown, time.Second)
+	times.Service("").Take(NotRun, time.Second)
+	for i := range servicesMost {
+		times.Service(time.Duration(i).String())
+	}
+	if times.Service("one more") != times.Service("") {
+		t.Error("a service beyond the bound is told apart")
+	}
+	if times.Service("a") == times.Service("") {
+		t.Error("a service within the bound is not told apart")
+	}
+	got := map[[2]string]uint64{}
+	times.Each(func(m Metric, labels []string, s Sum) {
+		if m.Name != GateRequest.Name {
+			t.Errorf("%s holds a time", m.Name)
+		}
+		got[[2]string{labels[0], labels[1]}] = s.Count
+	})
+	if len(got) != 3 || got[[2]string{"a", "ran"}] != 1 || got[[2]string{"a", "unknown"}] != 1 || got[[2]string{"", "not run"}] != 1 {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestManyTakeAtOnce(t *testing.T) {
+	var times Times
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 1000 {
+				times.Service("a").Take(Ran, time.Millisecond)
+				times.Added.Take(time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	if got := times.Added.Sum().Count; got != 8000 {
+		t.Errorf("%d of 8000", got)
+	}
+}
+
+func TestTakingATimeAllocatesNothing(t *testing.T) {
+	var times Times
+	service := times.Service("a")
+	service.Take(Ran, 0)
+	times.Added.Take(0)
+	if n := testing.AllocsPerRun(1000, func() {
+		service.Take(Ran, 50*time.Millisecond)
+		times.Added.Take(300 * time.Microsecond)
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// BenchmarkRequest is what a request pays: two readings of the clock for its whole
+// time, two for its target's, and two histograms.
+func BenchmarkRequest(b *testing.B) {
+	var times Times
+	service := times.Service("a")
+	b.ReportAllocs()
+	for b.Loop() {
+		began := time.Now()
+		sent := time.Now()
+		away := time.Since(sent)
+		whole := time.Since(began)
+		service.Take(Ran, whole)
+		times.Added.Take(whole - away)
+	}
+}
+
+func BenchmarkRequestParallel(b *testing.B) {
+	var times Times
+	service := times.Service("a")
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			service.Take(Ran, 50*time.Millisecond)
+			times.Added.Take(300 * time.Microsecond)
+		}
+	})
+}
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -190,9 +190,11 @@
 		if l.seq > seqKept {
 			whole.Delete(seqKey(l.seq - seqKept))
 		}
-		l.since.Store(int64(time.Since(l.start)) + 1)
+		began := time.Now()
+		l.since.Store(int64(began.Sub(l.start)) + 1)
 		err := l.db.Write(&whole, &opt.WriteOptions{Sync: true})
 		l.since.Store(0)
+		l.r.Times.Sync.Take(time.Since(began))
 		l.syncs.Add(1)
 		if err != nil {
 			err = fault.New(fault.StorageBroken, "%v", err)
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -12,6 +12,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -44,9 +45,13 @@
 	Groups  map[string]wire.Group
 	Changes []wire.ChangeReceipt
 
-	sum atomic.Pointer[string]
+	sum  atomic.Pointer[string]
+	made time.Time // when it was folded here
 }
 
+// Age is for how long this node has held the epoch.
+func (s *Sheet) Age() time.Duration { return time.Since(s.made) }
+
 // pastKept is how many epochs are kept to tell what changed since.
 const pastKept = 64
 
@@ -78,7 +83,7 @@
 		l.mu.Unlock()
 		return false
 	}
-	sheet := &Sheet{Epoch: planned.Epoch, Changed: old.Changed, Version: old.Version, Groups: maps.Clone(old.Groups), Changes: old.Changes}
+	sheet := &Sheet{Epoch: planned.Epoch, Changed: old.Changed, Version: old.Version, Groups: maps.Clone(old.Groups), Changes: old.Changes, made: time.Now()}
 	for name, data := range planned.Put {
 		sheet.Groups[name] = wire.Group{Digest: Digest(data), Stamp: mark.Stamp(planned.Epoch), Data: data}
 	}
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -16,6 +16,7 @@
 	"github.com/syndtr/goleveldb/leveldb/storage"
 	"golang.org/x/sys/unix"
 
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
@@ -39,6 +40,7 @@
 	Sign  *sign.Sign
 	Net   Net
 	Name  mark.Name
+	Times *gauge.Times
 
 	end context.CancelFunc
 
@@ -49,7 +51,7 @@
 
 func New(parent context.Context, p *props.Props, s *sign.Sign, n Net) *Realm {
 	ctx, end := context.WithCancel(parent)
-	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), end: end}
+	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), Times: &gauge.Times{}, end: end}
 	r.idle = sync.NewCond(&r.mu)
 	return r
 }
--- a/internal/seat/calls.go
+++ b/internal/seat/calls.go
@@ -18,6 +18,7 @@
 // Take folds a server's beat. The address is where later beats are taken without
 // being passed on; it is empty if that is here, or not known.
 func (n *Node) Take(ctx context.Context, beat *wire.Beat) (better string, err error) {
+	n.beats.Add(1)
 	limited, end := context.WithTimeout(ctx, beatTime)
 	defer end()
 	if err := plan.CheckBeat(beat); err != nil {
@@ -131,6 +132,9 @@
 func (n *Node) Bond(ctx context.Context, call *wire.BondOp) (*wire.BondReceipt, error) {
 	limited, end := context.WithTimeout(ctx, callTime+time.Duration(call.Hold)*time.Millisecond)
 	defer end()
+	if call.Op != "watch" && call.Op != "follow" {
+		defer n.called(time.Now())
+	}
 	receipt := &wire.BondReceipt{}
 	if err := n.pass(limited, op{mark.PartOf(call.Name), "bond", call}, 0, receipt); err != nil {
 		isNotRun := fault.Of(err).Code.Outcome == "not run"
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -52,6 +52,7 @@
 	isGoing atomic.Bool
 
 	isStirring atomic.Bool
+	beats      atomic.Int64
 }
 
 // Face is a handler of a node's calls, at an address of its own.
@@ -237,7 +238,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
-	return n.serve(n.R.Props.ApiAddress, "api.address", http.MaxBytesHandler(server, apiMost))
+	return n.serve(n.R.Props.ApiAddress, "api.address", http.MaxBytesHandler(n.withMetrics(server), apiMost))
 }
 
 // Stop is the planned stop: this node says that it is not ready, and, if it is a
--- a/internal/seat/show.go
+++ b/internal/seat/show.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"sort"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 )
 
@@ -28,14 +30,7 @@
 	case api.ShowWhatMembers:
 		columns("name", "state", "role", "zone", "wire", "gate", "strength", "birth", "fleet")
 		for name, m := range n.Kin.View() {
-			role := "proxy"
-			if m.Core {
-				role = "core"
-				if m.Gate != "" {
-					role = "core+proxy"
-				}
-			}
-			add(name, m.State, role, m.Zone, m.Wire, m.Gate, m.Strength, m.Birth, m.Fleet)
+			add(name, m.State, roleOf(m.Core, m.Gate), m.Zone, m.Wire, m.Gate, m.Strength, m.Birth, m.Fleet)
 		}
 	case api.ShowWhatParts:
 		columns("part", "owner", "term", "commit", "last", "serving", "age", "group")
@@ -92,6 +87,12 @@
 		for kind, c := range n.Wire.Traffic() {
 			add(kind, c[0], c[1])
 		}
+	case api.ShowWhatLatency:
+		columns("what", "service", "outcome", "count", "median", "99", "99.9", "most")
+		n.R.Times.Each(func(m gauge.Metric, labels []string, sum gauge.Sum) {
+			labels = append(labels, "", "")
+			add(strings.TrimSuffix(strings.TrimPrefix(m.Name, "sumac_"), "_seconds"), labels[0], labels[1], sum.Count, sum.Median, sum.P99, sum.P999, sum.Most)
+		})
 	case api.ShowWhatEvents:
 		columns("time", "event", "name", "what")
 		for _, e := range n.R.Sign.Recent(200) {
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -40,3 +40,43 @@
 	PropsRefused   = Event{No: 802, Name: "PropsRefused", Level: "warn", Text: "changed settings are faulty; the old ones stay"}
 	GateFailed     = Event{No: 803, Name: "GateFailed", Level: "error", Text: "the address for callers can't be taken"}
 )
+
+// Events is the whole table.
+var Events = []Event{
+	NodeStarted,
+	NodeStopping,
+	NodeStopped,
+	MemberUp,
+	MemberSuspect,
+	MemberDown,
+	MemberReborn,
+	FleetFounded,
+	FleetJoined,
+	PartOwned,
+	PartLost,
+	GroupChanged,
+	StoreDamaged,
+	StoreFailed,
+	StandFailed,
+	PartMended,
+	PartBroken,
+	EpochCommitted,
+	ChangeAccepted,
+	ChangeRefused,
+	TargetIn,
+	TargetOut,
+	AddressClash,
+	TargetGoing,
+	EpochServed,
+	FetchFailed,
+	ListenFailed,
+	FreshLost,
+	FreshAgain,
+	SealRefused,
+	TryFailed,
+	MessageRefused,
+	BeatRefused,
+	PropsReread,
+	PropsRefused,
+	GateFailed,
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -264,6 +264,7 @@
 // ListenReceipt names the groups that differ; none when the hold time is over; lost says that the sum is of nothing known here; groups are differences so small that they come along.
 type ListenReceipt struct {
 	Epoch   mark.Epoch       `json:"epoch"`
+	Age     int64            `json:"age,omitempty"`
 	Lost    bool             `json:"lost,omitempty"`
 	Groups  map[string]Group `json:"groups,omitempty"`
 	Changed map[string]Held  `json:"changed,omitempty"`
