Commands are strict: unknown words end with 2, help is whole, check takes all

Cause: an unknown flag, a missing one or a value that can't be read ended with 1 and a page of help above the reason; an unknown command with 1 (sumac) or 3 (troupe); arguments that a command does not take were passed over (`troupe run extra` started a fleet).

Change: internal/usage holds both programs to one manner: numbered refusal, the help to look at, 2; arguments are counted by what the help says of them. Every command describes itself.

Ruled out: taking the platform's file in `--props` by its ending: two kinds of settings under one flag, and a misnamed file judged by the wrong rules.

--- a/cmd/sumac/calls.go
+++ b/cmd/sumac/calls.go
@@ -27,10 +27,15 @@
 	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/usage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
+	"github.com/sumactrestle/sumactrestle/platform"
 )
 
 func client(cmd *cli.Command) (*api.Client, error) {
+	if cmd.String("api") == "" {
+		return nil, fault.New(fault.BadCall, "--api names no address; see %s --help", cmd.FullName())
+	}
 	c, err := api.NewClient("http://" + cmd.String("api"))
 	if err != nil {
 		return nil, fault.New(fault.BadCall, "--api: %v", err)
@@ -100,14 +105,25 @@
 }
 
 func runCheck(ctx context.Context, cmd *cli.Command) error {
-	if path := cmd.String("change"); path != "" {
-		return checkChange(ctx, cmd, path)
+	change, settings := cmd.String("change"), cmd.String("settings")
+	isProps := cmd.IsSet("props") || cmd.IsSet("set")
+	if change != "" && settings != "" || isProps && change+settings != "" {
+		return fault.New(fault.BadCall, "--change, --settings and --props with --set are checked one at a time; see sumac check --help")
+	}
+	if change == "" && cmd.Bool("objects") {
+		return fault.New(fault.BadCall, "--objects is of --change, which is missing; see sumac check --help")
+	}
+	switch {
+	case change != "":
+		return checkChange(ctx, cmd, change)
+	case settings != "":
+		return platform.Check(settings, cmd.Root().Writer)
 	}
 	p, err := readProps(cmd)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: the settings are in order\n", p.Name)
+	fmt.Fprintf(cmd.Root().Writer, "%s: the settings are in order\n", p.Name)
 	return nil
 }
 
@@ -158,9 +174,6 @@
 }
 
 func runSubmit(ctx context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() != 1 {
-		return fault.New(fault.BadCall, "name one file")
-	}
 	change, err := readChange(cmd.Args().First(), cmd.Bool("objects"))
 	if err != nil {
 		return err
@@ -221,9 +234,6 @@
 }
 
 func runAsk(ctx context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() != 1 {
-		return fault.New(fault.BadCall, "name one id")
-	}
 	c, err := client(cmd)
 	if err != nil {
 		return err
@@ -273,7 +283,7 @@
 			break
 		}
 		if last = query(ctx, c, words, os.Stdout); last != nil {
-			fmt.Fprintln(os.Stderr, describe(last))
+			fmt.Fprintln(os.Stderr, usage.Describe(last))
 		}
 	}
 	return last
@@ -335,9 +345,6 @@
 }
 
 func runJudge(ctx context.Context, cmd *cli.Command) error {
-	if cmd.Args().Len() != 1 {
-		return fault.New(fault.BadCall, "name one file")
-	}
 	records, err := judge.Read(cmd.Args().First())
 	if err != nil {
 		return err
--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -18,6 +18,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/usage"
 	"github.com/sumactrestle/sumactrestle/platform"
 )
 
@@ -26,40 +27,48 @@
 
 func main() {
 	if err := app().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "sumac:", describe(err))
-		os.Exit(exitCode(err))
+		fmt.Fprintln(os.Stderr, "sumac:", usage.Describe(err))
+		os.Exit(usage.ExitCode(err))
 	}
 }
 
 func app() *cli.Command {
-	return &cli.Command{
-		Name:                      "sumac",
-		Usage:                     "an API gateway whose many nodes act as one",
-		Version:                   Version,
-		DisableSliceFlagSeparator: true,
-		ExitErrHandler:            func(context.Context, *cli.Command, error) {},
+	return usage.Strict(&cli.Command{
+		Name:        "sumac",
+		Usage:       "an API gateway whose many nodes act as one",
+		Description: "A call that was not done ends with 1, one that can't be read with 2; both name a numbered code and all that is wrong. Codes, settings, events and metrics are listed in the docs folder.",
+		Version:     Version,
 		Commands: []*cli.Command{
-			{Name: "node", DisableSliceFlagSeparator: true, Usage: "run a node", Flags: propsFlags(), Action: runNode},
-			{Name: "check", DisableSliceFlagSeparator: true, Usage: "check a node's settings, or a change set (--change)", Flags: append(propsFlags(), &cli.StringFlag{Name: "change", Usage: "file of a change set (YAML or JSON)"}, apiFlag(false), objectsFlag()), Action: runCheck},
-			{Name: "submit", Usage: "submit a change set", ArgsUsage: "FILE", Flags: []cli.Flag{apiFlag(true), objectsFlag(), &cli.StringFlag{Name: "id", Usage: "id of the change set, if the file has none"}, &cli.Uint64Flag{Name: "base", Usage: "the epoch last seen, if the file names none"}, &cli.BoolFlag{Name: "amend", Usage: "take the epoch in force as the one last seen"}}, Action: runSubmit},
-			{Name: "ask", Usage: "ask what became of a change set", ArgsUsage: "ID", Flags: []cli.Flag{apiFlag(true)}, Action: runAsk},
-			{Name: "epoch", Usage: "print the epoch in force", Flags: []cli.Flag{apiFlag(true)}, Action: runEpoch},
-			{Name: "shell", Usage: "query the fleet's state", ArgsUsage: "[QUERY]", Flags: []cli.Flag{apiFlag(true)}, Action: runShell},
+			{Name: "node", Usage: "run a node", Flags: propsFlags(), Action: runNode,
+				Description: "Runs until SIGTERM or SIGINT, which stop it as planned: what is under way is finished, its parts are handed over. What is wrong with the settings is named at once, and nothing runs. Settings come from the file, then from SUMAC_ variables (SUMAC_GATE_ADDRESS for gate.address), then from --set."},
+			{Name: "check", Usage: "check a node's settings, the platform's settings file, or a change set", Action: runCheck,
+				Flags:       append(propsFlags(), platform.CheckFlag(), &cli.StringFlag{Name: "change", Usage: "`FILE` of a change set (YAML or JSON)"}, apiFlag(false), objectsFlag()),
+				Description: "One thing at a time: --props and --set, as the command node takes them; --settings, the file that the command platform runs on, whose settings are printed; or --change, laid over the configuration of the fleet at --api, or over none. Nothing is changed. Every fault is named, and there being one ends it with 2."},
+			{Name: "submit", Usage: "submit a change set", ArgsUsage: "FILE", Action: runSubmit,
+				Flags:       []cli.Flag{apiFlag(true), objectsFlag(), &cli.StringFlag{Name: "id", Usage: "`ID` of the change set, if the file has none; random without"}, &cli.Uint64Flag{Name: "base", Usage: "the `EPOCH` last seen, if the file names none"}, &cli.BoolFlag{Name: "amend", Usage: "take the epoch in force as the one last seen"}},
+				Description: "All of the set is in force when this ends with 0, and nothing of it if it is refused. If the outcome is unknown, ask by its id, which is then told."},
+			{Name: "ask", Usage: "ask what became of a change set", ArgsUsage: "ID", Flags: []cli.Flag{apiFlag(true)}, Action: runAsk,
+				Description: "Prints the epoch in which it was accepted; ends with 1 if no set of that id was, which is final for one sent before."},
+			{Name: "epoch", Usage: "print the epoch in force", Flags: []cli.Flag{apiFlag(true)}, Action: runEpoch,
+				Description: "The whole epoch as JSON, confirmed by a majority since the call: number, configuration, targets."},
+			{Name: "shell", Usage: "query the fleet's state", ArgsUsage: "[QUERY [WORD...]]", Flags: []cli.Flag{apiFlag(true)}, Action: runShell,
+				Description: "Answers one query, or those on standard input, as the node at --api sees things. The queries are:\n\n" + strings.TrimSpace(shellHelp)},
 			platform.Command(),
-			{Name: "judge", Usage: "replay a recorded history through the checkers", ArgsUsage: "FILE", Action: runJudge},
+			{Name: "judge", Usage: "replay a recorded history through the checkers", ArgsUsage: "FILE", Action: runJudge,
+				Description: "The file is one that troupe run --history wrote. Prints the verdict of each rule; ends with 2 if one is broken or can't be judged."},
 		},
-	}
+	})
 }
 
 func propsFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "props", Usage: "file of settings (YAML or JSON)"},
+		&cli.StringFlag{Name: "props", Usage: "`FILE` of settings (YAML or JSON)"},
 		&cli.StringSliceFlag{Name: "set", Usage: "one setting, `KEY=VALUE`; may be given often"},
 	}
 }
 
 func apiFlag(isNeeded bool) cli.Flag {
-	return &cli.StringFlag{Name: "api", Usage: "API address of any node", Sources: cli.EnvVars("SUMAC_API"), Required: isNeeded}
+	return &cli.StringFlag{Name: "api", Usage: "API `ADDRESS` of any node", Sources: cli.EnvVars("SUMAC_API"), Required: isNeeded}
 }
 
 func objectsFlag() cli.Flag {
@@ -118,27 +127,3 @@
 		return fault.New(fault.StorageBroken, "%s", p.DataFolder)
 	}
 }
-
-// exitCode is 1 for what the command did not do, 2 for what can't be read.
-func exitCode(err error) int {
-	switch fault.Of(err).Code.No {
-	case fault.BadProps.No, fault.BadCall.No, fault.BadChange.No:
-		return 2
-	}
-	return 1
-}
-
-func describe(err error) string {
-	p := fault.Of(err)
-	if p.Code.No == fault.Internal.No {
-		return err.Error()
-	}
-	text := fmt.Sprintf("%d %s", p.Code.No, p.Code.Text)
-	if p.Note != "" {
-		text += ": " + p.Note
-	}
-	for _, path := range p.Paths {
-		text += "\n  " + path
-	}
-	return text
-}
--- a/cmd/sumac/main_test.go
+++ b/cmd/sumac/main_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/sumactrestle/sumactrestle/internal/usage"
 	"github.com/sumactrestle/sumactrestle/platform"
 )
 
@@ -41,30 +42,31 @@
 		exit int
 		says []string
 	}{
-		"node with faulty settings":          {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
-		"a setting without a value":          {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
-		"check of a change set":              {[]string{"check", "--change", write(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
-		"a misspelt key":                     {[]string{"check", "--change", write(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
-		"faulty settings of the platform":    {[]string{"platform", "--check", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", read(t, "../../platform/testdata/faulty.txt")}},
-		"no settings of the platform":        {[]string{"platform", "--check"}, 2, []string{"5001", "--settings"}},
-		"settings of the platform not there": {[]string{"platform", "--check", "--settings", "none.toml"}, 2, []string{"5001", "none.toml"}},
-		"faulty settings to run on":          {[]string{"platform", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", "nodeName: is missing"}},
-		"no node to ask":                     {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
-		"no such query":                      {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
-		"a history that is none":             {[]string{"judge", write(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
-		"a history without end":              {[]string{"judge", write(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
+		"node with faulty settings":                {[]string{"node", "--set", "name=a", "--set", "strenght=3"}, 2, []string{"5001", "strenght: no such setting", "wire.address: is missing"}},
+		"a setting without a value":                {[]string{"node", "--set", "name"}, 2, []string{"5001", "KEY=VALUE"}},
+		"check of a change set":                    {[]string{"check", "--change", write(t, "c.yaml", "put: {mappings: [{name: m, path: x, to: [{service: none, weight: 1}]}]}")}, 2, []string{"2001", "mappings.m.path", "mappings.m.to.0.service"}},
+		"a misspelt key":                           {[]string{"check", "--change", write(t, "c.yaml", "putt: {}")}, 2, []string{"2001", "putt"}},
+		"faulty settings of the platform":          {[]string{"platform", "--check", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", read(t, "../../platform/testdata/faulty.txt")}},
+		"check of faulty settings of the platform": {[]string{"check", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", read(t, "../../platform/testdata/faulty.txt")}},
+		"no settings of the platform":              {[]string{"platform", "--check"}, 2, []string{"5001", "--settings"}},
+		"settings of the platform not there":       {[]string{"platform", "--check", "--settings", "none.toml"}, 2, []string{"5001", "none.toml"}},
+		"faulty settings to run on":                {[]string{"platform", "--settings", "../../platform/testdata/faulty.toml"}, 2, []string{"5001", "nodeName: is missing"}},
+		"no node to ask":                           {[]string{"epoch", "--api", "127.0.0.1:1"}, 1, []string{"4003"}},
+		"no such query":                            {[]string{"shell", "--api", "127.0.0.1:1", "weather"}, 2, []string{"2008", "weather"}},
+		"a history that is none":                   {[]string{"judge", write(t, "h", "what\n")}, 2, []string{"2008", "line 1"}},
+		"a history without end":                    {[]string{"judge", write(t, "h", `{"kind":"began","at":1}`+"\n")}, 2, []string{"breaks a rule"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := run(c.args...)
 			if err == nil {
 				t.Fatal("it was done")
 			}
-			if exit := exitCode(err); exit != c.exit {
+			if exit := usage.ExitCode(err); exit != c.exit {
 				t.Errorf("exit %d, want %d", exit, c.exit)
 			}
 			for _, word := range c.says {
-				if !strings.Contains(describe(err), word) {
-					t.Errorf("%q does not say %q", describe(err), word)
+				if !strings.Contains(usage.Describe(err), word) {
+					t.Errorf("%q does not say %q", usage.Describe(err), word)
 				}
 			}
 		})
@@ -78,6 +80,9 @@
 	if err := run("platform", "--check", "--settings", "../../platform/testdata/core.toml"); err != nil {
 		t.Error(err)
 	}
+	if err := run("check", "--settings", "../../platform/testdata/core.toml"); err != nil {
+		t.Error(err)
+	}
 	good := write(t, "c.yaml", "id: a\nbase: 3\nput:\n  services: [{name: s}]\n  mappings: [{name: m, path: /x, to: [{service: s, weight: 1}]}]\n")
 	if err := run("check", "--change", good); err != nil {
 		t.Error(err)
--- a/cmd/troupe/hollow.go
+++ b/cmd/troupe/hollow.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/hollow"
 )
 
@@ -20,7 +20,7 @@
 		return &cli.IntFlag{Name: name, Value: value, Usage: usage}
 	}
 	return []*cli.Command{
-		{Name: "hollow", Usage: "measure the control work of many gates and targets before real core nodes", Flags: append(common,
+		{Name: "hollow", Usage: "measure the control work of many gates and targets before real core nodes", Description: "Hollow gates listen, pulse, gossip and probe, hollow targets beat; no caller comes. After a window in which nothing changes come change sets, and when each gate had them. Prints messages, bytes, processor time and memory by role.", Flags: append(common,
 			count("gates", 15, "hollow gates"),
 			count("targets", 100, "hollow targets"),
 			count("services", 10, "services of the configuration"),
@@ -35,12 +35,12 @@
 			count("changes", 3, "change sets after the window"),
 			&cli.DurationFlag{Name: "beat", Value: 3 * time.Second, Usage: "pause between two beats of a target; silence is three of them"},
 			&cli.StringSliceFlag{Name: "set", Usage: "a setting of every node, `KEY=VALUE`; may be given often"},
-			&cli.StringFlag{Name: "json", Usage: "file for the raw figures"},
+			&cli.StringFlag{Name: "json", Usage: "`FILE` for the raw figures, for troupe slopes and troupe report"},
 		), Action: measure},
 		{Name: "hollow-part", Hidden: true, Action: func(ctx context.Context, cmd *cli.Command) error {
 			return hollow.Serve(ctx, os.Stdin, os.Stdout)
 		}},
-		{Name: "slopes", Usage: "set the figures of several hollow runs beside one another", ArgsUsage: "FILE...", Flags: []cli.Flag{
+		{Name: "slopes", Usage: "set the figures of several hollow runs beside one another", Description: "The files are what troupe hollow --json wrote. Prints each figure by size, its slope, and what it comes to at --at.", ArgsUsage: "FILE...", Flags: []cli.Flag{
 			&cli.StringFlag{Name: "by", Value: "gates", Usage: "the axis: gates, targets, services, routes or beats"},
 			&cli.FloatFlag{Name: "at", Value: 460, Usage: "the size that the slopes are drawn out to"},
 			&cli.StringSliceFlag{Name: "only", Usage: "figures whose names hold this; may be given often"},
@@ -55,7 +55,7 @@
 	for _, pair := range cmd.StringSlice("set") {
 		key, value, ok := strings.Cut(pair, "=")
 		if !ok {
-			return fmt.Errorf("--set %q is not KEY=VALUE", pair)
+			return fault.New(fault.BadCall, "--set %q is not KEY=VALUE", pair)
 		}
 		size.Settings[key] = value
 	}
@@ -82,16 +82,13 @@
 	for _, path := range cmd.Args().Slice() {
 		raw, err := os.ReadFile(path)
 		if err != nil {
-			return err
+			return fault.New(fault.BadCall, "%v", err)
 		}
 		var report hollow.Report
 		if err := json.Unmarshal(raw, &report); err != nil {
-			return fmt.Errorf("%s: %v", path, err)
+			return fault.New(fault.BadCall, "%s: %v", path, err)
 		}
 		reports = append(reports, report)
 	}
-	if len(reports) == 0 {
-		return fmt.Errorf("no files are named")
-	}
 	return hollow.Slopes(os.Stdout, reports, cmd.String("by"), cmd.Float("at"), cmd.StringSlice("only"))
 }
--- a/cmd/troupe/main.go
+++ b/cmd/troupe/main.go
@@ -16,24 +16,34 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/fleet"
+	"github.com/sumactrestle/sumactrestle/internal/usage"
 )
 
 func main() {
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer end()
-	binary := &cli.StringFlag{Name: "sumac", Value: "bin/sumac", Usage: "the program to run"}
-	folder := &cli.StringFlag{Name: "folder", Usage: "folder for data and logs; a fresh temporary one if empty"}
-	app := &cli.Command{
-		Name:  "troupe",
-		Usage: "run fleets of sumac on this machine",
+	if err := app().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "troupe:", usage.Describe(err))
+		os.Exit(usage.ExitCode(err))
+	}
+}
+
+func app() *cli.Command {
+	binary := &cli.StringFlag{Name: "sumac", Value: "bin/sumac", Usage: "the `PROGRAM` to run"}
+	folder := &cli.StringFlag{Name: "folder", Usage: "`FOLDER` for data and logs; a fresh temporary one if empty"}
+	return usage.Strict(&cli.Command{
+		Name:        "troupe",
+		Usage:       "run fleets of sumac on this machine",
+		Description: "All runs on loopback addresses. A run that broke a rule or did not come to its end ends with 1 and keeps its logs, a call that can't be read with 2.",
 		Commands: append([]*cli.Command{
-			{Name: "smoke", Usage: "the bounded run of the whole path", Flags: []cli.Flag{binary, folder}, Action: func(ctx context.Context, cmd *cli.Command) error {
+			{Name: "smoke", Usage: "the bounded run of the whole path", Description: "Starts three core nodes, two proxies and stand-in servers, carries a change set to every proxy, kills and wipes nodes, and judges the history.", Flags: []cli.Flag{binary, folder}, Action: func(ctx context.Context, cmd *cli.Command) error {
 				return inFolder(cmd, func(folder string) error {
 					return fleet.Smoke(ctx, cmd.String("sumac"), folder, os.Stdout)
 				})
 			}},
-			{Name: "up", Usage: "keep a fleet with stand-in servers running, to look at and to hurt", Flags: []cli.Flag{binary, folder,
+			{Name: "up", Usage: "keep a fleet with stand-in servers running, to look at and to hurt", Description: "Prints how to call it and to look at it, and runs until it is interrupted.", Flags: []cli.Flag{binary, folder,
 				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
 			}, Action: func(ctx context.Context, cmd *cli.Command) error {
 				shape, err := fleet.ShapeOf(cmd.String("shape"))
@@ -44,27 +54,23 @@
 					return fleet.Up(ctx, cmd.String("sumac"), folder, shape, os.Stdout)
 				})
 			}},
-			{Name: "run", Usage: "run a whole deployment under load, with faults drawn from a seed", Flags: []cli.Flag{binary, folder,
+			{Name: "run", Usage: "run a whole deployment under load, with faults drawn from a seed", Description: "Real processes, callers, operators and applications under a load for some time; faults of the kind named are drawn meanwhile. The history is judged at the end, and what was served, sent and spent is printed.", Flags: []cli.Flag{binary, folder,
 				&cli.StringFlag{Name: "shape", Value: "small", Usage: "quoteline, municipality or small"},
 				&cli.FloatFlag{Name: "factor", Value: 0.2, Usage: "the rates are multiplied by this"},
 				&cli.IntFlag{Name: "seconds", Value: 30, Usage: "length of the load"},
 				&cli.StringFlag{Name: "seeds", Value: "1", Usage: "what the faults are drawn from: a number, or FIRST:LAST for a run with each"},
-				&cli.StringFlag{Name: "other", Usage: "another build of sumac, for --faults roll"},
+				&cli.StringFlag{Name: "other", Usage: "another `PROGRAM` of sumac, for --faults roll"},
 				&cli.BoolFlag{Name: "small", Usage: "each process has only the shape's share of a processor, by stopping and continuing it"},
 				&cli.DurationFlag{Name: "work", Usage: "how long a server works on each request"},
 				&cli.FloatFlag{Name: "eager", Value: -1, Usage: "share of callers that repeat a failed order at once; the shape's if below zero"},
 				&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, kill, herd, wipe, freeze, cut, stop, server, change, grow, roll or all"},
 				&cli.IntFlag{Name: "mappings", Usage: "so many more mappings in the configuration"},
 				&cli.BoolFlag{Name: "twice", Usage: "orders are not claimed, so that a repeat may run them again"},
-				&cli.StringFlag{Name: "profile", Usage: "folder for processor profiles of one core node and one proxy"},
-				&cli.StringFlag{Name: "history", Usage: "file to record the history in, for sumac judge"},
+				&cli.StringFlag{Name: "profile", Usage: "`FOLDER` for processor profiles of one core node and one proxy"},
+				&cli.StringFlag{Name: "history", Usage: "`FILE` to record the history in, for sumac judge and troupe report"},
 			}, Action: deployment},
 		}, hollowCommands(binary, folder)...),
-	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "troupe:", err)
-		os.Exit(1)
-	}
+	})
 }
 
 func deployment(ctx context.Context, cmd *cli.Command) error {
@@ -73,13 +79,13 @@
 		return err
 	}
 	if f := cmd.Float("factor"); f <= 0 || f > 10 || cmd.Int("seconds") < 1 || cmd.Int("seconds") > 3600 {
-		return fmt.Errorf("the factor must be above 0 and at most 10, the seconds 1 to 3600")
+		return fault.New(fault.BadCall, "the factor must be above 0 and at most 10, the seconds 1 to 3600")
 	}
 	if cmd.Duration("work") < 0 || cmd.Duration("work") > time.Minute || cmd.Float("eager") > 1 {
-		return fmt.Errorf("the work must be 0 to 1m, the eager share at most 1")
+		return fault.New(fault.BadCall, "the work must be 0 to 1m, the eager share at most 1")
 	}
 	if _, ok := fleet.Faults[cmd.String("faults")]; !ok {
-		return fmt.Errorf("there are no faults %q", cmd.String("faults"))
+		return fault.New(fault.BadCall, "there are no faults %q", cmd.String("faults"))
 	}
 	first, last, err := seedsOf(cmd.String("seeds"))
 	if err != nil {
@@ -88,7 +94,7 @@
 	var history io.Writer
 	if path := cmd.String("history"); path != "" {
 		if first != last {
-			return fmt.Errorf("a history is of one seed")
+			return fault.New(fault.BadCall, "a history is of one seed")
 		}
 		file, err := os.Create(path)
 		if err != nil {
@@ -129,7 +135,7 @@
 		last, err = strconv.ParseUint(other, 10, 64)
 	}
 	if err != nil || last < first || last-first > 10000 {
-		return 0, 0, fmt.Errorf("--seeds %q is neither a number nor FIRST:LAST", text)
+		return 0, 0, fault.New(fault.BadCall, "--seeds %q is neither a number nor FIRST:LAST", text)
 	}
 	return first, last, nil
 }
