troupe report: a page with plots of recorded histories and hollow runs

Cause: what a run did over time could be read out of its history by hand only; the figures of hollow runs were a table without a picture.

--- a/cmd/troupe/usage_test.go
+++ b/cmd/troupe/usage_test.go
@@ -81,6 +81,11 @@
 		"slopes",
 		"slopes none.json",
 		"slopes --by luck testdata/small.json",
+		"report",
+		"report none.json",
+		"report testdata/help.txt",
+		"report --by luck testdata/small.json",
+		"report testdata/small.json",
 	} {
 		root := app()
 		root.Writer, root.ErrWriter = io.Discard, io.Discard
--- a/internal/fleet/costs.go
+++ b/internal/fleet/costs.go
@@ -6,15 +6,18 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 // profile takes ten seconds of processor time from a core node and a proxy.
@@ -80,36 +83,94 @@
 	return sum
 }
 
-// traffic is messages and bytes sent so far, by kind, and syncs.
+// traffic is messages and bytes sent so far by all nodes, by kind, and syncs.
 func (r *Run) traffic() map[string][2]int64 {
 	sum := map[string][2]int64{}
 	for _, m := range r.f.Machines {
-		client, err := api.NewClient("http://" + m.Api())
+		for kind, now := range r.trafficOf(m) {
+			old := sum[kind]
+			sum[kind] = [2]int64{old[0] + now[0], old[1] + now[1]}
+		}
+	}
+	return sum
+}
+
+// trafficOf is the same of one node; nothing if it does not answer.
+func (r *Run) trafficOf(m *Machine) map[string][2]int64 {
+	counts := map[string][2]int64{}
+	client, err := api.NewClient("http://" + m.Api())
+	if err != nil {
+		return counts
+	}
+	ctx, end := context.WithTimeout(r.ctx, 2*time.Second)
+	defer end()
+	for _, what := range []api.ShowWhat{api.ShowWhatTraffic, api.ShowWhatCounts} {
+		rows, err := client.Show(ctx, api.ShowParams{What: what})
 		if err != nil {
 			continue
 		}
-		ctx, end := context.WithTimeout(r.ctx, 2*time.Second)
-		for _, what := range []api.ShowWhat{api.ShowWhatTraffic, api.ShowWhatCounts} {
-			rows, err := client.Show(ctx, api.ShowParams{What: what})
-			if err != nil {
+		for _, row := range rows.Rows {
+			if what == api.ShowWhatCounts && row[0] != "syncs" {
 				continue
 			}
-			for _, row := range rows.Rows {
-				if what == api.ShowWhatCounts && row[0] != "syncs" {
-					continue
-				}
-				n, _ := strconv.ParseInt(row[1], 10, 64)
-				bytes := int64(0)
-				if len(row) > 2 {
-					bytes, _ = strconv.ParseInt(row[2], 10, 64)
-				}
-				old := sum[row[0]]
-				sum[row[0]] = [2]int64{old[0] + n, old[1] + bytes}
+			n, _ := strconv.ParseInt(row[1], 10, 64)
+			bytes := int64(0)
+			if len(row) > 2 {
+				bytes, _ = strconv.ParseInt(row[2], 10, 64)
 			}
+			old := counts[row[0]]
+			counts[row[0]] = [2]int64{old[0] + n, old[1] + bytes}
 		}
-		end()
 	}
-	return sum
+	return counts
+}
+
+// sampleEvery is between two looks at what all nodes have sent.
+const sampleEvery = 2 * time.Second
+
+// sample notes in the history what all nodes have sent, for as long as there is load.
+func (r *Run) sample(ctx context.Context, loads *sync.WaitGroup) {
+	loads.Go(func() {
+		tick := time.NewTicker(sampleEvery)
+		defer tick.Stop()
+		sum := sentSum{was: map[string]map[string]int64{}, whole: map[string]int64{}}
+		for ctx.Err() == nil {
+			for _, m := range r.f.Machines {
+				sum.add(m.Name, r.trafficOf(m))
+			}
+			r.h.Add(judge.Record{Kind: judge.Sent, Sent: maps.Clone(sum.whole)})
+			select {
+			case <-ctx.Done():
+			case <-tick.C:
+			}
+		}
+	})
+}
+
+// sentSum adds up the bytes of nodes, each of which counts from zero when it is
+// started anew; of a node that is gone, what it had sent stays in the sum.
+type sentSum struct {
+	was   map[string]map[string]int64
+	whole map[string]int64
+}
+
+func (s *sentSum) add(node string, counts map[string][2]int64) {
+	if len(counts) == 0 {
+		return
+	}
+	was, now := s.was[node], map[string]int64{}
+	for kind, count := range counts {
+		if kind == "syncs" {
+			continue
+		}
+		now[kind] = count[1]
+		grown := count[1] - was[kind]
+		if grown < 0 {
+			grown = count[1]
+		}
+		s.whole[kind] += grown
+	}
+	s.was[node] = now
 }
 
 func (r *Run) costs(took time.Duration, before, after map[string]time.Duration, traffic, later map[string][2]int64) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -58,6 +58,12 @@
 	fmt.Fprintf(r.out, "%7.2fs %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// mark says what is done to the fleet, and notes it in the history.
+func (r *Run) mark(format string, args ...any) {
+	r.say(format, args...)
+	r.h.Add(judge.Record{Kind: judge.Hurt, Note: fmt.Sprintf(format, args...)})
+}
+
 func (r *Run) nap(rnd *rand.Rand, least, most int) {
 	time.Sleep(time.Duration(least+rnd.IntN(most-least)) * time.Millisecond)
 }
@@ -171,6 +177,9 @@
 	if r.Profile != "" {
 		r.profile(loading)
 	}
+	if r.History != nil {
+		r.sample(loading, &loads)
+	}
 	rnd := rand.New(rand.NewPCG(r.Seed, 5))
 	began := time.Now()
 	for time.Since(began) < time.Duration(r.Seconds)*time.Second && ctx.Err() == nil {
--- a/internal/fleet/shape.go
+++ b/internal/fleet/shape.go
@@ -100,7 +100,7 @@
 		r.say("%s did not stop in time", m.Name)
 	}
 	m.isOther = !m.isOther
-	r.say("roll %s (other build: %v)", m.Name, m.isOther)
+	r.mark("roll %s (other build: %v)", m.Name, m.isOther)
 	r.start(m)
 	r.nap(rnd, 800, 1500)
 }
@@ -125,29 +125,29 @@
 	one, two := r.pick(rnd, r.f.Machines), r.pick(rnd, r.f.Machines)
 	switch rnd.IntN(4) {
 	case 0:
-		r.say("cut %s to %s one way", one.Name, two.Name)
+		r.mark("cut %s to %s one way", one.Name, two.Name)
 		r.f.Relay.Cut(one, two)
 	case 1:
-		r.say("cut %s off", one.Name)
+		r.mark("cut %s off", one.Name)
 		r.f.Relay.Isolate(func(m *Machine) bool { return m == one })
 	case 2:
-		r.say("cut %s off", one.Zone)
+		r.mark("cut %s off", one.Zone)
 		r.f.Relay.Isolate(func(m *Machine) bool { return m.Zone == one.Zone })
 	case 3:
-		r.say("split the core apart")
+		r.mark("split the core apart")
 		for _, core := range r.f.CoreMachines() {
 			r.f.Relay.Isolate(func(m *Machine) bool { return m == core })
 		}
 	}
 	r.nap(rnd, 500, 6000)
 	r.f.Relay.Heal()
-	r.say("heal")
+	r.mark("heal")
 	r.nap(rnd, 1000, 4000)
 }
 
 func killOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.Machines)
-	r.say("kill %s", m.Name)
+	r.mark("kill %s", m.Name)
 	m.Kill()
 	r.nap(rnd, 0, 3000)
 	r.start(m)
@@ -160,7 +160,7 @@
 		herd = r.f.ProxyMachines()
 	}
 	for _, m := range herd {
-		r.say("kill %s", m.Name)
+		r.mark("kill %s", m.Name)
 		m.Kill()
 	}
 	r.nap(rnd, 0, 2000)
@@ -173,7 +173,7 @@
 // wipeOne waits long enough for the copies to be mended before the next fault.
 func wipeOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.CoreMachines())
-	r.say("%s is lost with its disk", m.Name)
+	r.mark("%s is lost with its disk", m.Name)
 	m.Kill()
 	if err := m.Wipe(); err != nil {
 		r.say("wipe: %v", err)
@@ -185,17 +185,17 @@
 
 func freezeOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.Machines)
-	r.say("freeze %s", m.Name)
+	r.mark("freeze %s", m.Name)
 	m.Freeze()
 	r.nap(rnd, 300, 5000)
 	m.Thaw()
-	r.say("thaw %s", m.Name)
+	r.mark("thaw %s", m.Name)
 	r.nap(rnd, 1000, 4000)
 }
 
 func stopOne(r *Run, rnd *rand.Rand) {
 	m := r.pick(rnd, r.f.Machines)
-	r.say("stop %s as planned", m.Name)
+	r.mark("stop %s as planned", m.Name)
 	if !m.Stop() {
 		r.say("%s did not stop in time", m.Name)
 	}
@@ -208,7 +208,7 @@
 func serverGoes(r *Run, rnd *rand.Rand) {
 	s := r.takeServer(rnd)
 	if rnd.IntN(2) == 0 {
-		r.say("%s %s drains", s.Service, s.Instance)
+		r.mark("%s %s drains", s.Service, s.Instance)
 		if s.Say(r.ctx, "draining") {
 			r.nap(rnd, 2500, 2501)
 			s.Say(r.ctx, "leaving")
@@ -218,7 +218,7 @@
 		return
 	}
 	other := r.shape.Loads[rnd.IntN(len(r.shape.Loads))].Service
-	r.say("%s %s crashes; %s takes %s after two seconds", s.Service, s.Instance, other, s.Address)
+	r.mark("%s %s crashes; %s takes %s after two seconds", s.Service, s.Instance, other, s.Address)
 	s.Vanish()
 	r.nap(rnd, 2000, 2001)
 	r.serve(other, s.Address, s.Zone)
--- a/internal/hollow/table.go
+++ b/internal/hollow/table.go
@@ -4,6 +4,7 @@
 package hollow
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -52,7 +53,7 @@
 		return fault.New(fault.BadCall, "there is no axis %q", axis)
 	}
 	reports = slices.Clone(reports)
-	slices.SortFunc(reports, func(a, b Report) int { return int(sizeOf(a.Size) - sizeOf(b.Size)) })
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(sizeOf(a.Size), sizeOf(b.Size)) })
 	names := map[string]bool{}
 	var sizes []float64
 	for _, r := range reports {
@@ -107,12 +108,14 @@
 	return list
 }
 
+// Roles is what a node may be in a run.
+var Roles = []string{Hollow, Real, Planner, Owner, Other, Target}
+
 // Print writes one run's figures: a row for each role, then what each sends by
 // kind, then the rest.
 func (r *Report) Print(out io.Writer) {
-	roles := []string{Hollow, Real, Planner, Owner, Other, Target}
 	fmt.Fprintf(out, "\n%-12s %6s %10s %10s %12s %12s %14s\n", "one of", "nodes", "cpu ms/s", "memory MB", "messages/s", "bytes/s", "between zones")
-	for _, role := range roles {
+	for _, role := range Roles {
 		if r.Figures[role+" nodes"] == 0 {
 			continue
 		}
@@ -126,7 +129,7 @@
 	for name := range r.Figures {
 		rest[name] = true
 	}
-	for _, role := range roles {
+	for _, role := range Roles {
 		for _, name := range sorted(r.Figures) {
 			if !strings.HasPrefix(name, role+" ") {
 				continue
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -38,6 +38,8 @@
 	Followed = "followed" // a follower's receipt
 	Version  = "version"  // a change set with an operators' version, from Start to At
 	ReadBack = "readback" // the configuration as read back, from Start to At
+	Hurt     = "hurt"     // a fault was done to the fleet at At; Note tells which
+	Sent     = "sent"     // the bytes that all nodes had sent by At, by kind
 )
 
 // Record is one line of a history; times are since its beginning.
@@ -82,6 +84,7 @@
 	// Lead is where a change set leads each path: services with commas between
 	// them, or nothing if the path is dropped.
 	Lead map[string]string `json:"lead,omitempty"`
+	Sent map[string]int64  `json:"sent,omitempty"`
 }
 
 // History is what was recorded so far.
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,181 @@
+// Package report makes a page of what was recorded: of a run's history, what was
+// served over time with the faults marked, how long it took, and the bytes sent by
+// kind; of hollow runs, their figures over one axis with the lines through them. The
+// page is one HTML file with its plots within; nothing of it is fetched.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Section is one part of a page: words, and plots.
+type Section struct {
+	Title, Text string
+	Plots       []Plot
+}
+
+// Plot is one picture, and what it shows in a sentence.
+type Plot struct {
+	Note  string
+	Whole *plot.Plot
+}
+
+const (
+	width       = 10 * vg.Inch
+	height      = 3.2 * vg.Inch
+	legendWidth = 2.4 * vg.Inch
+)
+
+// The colours are told apart by those who see few of them, too.
+var colours = []color.Color{
+	color.RGBA{0x00, 0x72, 0xb2, 0xff}, color.RGBA{0xd5, 0x5e, 0x00, 0xff}, color.RGBA{0x00, 0x9e, 0x73, 0xff}, color.RGBA{0xcc, 0x79, 0xa7, 0xff},
+	color.RGBA{0xe6, 0x9f, 0x00, 0xff}, color.RGBA{0x56, 0xb4, 0xe9, 0xff}, color.RGBA{0x55, 0x55, 0x55, 0xff}, color.RGBA{0x94, 0x67, 0xbd, 0xff},
+}
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font-family:sans-serif;max-width:62em;margin:2em auto;padding:0 1em}pre{background:#f4f4f4;padding:1em;overflow:auto}svg{max-width:100%;height:auto}figure{margin:1em 0}figcaption{color:#444}</style>
+</head><body><h1>{{.Title}}</h1>
+{{range .Sections}}<h2>{{.Title}}</h2>
+{{if .Text}}<pre>{{.Text}}</pre>
+{{end}}{{range .Figures}}<figure>{{.Picture}}<figcaption>{{.Note}}</figcaption></figure>
+{{end}}{{end}}</body></html>
+`))
+
+type figure struct {
+	Picture template.HTML
+	Note    string
+}
+
+type drawn struct {
+	Title, Text string
+	Figures     []figure
+}
+
+// Write draws a page.
+func Write(out io.Writer, title string, sections []Section) error {
+	var all []drawn
+	for _, s := range sections {
+		d := drawn{Title: s.Title, Text: s.Text}
+		for _, p := range s.Plots {
+			picture, err := svg(p.Whole)
+			if err != nil {
+				return err
+			}
+			d.Figures = append(d.Figures, figure{template.HTML(picture), p.Note})
+		}
+		all = append(all, d)
+	}
+	return page.Execute(out, struct {
+		Title    string
+		Sections []drawn
+	}{title, all})
+}
+
+// svg is a plot with its legend beside it, without the head that stands before a file of its own.
+func svg(p *plot.Plot) (string, error) {
+	canvas := vgsvg.New(width, height)
+	whole, legend := draw.New(canvas), p.Legend
+	p.Legend = plot.NewLegend()
+	p.Draw(draw.Crop(whole, 0, -legendWidth, 0, 0))
+	legend.Draw(draw.Crop(whole, width-legendWidth+vg.Points(6), 0, 0, -vg.Points(24)))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	raw := out.Bytes()
+	if at := bytes.Index(raw, []byte("<svg")); at >= 0 {
+		raw = raw[at:]
+	}
+	return string(raw), nil
+}
+
+// newPlot has a grid, and axes from zero; its legend stands on its right.
+func newPlot(title, across, up string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, across, up
+	p.Title.TextStyle.Font.Size = vg.Points(13)
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.TextStyle.Font.Size = vg.Points(9)
+	p.Legend.ThumbnailWidth = vg.Points(14)
+	p.X.Min, p.Y.Min = 0, 0
+	grid := plotter.NewGrid()
+	grid.Vertical.Color, grid.Horizontal.Color = color.Gray{0xe0}, color.Gray{0xe0}
+	p.Add(grid)
+	return p
+}
+
+// addLine adds points as one line; a point that is no number is a gap.
+func addLine(p *plot.Plot, no int, name string, points plotter.XYs) error {
+	var run plotter.XYs
+	isNamed := false
+	flush := func() error {
+		if len(run) == 0 {
+			return nil
+		}
+		line, dots, err := plotter.NewLinePoints(run)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = colours[no%len(colours)], vg.Points(1.4)
+		dots.Color, dots.Radius, dots.Shape = line.Color, vg.Points(1.6), draw.CircleGlyph{}
+		p.Add(line, dots)
+		if !isNamed {
+			p.Legend.Add(name, line)
+			isNamed = true
+		}
+		run = nil
+		return nil
+	}
+	for _, at := range points {
+		if math.IsNaN(at.Y) {
+			if err := flush(); err != nil {
+				return err
+			}
+			continue
+		}
+		run = append(run, at)
+	}
+	return flush()
+}
+
+// addMarks adds a dashed upright at each place; it goes over the whole height.
+func addMarks(p *plot.Plot, name string, places []float64) {
+	if len(places) == 0 {
+		return
+	}
+	m := &marks{places: places}
+	m.Color, m.Width, m.Dashes = color.RGBA{0xb0, 0x20, 0x20, 0xc0}, vg.Points(0.8), []vg.Length{vg.Points(3), vg.Points(3)}
+	p.Add(m)
+	p.Legend.Add(fmt.Sprintf("%s (%d)", name, len(places)), m)
+}
+
+type marks struct {
+	draw.LineStyle
+	places []float64
+}
+
+func (m *marks) Plot(c draw.Canvas, p *plot.Plot) {
+	across, _ := p.Transforms(&c)
+	for _, at := range m.places {
+		if x := across(at); x >= c.Min.X && x <= c.Max.X {
+			c.StrokeLine2(m.LineStyle, x, c.Min.Y, x, c.Max.Y)
+		}
+	}
+}
+
+func (m *marks) Thumbnail(c *draw.Canvas) {
+	y := c.Center().Y
+	c.StrokeLine2(m.LineStyle, c.Min.X, y, c.Max.X, y)
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,136 @@
+// The words of a page as an approved transcript; of its plots it is seen that they
+// are made, and what points they are of. Run with -approve to take over what is said
+// now.
+package report
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sumactrestle/sumactrestle/internal/hollow"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
+)
+
+var approve = flag.Bool("approve", false, "take over the transcripts as they are now")
+
+func approved(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *approve {
+		os.MkdirAll("testdata", 0o755)
+		os.WriteFile(path, []byte(got), 0o644)
+	}
+	want, _ := os.ReadFile(path)
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("the transcript differs (-approved +now):\n%s", diff)
+	}
+}
+
+const ms = time.Millisecond
+
+// recorded is four seconds of calls, a fault, and three samples of what was sent.
+func recorded() []judge.Record {
+	records := []judge.Record{{Kind: judge.Began, Note: "a test"}}
+	call := func(id string, start, took time.Duration, outcome string, status, code int) {
+		records = append(records, judge.Record{Kind: judge.Called, Call: id, Request: "r" + id, Start: start, At: start + took, Outcome: outcome, Status: status, Code: code, RetryAfter: "1"})
+	}
+	ran := func(id string, at time.Duration) {
+		records = append(records, judge.Record{Kind: judge.Ran, Call: id, Request: "r" + id, At: at})
+	}
+	call("a", 100*ms, 5*ms, "ran", 200, 0)
+	ran("a", 102*ms)
+	call("b", 900*ms, 7*ms, "ran", 200, 0)
+	ran("b", 903*ms)
+	records = append(records, judge.Record{Kind: judge.Hurt, At: 1200 * ms, Note: "kill core1"})
+	call("c", 1300*ms, 9*ms, "not run", 503, 1002)
+	call("d", 1400*ms, 200*ms, "unknown", 502, 1007)
+	call("e", 3200*ms, 40*ms, "ran", 200, 0)
+	ran("e", 3210*ms)
+	call("f", 3300*ms, 4*ms, "gone", 0, 0)
+	for i, sent := range []int64{1000, 3000, 9000} {
+		records = append(records, judge.Record{Kind: judge.Sent, At: time.Duration(i+1) * time.Second, Sent: map[string]int64{"gate.try": sent, "kin.probe": 10 * sent}})
+	}
+	return append(records, judge.Record{Kind: judge.Ended, At: 4 * time.Second})
+}
+
+func runsOf(gates ...int) (runs []hollow.Report) {
+	for _, n := range gates {
+		runs = append(runs, hollow.Report{Size: hollow.Size{Gates: n}, Figures: map[string]float64{
+			hollow.Planner + " cpu ms/s": 10 + 2*float64(n), hollow.Planner + " memory MB": 20, hollow.Hollow + " cpu ms/s": 3}})
+	}
+	return runs
+}
+
+var picture = regexp.MustCompile(`(?s)<svg.*?</svg>`)
+
+func TestTranscriptPage(t *testing.T) {
+	history, err := History("a.history", recorded())
+	if err != nil {
+		t.Fatal(err)
+	}
+	slopes, err := Slopes(runsOf(40, 10, 20), "gates", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var page bytes.Buffer
+	if err := Write(&page, "a <title>", []Section{history, slopes}); err != nil {
+		t.Fatal(err)
+	}
+	plots := picture.FindAllString(page.String(), -1)
+	for i, plot := range plots {
+		if !strings.Contains(plot, "<path") || !strings.Contains(plot, "<text") {
+			t.Errorf("plot %d holds no line, or no word", i)
+		}
+	}
+	approved(t, "page.html", picture.ReplaceAllString(page.String(), "[plot]"))
+}
+
+func TestIntervalsHoldTheCallsThatBeganInThem(t *testing.T) {
+	intervals, length := cut(recorded())
+	if length != time.Second || len(intervals) != 4 {
+		t.Fatalf("%d intervals of %v", len(intervals), length)
+	}
+	var got [][3]int
+	for _, in := range intervals {
+		got = append(got, [3]int{in.calls, in.ran, in.refused})
+	}
+	if diff := cmp.Diff([][3]int{{2, 2, 0}, {2, 0, 1}, {}, {1, 1, 0}}, got); diff != "" {
+		t.Error(diff)
+	}
+	long := append(recorded(), judge.Record{Kind: judge.Called, Start: time.Hour, At: time.Hour, Outcome: "ran", Status: 200})
+	if intervals, length := cut(long); len(intervals) > intervalsMost+1 || length%time.Second != 0 {
+		t.Errorf("%d intervals of %v for an hour", len(intervals), length)
+	}
+}
+
+func TestQuantilesAreOfTheListItself(t *testing.T) {
+	list := []time.Duration{1, 2, 3, 4}
+	for share, want := range map[float64]time.Duration{0.5: 2, 0.99: 4, 0.999: 4} {
+		if got := quantile(list, share); got != want {
+			t.Errorf("%v: %v, want %v", share, got, want)
+		}
+	}
+	if got := quantile(list[:1], 0.5); got != 1 {
+		t.Errorf("of one: %v", got)
+	}
+}
+
+func TestWhatCanNotBeDrawnIsSaid(t *testing.T) {
+	if _, err := History("x", []judge.Record{{Kind: judge.Began}}); err == nil {
+		t.Error("a history without a call was drawn")
+	}
+	if _, err := Slopes(runsOf(1), "luck", 1); err == nil {
+		t.Error("an axis that is none was taken")
+	}
+	if _, err := Slopes([]hollow.Report{{}}, "gates", 1); err == nil {
+		t.Error("runs without figures were drawn")
+	}
+}
