Histograms of services are small and bounded by a setting; refusals have a service

And a request that was refused after its service was found (its share, no claim, no target) was counted without the service, although the table says "without a service if none was found". A label value that the library refuses would have ended the process.

Change: a service's histograms are exact to one part in sixteen and take under 3 kB (those of the whole node stay at one in a hundred); metrics.services (512) bounds how many services are told apart, so 4 MB at the worst; an outcome that never was takes none. A refusal is counted under its service. A metric that can't be made is an error of the scrape, and the others are shown.

Ruled out: dropping the histograms of services that have no target: the counts would start anew with each gap. Not keeping them without metrics.serve: `sumac shell latency` is for the moment when something is wrong.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -124,16 +124,16 @@
 		w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
 	}
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	done, err := g.gate(c)
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	defer done()
 	if err := g.claim(c); err != nil {
 		g.orders.End(c.key, how(err))
-		return nil, nil, err
+		return c, nil, err
 	}
 	got, err := g.carry(c, r)
 	g.orders.End(c.key, how(err))
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -20,11 +20,14 @@
 	if err != nil {
 		outcome = gauge.OutcomeOf(fault.Of(err).Code.Outcome)
 	}
-	if c == nil || c.crew == nil {
+	switch {
+	case c == nil:
 		g.r.Times.Service("").Take(outcome, whole)
-		return
+	case c.crew == nil:
+		g.r.Times.Service(c.service.Name).Take(outcome, whole)
+	default:
+		c.crew.times.Take(outcome, whole)
 	}
-	c.crew.times.Take(outcome, whole)
 	if err == nil {
 		g.r.Times.Added.Take(whole - c.away)
 	}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -1,6 +1,8 @@
 // Package gauge keeps how long things take: one histogram for each kind of time,
-// with high dynamic range (about one part in a hundred exact, from ten microseconds
-// to a minute), made when its first time is taken. Taking a time is one look at a
+// with high dynamic range (from ten microseconds to a minute), made when its first
+// time is taken. Those of the whole node are exact to one part in a hundred and take
+// 18 kB each; those of each service and outcome to one in sixteen and 3 kB, since
+// there may be many. Taking a time is one look at a
 // pointer, one lock and one count; nothing is looked up by a name on the way. It
 // also holds the table of metrics that a node shows.
 package gauge
@@ -16,7 +18,8 @@
 const (
 	unit    = 10 * time.Microsecond
 	longest = time.Minute
-	digits  = 2
+	fine    = 2 // digits of a histogram of the whole node
+	coarse  = 1 // digits of one of a service
 )
 
 // Bounds are the upper bounds, in seconds, under which times are shown as counts.
@@ -30,7 +33,9 @@
 }
 
 // Take counts one time; one outside the range counts as the nearest within.
-func (t *Time) Take(d time.Duration) {
+func (t *Time) Take(d time.Duration) { t.take(d, fine) }
+
+func (t *Time) take(d time.Duration, digits int) {
 	d = min(max(d, 0), longest)
 	t.mu.Lock()
 	if t.counts == nil {
@@ -105,7 +110,7 @@
 // Service is the whole times of one service's requests, by outcome.
 type Service struct{ by [outcomes]Time }
 
-func (s *Service) Take(o Outcome, d time.Duration) { s.by[o].Take(d) }
+func (s *Service) Take(o Outcome, d time.Duration) { s.by[o].take(d, coarse) }
 
 // Times is all histograms of one node.
 type Times struct {
@@ -114,20 +119,19 @@
 	Sync  Time // of a sync of the disk
 	Epoch Time // the age of an epoch when it came into use
 
+	Services int // so many services are told apart; the rest share one
+
 	services sync.Map
 	rest     Service
 	size     atomic.Int64
 }
 
-// servicesMost bounds the services that are told apart; the rest share one.
-const servicesMost = 4096
-
 // Service is the place of a service's times, to be kept by who takes many.
 func (t *Times) Service(name string) *Service {
 	if found, ok := t.services.Load(name); ok {
 		return found.(*Service)
 	}
-	if name == "" || t.size.Load() >= servicesMost {
+	if name == "" || t.size.Load() >= int64(t.Services) {
 		return &t.rest
 	}
 	found, isOld := t.services.LoadOrStore(name, &Service{})
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -6,74 +6,75 @@
 
 // Props are the checked settings of one node.
 type Props struct {
-	Name           string        // the node's name, lasting and unique in the fleet
-	Zone           string        // the zone or room the machine stands in
-	Seeds          []string      // wire addresses of other processes, three at best
-	WireAddress    string        // address for the other processes, TCP and UDP
-	WireAdvertise  string        // address that the others are told for this node, if it is not wire.address
-	ApiAddress     string        // address for back ends, applications and operators (HTTP)
-	ApiAdvertise   string        // address that the others are told for calls to this node, if it is not api.address
-	GateAddress    string        // address for callers (HTTP); a node that has one is a proxy
-	DataFolder     string        // folder for the state; a node that has one is a core node
-	FoundCores     int           // how many empty core nodes found a fleet; 0 is for one that only joins
-	Strength       int           // the machine's strength; shares follow it
-	LogLevel       string        // debug, info, warn or error
-	LogFile        string        // file for the log; standard error if empty
-	KinProbe       time.Duration // pause between two probes
-	KinReply       time.Duration // how long a probe waits before third parties are asked
-	KinSuspect     time.Duration // how long a suspected member may refute
-	PactRound      time.Duration // pause between two confirmations of a term
-	PactSilence    time.Duration // silence of an owner after which the next in order stands
-	PactLosses     int           // how many core nodes may be lost at once; a data part has twice as many members and one
-	PactGone       time.Duration // how long a core node may be gone before a spare replaces it
-	PactSnapshot   int           // entries between two snapshots of a part
-	PlanSilence    time.Duration // silence after which a target is taken out; about three beats
-	PlanSettle     time.Duration // how long a new owner of a part listens to beats before its word counts
-	PlanKeep       bool          // while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address
-	PlanStrangers  bool          // keep the beats of services that no configuration names yet
-	PlanBeat       time.Duration // pause between two beats of a server, as servers are told
-	PlanGather     time.Duration // how long news of targets is gathered before an epoch is made of it
-	PlanHold       time.Duration // how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard
-	PlanLinger     time.Duration // how long a proxy that went keeps its share
-	PlanPoll       time.Duration // pause between two collections of the parts' news
-	FlowHold       time.Duration // how long a listener request is held
-	FlowBehind     time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
-	FlowServers    int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
-	FlowPause      time.Duration // pause after a fetch that brought nothing newer
-	FlowRetry      time.Duration // pause between tries after an error
-	FlowTries      int           // tries before the long pause
-	FlowCool       time.Duration // the long pause
-	FlowPulse      time.Duration // pause between two renewals of freshness
-	FlowFresh      time.Duration // age above which a proxy hands nothing over
-	FlowStay       time.Duration // how long a proxy that is out of touch goes on with its last epoch all the same; above 0 what is promised of older plans holds only for proxies in touch, and targets must tell instances apart
-	GateDeadline   time.Duration // deadline of a request whose mapping names none
-	GateBody       int           // largest answer that is buffered, in bytes
-	GateRequest    int           // largest request body, in bytes
-	GateInflight   int           // requests under way at once in this proxy
-	GateConnect    time.Duration // time for a connection to a target
-	WireLine       int           // longest message between processes, in bytes
-	StopGrace      time.Duration // time for a planned stop
-	DebugAddress   string        // address for profiles (pprof); none if empty; keep it inside
-	GateSeal       string        // keyed: an answer bears the server's seal under the service's key; opaque: a success bears a mark that only the caller can judge, and every answer names its request
-	GateIds        string        // own: a request gets an id here; caller: it bears one, and the answer names it
-	GateLinger     time.Duration // how long a stopping proxy still takes new requests, while those who ask are told that it is not ready
-	GateIdle       time.Duration // how long a pipe to a target is kept idle, unless the target names less
-	GateSpill      int           // by how many hundredths of its aim a request may be slower before it goes to another zone
-	ExtraPercent   int           // extra tries that a hundred first requests of a service pay for
-	ExtraBase      int           // extra tries of a service beside these, in any extra.window, of all proxies together
-	ExtraWindow    time.Duration // the window of the budget of extra tries
-	HeaderRequest  string        // header that names the request, both ways
-	HeaderDeadline string        // header with the milliseconds that the caller will wait, and that are left for the target
-	HeaderExpect   string        // header to the target that names the instance meant
-	HeaderSeal     string        // header with the server's seal
-	HeaderUnrun    string        // header by which a target says that it did not run the request
-	HeaderWeight   string        // header by which a target tells what it has to do: requests running, waiting, and its slots
-	GateReturn     time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
-	GateRate       int           // kilobytes a second at which large request bodies go out together; 0 is no bound
-	GateBodies     int           // how many large request bodies are read at once; 0 is no bound
-	GateWait       time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
-	WireDial       time.Duration // time for a connection to another process
-	MetricsServe   bool          // show metrics for scraping under /metrics on api.address
+	Name            string        // the node's name, lasting and unique in the fleet
+	Zone            string        // the zone or room the machine stands in
+	Seeds           []string      // wire addresses of other processes, three at best
+	WireAddress     string        // address for the other processes, TCP and UDP
+	WireAdvertise   string        // address that the others are told for this node, if it is not wire.address
+	ApiAddress      string        // address for back ends, applications and operators (HTTP)
+	ApiAdvertise    string        // address that the others are told for calls to this node, if it is not api.address
+	GateAddress     string        // address for callers (HTTP); a node that has one is a proxy
+	DataFolder      string        // folder for the state; a node that has one is a core node
+	FoundCores      int           // how many empty core nodes found a fleet; 0 is for one that only joins
+	Strength        int           // the machine's strength; shares follow it
+	LogLevel        string        // debug, info, warn or error
+	LogFile         string        // file for the log; standard error if empty
+	KinProbe        time.Duration // pause between two probes
+	KinReply        time.Duration // how long a probe waits before third parties are asked
+	KinSuspect      time.Duration // how long a suspected member may refute
+	PactRound       time.Duration // pause between two confirmations of a term
+	PactSilence     time.Duration // silence of an owner after which the next in order stands
+	PactLosses      int           // how many core nodes may be lost at once; a data part has twice as many members and one
+	PactGone        time.Duration // how long a core node may be gone before a spare replaces it
+	PactSnapshot    int           // entries between two snapshots of a part
+	PlanSilence     time.Duration // silence after which a target is taken out; about three beats
+	PlanSettle      time.Duration // how long a new owner of a part listens to beats before its word counts
+	PlanKeep        bool          // while a new owner listens, the targets of the epoch in force stay in, but for those known to drain, to leave or to have lost their address
+	PlanStrangers   bool          // keep the beats of services that no configuration names yet
+	PlanBeat        time.Duration // pause between two beats of a server, as servers are told
+	PlanGather      time.Duration // how long news of targets is gathered before an epoch is made of it
+	PlanHold        time.Duration // how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard
+	PlanLinger      time.Duration // how long a proxy that went keeps its share
+	PlanPoll        time.Duration // pause between two collections of the parts' news
+	FlowHold        time.Duration // how long a listener request is held
+	FlowBehind      time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
+	FlowServers     int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
+	FlowPause       time.Duration // pause after a fetch that brought nothing newer
+	FlowRetry       time.Duration // pause between tries after an error
+	FlowTries       int           // tries before the long pause
+	FlowCool        time.Duration // the long pause
+	FlowPulse       time.Duration // pause between two renewals of freshness
+	FlowFresh       time.Duration // age above which a proxy hands nothing over
+	FlowStay        time.Duration // how long a proxy that is out of touch goes on with its last epoch all the same; above 0 what is promised of older plans holds only for proxies in touch, and targets must tell instances apart
+	GateDeadline    time.Duration // deadline of a request whose mapping names none
+	GateBody        int           // largest answer that is buffered, in bytes
+	GateRequest     int           // largest request body, in bytes
+	GateInflight    int           // requests under way at once in this proxy
+	GateConnect     time.Duration // time for a connection to a target
+	WireLine        int           // longest message between processes, in bytes
+	StopGrace       time.Duration // time for a planned stop
+	DebugAddress    string        // address for profiles (pprof); none if empty; keep it inside
+	GateSeal        string        // keyed: an answer bears the server's seal under the service's key; opaque: a success bears a mark that only the caller can judge, and every answer names its request
+	GateIds         string        // own: a request gets an id here; caller: it bears one, and the answer names it
+	GateLinger      time.Duration // how long a stopping proxy still takes new requests, while those who ask are told that it is not ready
+	GateIdle        time.Duration // how long a pipe to a target is kept idle, unless the target names less
+	GateSpill       int           // by how many hundredths of its aim a request may be slower before it goes to another zone
+	ExtraPercent    int           // extra tries that a hundred first requests of a service pay for
+	ExtraBase       int           // extra tries of a service beside these, in any extra.window, of all proxies together
+	ExtraWindow     time.Duration // the window of the budget of extra tries
+	HeaderRequest   string        // header that names the request, both ways
+	HeaderDeadline  string        // header with the milliseconds that the caller will wait, and that are left for the target
+	HeaderExpect    string        // header to the target that names the instance meant
+	HeaderSeal      string        // header with the server's seal
+	HeaderUnrun     string        // header by which a target says that it did not run the request
+	HeaderWeight    string        // header by which a target tells what it has to do: requests running, waiting, and its slots
+	GateReturn      time.Duration // the least that Retry-After asks for, spread over three times that; below a second it is told in fractions
+	GateRate        int           // kilobytes a second at which large request bodies go out together; 0 is no bound
+	GateBodies      int           // how many large request bodies are read at once; 0 is no bound
+	GateWait        time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
+	WireDial        time.Duration // time for a connection to another process
+	MetricsServe    bool          // show metrics for scraping under /metrics on api.address
+	MetricsServices int           // services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name
 }
 
 var table = []entry{
@@ -145,4 +146,5 @@
 	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
 	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
 	{key: "metrics.serve", kind: "bool", fallback: "false", low: "", high: "", doc: "show metrics for scraping under /metrics on api.address", set: func(p *Props, v any) { p.MetricsServe = v.(bool) }},
+	{key: "metrics.services", kind: "int", fallback: "512", low: "0", high: "65536", doc: "services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name", set: func(p *Props, v any) { p.MetricsServices = v.(int) }},
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -51,7 +51,7 @@
 
 func New(parent context.Context, p *props.Props, s *sign.Sign, n Net) *Realm {
 	ctx, end := context.WithCancel(parent)
-	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), Times: &gauge.Times{}, end: end}
+	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), Times: &gauge.Times{Services: p.MetricsServices}, end: end}
 	r.idle = sync.NewCond(&r.mu)
 	return r
 }
--- a/internal/seat/metrics.go
+++ b/internal/seat/metrics.go
@@ -31,7 +31,7 @@
 	registry.MustRegister(NewCollector(n), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
 	mux.Handle("/", api)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: 5 * time.Second}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError, MaxRequestsInFlight: 2, Timeout: 5 * time.Second}))
 	return mux
 }
 
@@ -70,7 +70,16 @@
 	if m.Kind == "counter" {
 		kind = prometheus.CounterValue
 	}
-	s.out <- prometheus.MustNewConstMetric(s.descs[m.Name], kind, value, labels...)
+	one, err := prometheus.NewConstMetric(s.descs[m.Name], kind, value, labels...)
+	s.pass(m, one, err)
+}
+
+// pass hands a metric on; one that can't be made is an error of the scrape alone.
+func (s sheet) pass(m gauge.Metric, one prometheus.Metric, err error) {
+	if err != nil {
+		one = prometheus.NewInvalidMetric(s.descs[m.Name], err)
+	}
+	s.out <- one
 }
 
 func truth(is bool) float64 {
@@ -106,7 +115,8 @@
 		s.core()
 	}
 	n.R.Times.Each(func(m gauge.Metric, labels []string, sum gauge.Sum) {
-		out <- prometheus.MustNewConstHistogram(c.descs[m.Name], sum.Count, sum.Seconds, sum.Under, labels...)
+		one, err := prometheus.NewConstHistogram(c.descs[m.Name], sum.Count, sum.Seconds, sum.Under, labels...)
+		s.pass(m, one, err)
 	})
 }
 
