--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -89,6 +89,7 @@
 		}
 		return part.promise(ask)
 	})
+	handle(w, "pact.prevote", func(c *wire.Call, ask *wire.PrevoteAsk) (any, error) { return p.spoken(ask), nil })
 	handle(w, "pact.append", func(c *wire.Call, ask *wire.AppendAsk) (any, error) {
 		part, err := p.part(ask.Part)
 		if err != nil {
@@ -174,6 +175,7 @@
 // Open starts the tasks; kin and wire are open already.
 func (p *Pact) Open() {
 	p.r.Go(p.tend)
+	p.r.Go(p.prevotes)
 	p.r.Go(p.repair)
 }
 
