--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -3,6 +3,9 @@
 package gauge
 
 import (
+	"os"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -134,6 +137,32 @@
 	}
 }
 
+// An expression in the operators' page that names no metric would never alert.
+func TestOperatorsPageNamesMetricsThatAre(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]string{}
+	for _, m := range Metrics {
+		kinds[m.Name] = m.Kind
+	}
+	names := regexp.MustCompile(`sumac_[a-z_]+[a-z]`).FindAllString(string(page), -1)
+	if len(names) < 15 {
+		t.Errorf("the page names %d metrics", len(names))
+	}
+	for _, name := range names {
+		for _, end := range []string{"_bucket", "_count", "_sum"} {
+			if bare, is := strings.CutSuffix(name, end); is && kinds[bare] == "histogram" {
+				name = bare
+			}
+		}
+		if kinds[name] == "" {
+			t.Errorf("the page names %s, which is no metric", name)
+		}
+	}
+}
+
 // BenchmarkRequest is what a request pays: two readings of the clock for its whole
 // time, two for its target's, and two histograms.
 func BenchmarkRequest(b *testing.B) {
