--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -201,10 +201,11 @@
 	if receipt.Epoch <= epoch {
 		return true, nil
 	}
+	made := time.Now().Add(-time.Duration(receipt.Age) * time.Millisecond)
 	isNewer = len(receipt.Groups) > 0 && c.Cache.Stage(receipt.Groups)
 	manifest := c.Cache.Delta(have, &receipt)
 	if len(c.Cache.Missing(manifest)) == 0 {
-		ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+		ok, err := c.swap(receipt.Epoch, manifest, made)
 		return ok || isNewer, err
 	}
 	c.leaveToNear(address)
@@ -234,7 +235,7 @@
 			isNewer = c.Cache.Stage(fetched.Groups) || isNewer
 		}
 	}
-	ok, err := c.Cache.Swap(receipt.Epoch, manifest)
+	ok, err := c.swap(receipt.Epoch, manifest, made)
 	return ok || isNewer, err
 }
 
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
@@ -67,6 +68,7 @@
 	illsAt time.Time
 
 	allowance float64 // of doubles
+	times     *gauge.Service
 }
 
 func (g *Gate) newCrew(service string, list []wire.Target, old *crew, now time.Time) *crew {
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -33,6 +33,7 @@
 	isRepeat     bool
 	isRead       bool // some of the body may have been read
 	claim        string
+	away         time.Duration // how long targets took
 }
 
 // table finds mappings by path, and knows the targets of the epoch.
@@ -65,6 +66,7 @@
 			before = old.crews[service]
 		}
 		t.crews[service] = g.newCrew(service, list, before, now)
+		t.crews[service].times = g.r.Times.Service(service)
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
