--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -23,6 +23,8 @@
 	service      wire.Service
 	crew         *crew
 	tried        []*post
+	most         int // targets that it may be sent to
+	doubles      int // sent beside a first try
 	sharers      int
 	aim          time.Duration
 	deadline     time.Time
@@ -39,12 +41,13 @@
 	chart  *flow.Chart
 	paths  map[string][]*wire.Mapping
 	places map[string]bool
+	marks  map[string]*post // by what proxies name them to one another
 	crews  map[string]*crew
 	near   int
 }
 
 func (g *Gate) newTable(chart *flow.Chart, old *table) *table {
-	t := &table{chart: chart, places: map[string]bool{}, crews: map[string]*crew{}, near: g.near(chart)}
+	t := &table{chart: chart, places: map[string]bool{}, marks: map[string]*post{}, crews: map[string]*crew{}, near: g.near(chart)}
 	if t.isSameRoutes(old) {
 		t.paths = old.paths
 	} else {
@@ -67,6 +70,9 @@
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
+		for _, p := range t.crews[service].posts {
+			t.marks[p.mark] = p
+		}
 	}
 	return t
 }
@@ -169,7 +175,10 @@
 	if !ok {
 		return c, fault.New(fault.NoTarget, "service of %s", c.mapping.Name)
 	}
-	c.service, c.isRepeatable = service, c.mapping.Repeatable
+	c.service, c.isRepeatable, c.most = service, c.mapping.Repeatable, targetsMost
+	if c.mapping.Tries > 0 {
+		c.most = c.mapping.Tries
+	}
 	if isOnce := c.mapping.Once == nil || *c.mapping.Once; c.key != 0 && isOnce && !c.isRepeatable {
 		c.claim = claimName(r)
 	}
