--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -31,7 +31,9 @@
 	isRepeatable bool
 	key          uint64
 	isRepeat     bool
+	isRead       bool // some of the body may have been read
 	claim        string
+	away         time.Duration // how long targets took
 }
 
 // table finds mappings by path, and knows the targets of the epoch.
@@ -64,6 +66,7 @@
 			before = old.crews[service]
 		}
 		t.crews[service] = g.newCrew(service, list, before, now)
+		t.crews[service].times = g.r.Times.Service(service)
 		for _, target := range list {
 			t.places[place(service, target.Instance, target.Address)] = true
 		}
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -30,12 +30,21 @@
 	lastGot time.Time
 }
 
-// A pipe on which nothing came for the length of an ask that ran out of time is
-// dropped: a connection that lived through a cut may otherwise stay silent for
-// as long as TCP's own growing pauses last.
-const (
-	deafTime = 300 * time.Millisecond
-)
+// heard notes each byte that comes. A pipe on which none came for the length of an ask
+// that ran out of time is dropped: a connection that lived through a cut may otherwise
+// stay silent for as long as TCP's own growing pauses last. One that is in the midst of
+// a long receipt is not: that would begin anew, and fill the link that made it late.
+type heard struct{ p *pipe }
+
+func (h heard) Read(to []byte) (int, error) {
+	n, err := h.p.conn.Read(to)
+	if n > 0 {
+		h.p.mu.Lock()
+		h.p.lastGot = time.Now()
+		h.p.mu.Unlock()
+	}
+	return n, err
+}
 
 func (w *Wire) pipe(ctx context.Context, address string) (*pipe, error) {
 	w.mu.Lock()
@@ -59,9 +68,7 @@
 }
 
 func (p *pipe) run() {
-	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
-	conn, err := p.w.r.Net.Dial(ctx, p.address)
-	end()
+	conn, err := p.dial()
 	if err != nil {
 		p.problem = fault.New(fault.Unreached, "%s: %v", p.address, err)
 		p.forget()
@@ -76,7 +83,7 @@
 		return
 	}
 	close(p.ready)
-	reader := bufio.NewReaderSize(conn, 16<<10)
+	reader := bufio.NewReaderSize(heard{p}, 16<<10)
 	for {
 		line, err := readLine(reader, p.w.r.Props.WireLine)
 		if err != nil {
@@ -87,7 +94,6 @@
 			break
 		}
 		p.mu.Lock()
-		p.lastGot = time.Now()
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -98,6 +104,51 @@
 	p.close()
 }
 
+// dials is how many connections are tried for one pipe: a machine that was down when
+// the first was asked for is asked again by the system only after a second.
+const dials = 3
+
+// dial opens a connection. While none is there and none was refused, another is tried
+// beside it after a part of the time; the first that opens is the pipe's.
+func (p *pipe) dial() (net.Conn, error) {
+	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
+	defer end()
+	type opened struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan opened, dials)
+	begin := func() {
+		p.w.r.Go(func() {
+			conn, err := p.w.r.Net.Dial(ctx, p.address)
+			results <- opened{conn, err}
+		})
+	}
+	again := time.NewTicker(p.w.r.Props.WireDial / dials)
+	defer again.Stop()
+	begin()
+	begun := 1
+	for {
+		select {
+		case got := <-results:
+			left := begun - 1
+			p.w.r.Go(func() {
+				for range left {
+					if late := <-results; late.conn != nil {
+						late.conn.Close()
+					}
+				}
+			})
+			return got.conn, got.err
+		case <-again.C:
+			if begun < dials {
+				begin()
+				begun++
+			}
+		}
+	}
+}
+
 func (p *pipe) forget() {
 	p.w.mu.Lock()
 	if p.w.pipes[p.address] == p {
@@ -152,7 +203,7 @@
 	case <-ctx.Done():
 		p.mu.Lock()
 		delete(p.waiting, frame.Id)
-		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > deafTime
+		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > p.w.r.Props.WireDeaf
 		p.mu.Unlock()
 		if isDeaf {
 			p.close()
