--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -68,11 +68,12 @@
 	illsAt time.Time
 
 	allowance float64 // of doubles
+	doubles   float64 // how large a part of the requests may be doubled
 	times     *gauge.Service
 }
 
 func (g *Gate) newCrew(service string, list []wire.Target, old *crew, now time.Time) *crew {
-	c := &crew{}
+	c := &crew{doubles: float64(g.r.Props.GateDoubles) / 100}
 	known := map[string]*post{}
 	if old != nil {
 		c.pace, c.calm, c.allowance = old.state()
@@ -132,7 +133,7 @@
 	default:
 		c.calm += (c.pace - c.calm) / 512
 	}
-	c.allowance = min(c.allowance+doublePart, doubleMost)
+	c.allowance = min(c.allowance+c.doubles, doubleMost)
 }
 
 // near counts the proxies that share the targets of this zone.
--- a/internal/gate/double.go
+++ b/internal/gate/double.go
@@ -19,9 +19,8 @@
 // as silent.
 const silentTimes = 5
 
-// doublePart is how large a part of the requests may be doubled, and doubleMost how many
-// at once.
-const doublePart, doubleMost = 0.06, 3
+// doubleMost is how many requests of a service may be doubled at once.
+const doubleMost = 3
 
 // outcome is what a try came to.
 type outcome struct {
@@ -60,7 +59,7 @@
 func (g *Gate) await(ctx context.Context, c *course, r *http.Request, a *asking, body func() io.Reader, no int) (*answer, bool, error) {
 	var late <-chan time.Time
 	usual := c.crew.typical()
-	isDoubled := no == 0 && c.most > 1 && c.isRepeatable && r.ContentLength == 0
+	isDoubled := g.r.Props.GateDoubles > 0 && no == 0 && c.most > 1 && c.isRepeatable && r.ContentLength == 0
 	if usual > 0 {
 		patience := silentTimes * usual
 		if isDoubled {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -77,6 +77,7 @@
 	MetricsServices int           // services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name
 	WireDeaf        time.Duration // for how long nothing may come over a connection to another process while an ask waits, before it is given up
 	GateWindow      int           // receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own
+	GateDoubles     int           // how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries
 }
 
 var table = []entry{
@@ -151,4 +152,5 @@
 	{key: "metrics.services", kind: "int", fallback: "512", low: "0", high: "65536", doc: "services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name", set: func(p *Props, v any) { p.MetricsServices = v.(int) }},
 	{key: "wire.deaf", kind: "duration", fallback: "300ms", low: "50ms", high: "30s", doc: "for how long nothing may come over a connection to another process while an ask waits, before it is given up", set: func(p *Props, v any) { p.WireDeaf = v.(time.Duration) }},
 	{key: "gate.window", kind: "int", fallback: "0", low: "0", high: "1073741824", doc: "receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own", set: func(p *Props, v any) { p.GateWindow = v.(int) }},
+	{key: "gate.doubles", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries", set: func(p *Props, v any) { p.GateDoubles = v.(int) }},
 }
