Full fetches: so many at once, encoded once for all, given up with their asker

Cause: each asker's full fetch was encoded anew, twice (the receipt, then the frame, for which package json reads all of it again), as many at once as asked; askers gave up after 5 s and asked again while the old ask was still worked on. Nothing bounded the pile at a core node, and no pause at the asker grew.

Changed: a group is encoded once for its digest and version, the whole once for its epoch, and goes into the frame as it stands (wire.Raw, wire/pack.go). flow.fetches (8) full fetches are under way at a core node, until written; who comes beside them gets `later`, each a little more than the one before. An ask's time runs from when it was read from the pipe: one whose time is over is not begun, and a receipt that comes too late goes out without its body.

fetchAll and Open moved from flow/client.go to flow/start.go; the listening is untouched.

--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -58,45 +58,6 @@
 	return c
 }
 
-// Open starts once, however often it is called.
-func (c *Client) Open() {
-	if !c.began.CompareAndSwap(false, true) {
-		return
-	}
-	c.r.Go(func() {
-		for !c.fetchAll() {
-			if !c.r.Pause(realm.Jitter(c.r.Props.FlowRetry)) {
-				return
-			}
-		}
-		c.keepListening()
-	})
-	c.r.Go(c.pulse)
-}
-
-// fetchAll tries the control nodes in order until one gives every group.
-func (c *Client) fetchAll() bool {
-	for _, m := range c.k.Keepers() {
-		ctx, end := context.WithTimeout(c.r, 5*time.Second)
-		var receipt wire.FetchReceipt
-		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
-		end()
-		if err != nil {
-			c.r.Sign.Say(sign.FetchFailed, "node", string(m.Name), "cause", err.Error())
-			continue
-		}
-		if receipt.Epoch == 0 {
-			continue
-		}
-		c.heard()
-		c.Cache.Stage(receipt.Groups)
-		if ok, err := c.Cache.Swap(receipt.Epoch, receipt.Manifest); ok && err == nil {
-			return true
-		}
-	}
-	return false
-}
-
 // keepListening has one task for each control node there is.
 func (c *Client) keepListening() {
 	for {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +33,9 @@
 	running *relay
 	waiting *relay
 	deltas  map[string]wire.Group
+
+	turns turns
+	coder coder
 }
 
 // relay is one pulse to the owner, shared by all proxies that wait for it.
@@ -59,7 +60,7 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		return s.fetch(&ask), nil
+		return s.fetch(c, &ask)
 	})
 	w.Handle("flow.pulse", func(c *wire.Call) (any, error) { return s.pulse(c) })
 	return s
@@ -143,27 +144,6 @@
 	return receipt
 }
 
-func (s *Server) fetch(ask *wire.FetchAsk) *wire.FetchReceipt {
-	sheet := s.ledger.Sheet()
-	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
-	names := ask.Groups
-	if len(names) == 0 {
-		// A member that was just started holds what its last snapshot holds, until an
-		// owner has told it how far the log is committed.
-		if _, isOwned := s.p.Owner(mark.Config); !isOwned {
-			return &wire.FetchReceipt{}
-		}
-		receipt.Manifest = sheet.Manifest()
-		names = slices.Collect(maps.Keys(receipt.Manifest))
-	}
-	for _, name := range names {
-		if group, ok := sheet.Carried(name); ok {
-			receipt.Groups[name] = s.short(name, ask.Held[name], group)
-		}
-	}
-	return receipt
-}
-
 // short is a target list as what differs from the one that the asker holds, if that
 // is known here and the difference is right.
 func (s *Server) short(name, held string, group wire.Group) wire.Group {
--- /dev/null
+++ b/internal/flow/start.go
@@ -0,0 +1,75 @@
+// The proxy's start: one full fetch, for which the control nodes are tried in list
+// order. A control node that is loaded says in how long to ask again; the next in the
+// list is tried at once, and if none gives, the pause is what they said, and grows from
+// try to try, spread, as long as they are loaded.
+package flow
+
+import (
+	"context"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Open starts once, however often it is called.
+func (c *Client) Open() {
+	if !c.began.CompareAndSwap(false, true) {
+		return
+	}
+	c.r.Go(func() {
+		pause := c.r.Props.FlowRetry
+		for {
+			isDone, isLoaded, later := c.fetchAll()
+			if isDone {
+				break
+			}
+			if isLoaded {
+				pause = min(2*pause, max(c.r.Props.FlowCool, c.r.Props.FlowRetry))
+			} else {
+				pause = c.r.Props.FlowRetry
+			}
+			if !c.r.Pause(realm.Jitter(max(pause, later))) {
+				return
+			}
+		}
+		c.keepListening()
+	})
+	c.r.Go(c.pulse)
+}
+
+// fetchAll tries the control nodes in order until one gives every group. It tells
+// whether some were loaded, by their word or as an answer did not come in time, and
+// the least time after which one of them asked to be tried again.
+func (c *Client) fetchAll() (isDone, isLoaded bool, later time.Duration) {
+	for _, m := range c.k.Keepers() {
+		ctx, end := context.WithTimeout(c.r, 5*time.Second)
+		var receipt wire.FetchReceipt
+		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
+		end()
+		if err != nil {
+			isLoaded = isLoaded || fault.Is(err, fault.ReplyLost)
+			c.r.Sign.Say(sign.FetchFailed, "node", string(m.Name), "cause", err.Error())
+			continue
+		}
+		if receipt.Later > 0 {
+			told := time.Duration(receipt.Later) * time.Millisecond
+			if later == 0 || told < later {
+				later = told
+			}
+			isLoaded = true
+			continue
+		}
+		if receipt.Epoch == 0 {
+			continue
+		}
+		c.heard()
+		c.Cache.Stage(receipt.Groups)
+		if ok, err := c.Cache.Swap(receipt.Epoch, receipt.Manifest); ok && err == nil {
+			return true, false, 0
+		}
+	}
+	return false, isLoaded, later
+}
--- /dev/null
+++ b/internal/flow/whole.go
@@ -0,0 +1,208 @@
+// What a control node answers to full fetches. Each group is encoded once for its
+// digest and version, and the whole once for its epoch, for all who ask. Only so many
+// full fetches are under way at once, from the ask to the last byte written; who comes
+// beside them is told at once when to ask again, each a little later than the one
+// before, so that a fleet that starts together does not come back together.
+package flow
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// turns are the places for full fetches. The zero value's are set by most.
+type turns struct {
+	mu    sync.Mutex
+	under int
+	pace  time.Duration // how long a fetch took of late, smoothed
+	next  time.Time     // when the place that was told last comes free
+}
+
+// The least that an asker is told to wait, and the pace before any was measured.
+const (
+	laterLeast = 50 * time.Millisecond
+	firstPace  = 20 * time.Millisecond
+)
+
+// take gives a place, or tells in how long one should be free: no longer than longest.
+func (t *turns) take(now time.Time, most int, longest time.Duration) (later time.Duration, isTaken bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.under < most {
+		t.under++
+		return 0, true
+	}
+	if t.next.Before(now) {
+		t.next = now
+	}
+	t.next = t.next.Add(max(t.pace, firstPace) / time.Duration(most))
+	if t.next.After(now.Add(longest)) {
+		t.next = now.Add(longest)
+	}
+	return max(t.next.Sub(now), laterLeast), false
+}
+
+func (t *turns) leave(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.under--
+	t.pace = (3*t.pace + took) / 4
+}
+
+// coded is a group as it goes out.
+type coded struct {
+	stamp  mark.Stamp
+	digest string
+	raw    json.RawMessage
+}
+
+// coder keeps what was encoded last.
+type coder struct {
+	mu     sync.Mutex
+	groups map[string]coded
+	sheet  *plan.Sheet
+	whole  json.RawMessage
+}
+
+// all is the whole of an epoch with its manifest, as the receipt of a full fetch.
+func (c *coder) all(sheet *plan.Sheet) (json.RawMessage, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sheet == sheet {
+		return c.whole, nil
+	}
+	manifest := sheet.Manifest()
+	groups := make(map[string]json.RawMessage, len(manifest))
+	for name := range manifest {
+		group, _ := sheet.Carried(name)
+		raw, err := c.one(name, group)
+		if err != nil {
+			return nil, err
+		}
+		groups[name] = raw
+	}
+	for name := range c.groups {
+		if _, ok := manifest[name]; !ok {
+			delete(c.groups, name)
+		}
+	}
+	whole, err := joinGroups(&wire.FetchReceipt{Epoch: sheet.Epoch, Manifest: manifest}, groups)
+	if err != nil {
+		return nil, err
+	}
+	c.sheet, c.whole = sheet, whole
+	return whole, nil
+}
+
+// group is one whole group as it goes out.
+func (c *coder) group(name string, group wire.Group) (json.RawMessage, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.one(name, group)
+}
+
+// one is group; the lock is held.
+func (c *coder) one(name string, group wire.Group) (json.RawMessage, error) {
+	if kept, ok := c.groups[name]; ok && kept.digest == group.Digest && kept.stamp == group.Stamp {
+		return kept.raw, nil
+	}
+	raw, err := json.Marshal(&group)
+	if err != nil {
+		return nil, err
+	}
+	if c.groups == nil {
+		c.groups = map[string]coded{}
+	}
+	c.groups[name] = coded{stamp: group.Stamp, digest: group.Digest, raw: raw}
+	return raw, nil
+}
+
+// joinGroups is the receipt with groups that are encoded already.
+func joinGroups(receipt *wire.FetchReceipt, groups map[string]json.RawMessage) (json.RawMessage, error) {
+	head, err := json.Marshal(receipt)
+	if err != nil || len(groups) == 0 {
+		return head, err
+	}
+	var text bytes.Buffer
+	text.Write(head[:len(head)-1])
+	text.WriteString(`,"groups":{`)
+	for i, name := range slices.Sorted(maps.Keys(groups)) {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		quoted, err := json.Marshal(name)
+		if err != nil {
+			return nil, err
+		}
+		text.Write(quoted)
+		text.WriteByte(':')
+		text.Write(groups[name])
+	}
+	text.WriteString("}}")
+	return text.Bytes(), nil
+}
+
+// fetch answers a fetch: of the groups named, or of all.
+func (s *Server) fetch(c *wire.Call, ask *wire.FetchAsk) (any, error) {
+	if len(ask.Groups) == 0 {
+		return s.fetchAll(c)
+	}
+	sheet := s.ledger.Sheet()
+	groups := map[string]json.RawMessage{}
+	for _, name := range ask.Groups {
+		group, ok := sheet.Carried(name)
+		if !ok {
+			continue
+		}
+		short := s.short(name, ask.Held[name], group)
+		raw, err := json.RawMessage(nil), error(nil)
+		if short.Base == "" {
+			raw, err = s.coder.group(name, short)
+		} else {
+			raw, err = json.Marshal(&short)
+		}
+		if err != nil {
+			return nil, fault.New(fault.Internal, "%v", err)
+		}
+		groups[name] = raw
+	}
+	raw, err := joinGroups(&wire.FetchReceipt{Epoch: sheet.Epoch}, groups)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "%v", err)
+	}
+	return &wire.Raw{Body: raw}, nil
+}
+
+func (s *Server) fetchAll(c *wire.Call) (any, error) {
+	// A member that was just started holds what its last snapshot holds, until an
+	// owner has told it how far the log is committed.
+	if _, isOwned := s.p.Owner(mark.Config); !isOwned {
+		return &wire.FetchReceipt{}, nil
+	}
+	return s.hand(c, s.ledger.Sheet())
+}
+
+// hand gives the whole of an epoch if there is a place.
+func (s *Server) hand(c *wire.Call, sheet *plan.Sheet) (any, error) {
+	began := time.Now()
+	later, isTaken := s.turns.take(began, s.r.Props.FlowFetches, s.r.Props.FlowCool)
+	if !isTaken {
+		return &wire.FetchReceipt{Later: max(later.Milliseconds(), 1)}, nil
+	}
+	leave := func() { s.turns.leave(time.Since(began)) }
+	raw, err := s.coder.all(sheet)
+	if err != nil || c.Err() != nil {
+		leave()
+		return nil, fault.New(fault.ReplyLost, "the fetch is given up: %v", err)
+	}
+	return &wire.Raw{Body: raw, Sent: leave}, nil
+}
--- /dev/null
+++ b/internal/flow/whole_test.go
@@ -0,0 +1,264 @@
+// Full fetches: encoded once for all, so many at once, given up with their asker; and
+// the proxy that is told to come later.
+package flow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/plan"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// switchboard is a network in memory.
+type switchboard struct {
+	mu        sync.Mutex
+	listeners map[string]*board
+}
+
+type board struct {
+	address string
+	conns   chan net.Conn
+	over    chan struct{}
+	once    sync.Once
+}
+
+func (b *board) Accept() (net.Conn, error) {
+	select {
+	case conn := <-b.conns:
+		return conn, nil
+	case <-b.over:
+		return nil, net.ErrClosed
+	}
+}
+func (b *board) Close() error   { b.once.Do(func() { close(b.over) }); return nil }
+func (b *board) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *switchboard) net() realm.Net {
+	return realm.Net{
+		Listen: func(address string) (net.Listener, error) {
+			b := &board{address: address, conns: make(chan net.Conn), over: make(chan struct{})}
+			s.mu.Lock()
+			s.listeners[address] = b
+			s.mu.Unlock()
+			return b, nil
+		},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			s.mu.Lock()
+			b := s.listeners[address]
+			s.mu.Unlock()
+			if b == nil {
+				return nil, net.ErrClosed
+			}
+			mine, its := net.Pipe()
+			select {
+			case b.conns <- its:
+				return mine, nil
+			case <-b.over:
+			case <-ctx.Done():
+			}
+			return nil, net.ErrClosed
+		},
+	}
+}
+
+func (s *switchboard) realm(t *testing.T, ctx context.Context, name, address string) *realm.Realm {
+	t.Helper()
+	settings, err := props.Load("", map[string]string{"name": name, "zone": "a", "wire.address": address, "api.address": "10.0.0.9:1", "gate.address": "10.0.0.9:2", "flow.fetches": "2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return realm.New(ctx, settings, sign.New(t.Output(), "error", name), s.net())
+}
+
+// sheets is a ledger's epochs: each body changes one group more.
+func sheets(t *testing.T, n int) (list []*plan.Sheet) {
+	ledger := plan.NewLedger()
+	for epoch := mark.Epoch(1); epoch <= mark.Epoch(n); epoch++ {
+		body, _ := json.Marshal(wire.Planned{Epoch: epoch, Put: map[string]json.RawMessage{
+			fmt.Sprint(plan.Routes, epoch): json.RawMessage(`[]`), plan.Limits: json.RawMessage(fmt.Sprintf(`[{"service":"s<%d>"}]`, epoch))}})
+		if ledger.Apply(mark.Stamp(epoch), body) != true {
+			t.Fatal("not taken", epoch)
+		}
+		list = append(list, ledger.Sheet())
+	}
+	return list
+}
+
+func TestAWholeEpochIsEncodedOnceForAll(t *testing.T) {
+	epochs := sheets(t, 3)
+	c := &coder{}
+	first, err := c.all(epochs[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, _ := c.all(epochs[1])
+	if &first[0] != &again[0] {
+		t.Error("a second asker's text is made anew")
+	}
+	kept := c.groups[plan.Routes+"1"].raw
+	whole, _ := c.all(epochs[2])
+	if now := c.groups[plan.Routes+"1"].raw; &kept[0] != &now[0] {
+		t.Error("a group that did not change is made anew")
+	}
+	plain := &wire.FetchReceipt{Epoch: 3, Manifest: epochs[2].Manifest(), Groups: epochs[2].Groups}
+	var got wire.FetchReceipt
+	if err := json.Unmarshal(whole, &got); err != nil || !reflect.DeepEqual(plain, &got) {
+		t.Errorf("%v: %s", err, whole)
+	}
+	for name, group := range got.Groups {
+		if plan.Digest(group.Data) != group.Digest {
+			t.Error("the digest is another's:", name)
+		}
+	}
+}
+
+func TestOnlySoManyFullFetchesAreUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := &switchboard{listeners: map[string]*board{}}
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		s := &Server{r: board.realm(t, ctx, "core", "10.0.0.1:1")}
+		sheet := sheets(t, 1)[0]
+		ask := func(ctx context.Context) (*wire.Raw, int64) {
+			got, err := s.hand(&wire.Call{Context: ctx}, sheet)
+			if err != nil {
+				return nil, 0
+			}
+			if raw, ok := got.(*wire.Raw); ok {
+				return raw, 0
+			}
+			return nil, got.(*wire.FetchReceipt).Later
+		}
+		gone, leave := context.WithCancel(ctx)
+		leave()
+		for range 5 {
+			if raw, later := ask(gone); raw != nil || later != 0 {
+				t.Fatal("worked on for an asker that is gone")
+			}
+		}
+		one, _ := ask(ctx)
+		two, _ := ask(ctx)
+		if one == nil || two == nil {
+			t.Fatal("refused while there is a place")
+		}
+		time.Sleep(400 * time.Millisecond)
+		if raw, later := ask(ctx); raw != nil || later == 0 {
+			t.Fatal("a third is under way")
+		}
+		one.Sent()
+		if one, _ = ask(ctx); one == nil {
+			t.Fatal("refused though one came to its end")
+		}
+		before := int64(0)
+		for i := range 8 {
+			_, later := ask(ctx)
+			if later == 0 || later < before || i == 7 && later == before {
+				t.Fatalf("asker %d is told %d ms, the one before %d", i, later, before)
+			}
+			if i != 6 {
+				before = later
+			}
+		}
+		for range 1000 {
+			if _, later := ask(ctx); later > s.r.Props.FlowCool.Milliseconds() {
+				t.Fatal("told to wait", later)
+			}
+		}
+		two.Sent()
+		one.Sent()
+		for range 2 {
+			if raw, _ := ask(ctx); raw == nil {
+				t.Fatal("a place was lost")
+			}
+		}
+	})
+}
+
+// fakeCore answers fetches as told, and counts them.
+func fakeCore(t *testing.T, board *switchboard, ctx context.Context, name mark.Name, address string, others func() []wire.Member, fetch func(n int) any) *[]time.Time {
+	r := board.realm(t, ctx, string(name), address)
+	w := wire.New(r)
+	asked := &[]time.Time{}
+	w.Handle("kin.sync", func(c *wire.Call) (any, error) { return &wire.KinSync{Members: others()}, nil })
+	w.Handle("flow.fetch", func(c *wire.Call) (any, error) {
+		*asked = append(*asked, time.Now())
+		return fetch(len(*asked)), nil
+	})
+	w.Handle("flow.listen", func(c *wire.Call) (any, error) { <-c.Done(); return nil, c.Err() })
+	if err := w.Open(); err != nil {
+		t.Fatal(err)
+	}
+	return asked
+}
+
+func TestAProxyThatIsRefusedTriesTheNextAndWaitsLongerEachTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sheet := sheets(t, 1)[0]
+		whole, _ := new(coder).all(sheet)
+		full := &wire.Raw{Body: whole}
+		for _, last := range []bool{true, false} {
+			board := &switchboard{listeners: map[string]*board{}}
+			ctx, end := context.WithCancel(t.Context())
+			var members []wire.Member
+			for i := range 3 {
+				members = append(members, wire.Member{Name: mark.Name(fmt.Sprint("core", i)), Birth: "b", Wire: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Core: true, Keeps: true, Incarnation: 1, State: kin.Alive})
+			}
+			var asked [3]*[]time.Time
+			r := board.realm(t, ctx, "proxy", "10.0.0.9:7")
+			w := wire.New(r)
+			k := kin.New(r, w, wire.Member{Name: "proxy", Birth: "p", Wire: "10.0.0.9:7", Zone: "a"})
+			order := map[mark.Name]int{}
+			for i, m := range members {
+				asked[i] = fakeCore(t, board, ctx, m.Name, m.Wire, func() []wire.Member { return members }, func(n int) any {
+					// The last in the list gives, or all give only when asked the sixth time.
+					if last && order[m.Name] == 2 || n > 5 {
+						return full
+					}
+					return &wire.FetchReceipt{Later: 70}
+				})
+			}
+			if !k.Sync(members[0].Wire) {
+				t.Fatal("no members")
+			}
+			for i, m := range k.Keepers() {
+				order[m.Name] = i
+			}
+			c := NewClient(r, w, k)
+			began := time.Now()
+			c.Open()
+			for c.Cache.Chart() == nil && time.Since(began) < time.Minute {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took := time.Since(began)
+			if last && took > 20*time.Millisecond {
+				t.Errorf("it took %s though the third would have given at once", took)
+			}
+			if !last {
+				times := *asked[0]
+				if len(times) < 5 {
+					t.Fatal("asked", len(times))
+				}
+				first, fourth := times[1].Sub(times[0]), times[4].Sub(times[3])
+				if fourth < 2*first || took > 10*time.Second {
+					t.Errorf("the first pause was %s, the fourth %s; it took %s", first, fourth, took)
+				}
+			}
+			end()
+			r.End()
+			synctest.Wait()
+		}
+	})
+}
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -39,6 +39,7 @@
 	FlowHold       time.Duration // how long a listener request is held
 	FlowBehind     time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
 	FlowServers    int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
+	FlowFetches    int           // how many full fetches a control node answers at once; who comes beside them is told when to ask again
 	FlowPause      time.Duration // pause after a fetch that brought nothing newer
 	FlowRetry      time.Duration // pause between tries after an error
 	FlowTries      int           // tries before the long pause
@@ -109,6 +110,7 @@
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
 	{key: "flow.behind", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays", set: func(p *Props, v any) { p.FlowBehind = v.(time.Duration) }},
 	{key: "flow.servers", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all", set: func(p *Props, v any) { p.FlowServers = v.(int) }},
+	{key: "flow.fetches", kind: "int", fallback: "8", low: "1", high: "1000", doc: "how many full fetches a control node answers at once; who comes beside them is told when to ask again", set: func(p *Props, v any) { p.FlowFetches = v.(int) }},
 	{key: "flow.pause", kind: "duration", fallback: "200ms", low: "10ms", high: "30s", doc: "pause after a fetch that brought nothing newer", set: func(p *Props, v any) { p.FlowPause = v.(time.Duration) }},
 	{key: "flow.retry", kind: "duration", fallback: "200ms", low: "10ms", high: "5s", doc: "pause between tries after an error", set: func(p *Props, v any) { p.FlowRetry = v.(time.Duration) }},
 	{key: "flow.tries", kind: "int", fallback: "3", low: "1", high: "100", doc: "tries before the long pause", set: func(p *Props, v any) { p.FlowTries = v.(int) }},
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -286,9 +286,10 @@
 	Gone   []string        `json:"gone,omitempty"`
 }
 
-// FetchReceipt is groups of one epoch, with the manifest if all were asked for.
+// FetchReceipt is groups of one epoch, with the manifest if all were asked for; later says in how many milliseconds to ask again, as too many fetch everything just now.
 type FetchReceipt struct {
 	Epoch    mark.Epoch       `json:"epoch"`
+	Later    int64            `json:"later,omitempty"`
 	Manifest map[string]Held  `json:"manifest,omitempty"`
 	Groups   map[string]Group `json:"groups,omitempty"`
 }
--- /dev/null
+++ b/internal/wire/pack_test.go
@@ -0,0 +1,76 @@
+// Frames as lines, and asks whose time is over.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+)
+
+func TestAPackedFrameIsTheFrameAsJson(t *testing.T) {
+	large, _ := json.Marshal(strings.Repeat("a<b", joined))
+	for _, frame := range []*Frame{
+		{V: Version, Id: 1, Code: 4004, Note: "gone <&>", Paths: []string{"a"}},
+		{V: Version, Id: 2, Kind: "kin.sync", Deadline: 9, Body: json.RawMessage(`{"digest":7}`)},
+		{Id: 0, Body: large},
+	} {
+		plain, err := json.Marshal(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := pack(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var line bytes.Buffer
+		if err := got.write(&line); err != nil || line.String() != string(plain)+"\n" || got.size() != line.Len() {
+			t.Errorf("%v: %.200s is not %.200s", err, line.String(), plain)
+		}
+		if len(frame.Body) > joined && &got[1][0] != &frame.Body[0] {
+			t.Error("a large body is copied")
+		}
+	}
+}
+
+func TestAnAskWhoseTimeIsOverIsNotWorkedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings, err := props.Load("", map[string]string{"name": "n", "zone": "a", "wire.address": "10.0.0.1:1", "api.address": "10.0.0.1:2", "gate.address": "10.0.0.1:3"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		w := New(realm.New(ctx, settings, sign.New(t.Output(), "error", "n"), realm.Net{}))
+		begun, sent := 0, 0
+		w.Handle("slow", func(c *Call) (any, error) {
+			begun++
+			<-c.Done()
+			return &Raw{Body: json.RawMessage(`{"large":true}`), Sent: func() { sent++ }}, nil
+		})
+		ask := &Frame{V: Version, Id: 5, Kind: "slow", Deadline: 20_000}
+		got := time.Now()
+		receipt, leave := w.answer(ctx, ask, got)
+		if begun != 1 || receipt.Body != nil || receipt.Code != fault.ReplyLost.No || receipt.Id != 5 || leave == nil {
+			t.Errorf("begun %d, %+v", begun, receipt)
+		}
+		leave()
+		if sent != 1 {
+			t.Error("the handler is not told that its receipt is done with")
+		}
+		// Read from the pipe, but not begun until its asker had given up.
+		receipt, leave = w.answer(ctx, ask, got)
+		if begun != 1 || leave != nil || !reflect.DeepEqual(receipt, &Frame{V: Version, Id: 5, Code: fault.ReplyLost.No, Note: "slow: not begun, its time is over"}) {
+			t.Errorf("begun %d, %+v", begun, receipt)
+		}
+	})
+}
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -129,15 +129,15 @@
 	frame.Id = p.next
 	p.waiting[frame.Id] = waiter
 	p.mu.Unlock()
-	raw, err := json.Marshal(frame)
+	raw, err := pack(frame)
 	if err != nil {
 		return nil, fault.New(fault.Internal, "%v", err)
 	}
 	sent := time.Now()
-	p.w.count(frame.Kind, p.address, len(raw)+1)
+	p.w.count(frame.Kind, p.address, raw.size())
 	p.writing.Lock()
 	p.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
-	_, err = p.conn.Write(append(raw, '\n'))
+	err = raw.write(p.conn)
 	p.writing.Unlock()
 	if err != nil {
 		p.close()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -41,6 +41,13 @@
 
 type Handler func(*Call) (any, error)
 
+// Raw is a receipt that was encoded before, for all who ask; Sent is called once it
+// was written, or was not.
+type Raw struct {
+	Body json.RawMessage
+	Sent func()
+}
+
 // Counts are messages and bytes by kind, both ways.
 type Counts struct {
 	Messages, Bytes atomic.Int64
@@ -163,29 +170,39 @@
 			w.r.Sign.Say(sign.MessageRefused, "code", fault.BadMessage.No, "from", conn.RemoteAddr().String())
 			return
 		}
+		got := time.Now()
 		w.r.Go(func() {
-			receipt := w.answer(ctx, &ask)
-			raw, err := json.Marshal(receipt)
+			receipt, sent := w.answer(ctx, &ask, got)
+			if sent != nil {
+				defer sent()
+			}
+			if ctx.Err() != nil {
+				return
+			}
+			raw, err := pack(receipt)
 			if err != nil {
 				return
 			}
-			w.count(ask.Kind+".receipt", conn.RemoteAddr().String(), len(raw)+1)
+			w.count(ask.Kind+".receipt", conn.RemoteAddr().String(), raw.size())
 			writing.Lock()
 			defer writing.Unlock()
 			conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
-			if _, err := conn.Write(append(raw, '\n')); err != nil {
+			if raw.write(conn) != nil {
 				conn.Close()
 			}
 		})
 	}
 }
 
-func (w *Wire) answer(ctx context.Context, ask *Frame) *Frame {
-	receipt := &Frame{V: Version, Id: ask.Id}
-	fail := func(err error) *Frame {
+// answer has an ask handled. Its time runs from when it was read: one whose asker
+// has given up is not begun, and a receipt that comes too late goes out without its
+// body, as a sign of life.
+func (w *Wire) answer(ctx context.Context, ask *Frame, got time.Time) (receipt *Frame, sent func()) {
+	receipt = &Frame{V: Version, Id: ask.Id}
+	fail := func(err error) (*Frame, func()) {
 		p := fault.Of(err)
 		receipt.Code, receipt.Note, receipt.Paths = p.Code.No, p.Note, p.Paths
-		return receipt
+		return receipt, sent
 	}
 	if ask.V != Version {
 		w.r.Sign.Say(sign.MessageRefused, "code", fault.WrongVersion.No, "kind", ask.Kind, "version", ask.V)
@@ -197,23 +214,37 @@
 		return fail(fault.New(fault.UnknownKind, "%q", ask.Kind))
 	}
 	if ask.Deadline > 0 {
-		limited, end := context.WithTimeout(ctx, time.Duration(ask.Deadline)*time.Microsecond)
+		limited, end := context.WithDeadline(ctx, got.Add(time.Duration(ask.Deadline)*time.Microsecond))
 		defer end()
 		ctx = limited
 	}
+	if ctx.Err() != nil {
+		return fail(fault.New(fault.ReplyLost, "%s: not begun, its time is over", ask.Kind))
+	}
 	body, err := handle(&Call{Context: ctx, Hops: ask.Hops, body: ask.Body})
+	ready, isReady := body.(*Raw)
+	if isReady {
+		sent = ready.Sent
+	}
 	if err != nil {
 		if p := fault.Of(err); p.Code.No == fault.BadMessage.No {
 			w.r.Sign.Say(sign.MessageRefused, "code", p.Code.No, "kind", ask.Kind, "note", p.Note)
 		}
 		return fail(err)
 	}
+	if ctx.Err() != nil {
+		return fail(fault.New(fault.ReplyLost, "%s: its time is over", ask.Kind))
+	}
+	if isReady {
+		receipt.Body = ready.Body
+		return receipt, sent
+	}
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return fail(fault.New(fault.Internal, "%v", err))
 	}
 	receipt.Body = raw
-	return receipt
+	return receipt, sent
 }
 
 func readLine(reader *bufio.Reader, limit int) ([]byte, error) {
