Member lists: only ranges that differ, few who look for the lost, news that dies down

Changed: the digest is of those not gone, and kept up as members change; where it differs, up to 64 ranges of names are compared and members go only of those that differ; whole lists go to newcomers only, encoded once for a view, four at once, others are told `later`; a list without news does not take the lock; word of a member that is well counts each duplicate heard, and is told four times at least; a suspicion or a loss is told in full, 6 and the binary logarithm times instead of 4 and twice that; three nodes look for each lost member and ask it alone, at pauses up to 5 s. Older builds get whole lists as before.

Tests without the bench: kin/sync_test.go.

--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -33,7 +33,9 @@
 type known struct {
 	member wire.Member
 	since  time.Time
-	sent   int
+	sum    uint64
+	sent   int // how often it was passed on
+	heard  int // how often others told of it that knew it already
 }
 
 // Kin is one node's view of the fleet. View is copy-on-write.
@@ -52,9 +54,17 @@
 	view    atomic.Pointer[map[mark.Name]Standing]
 	zones   atomic.Pointer[map[string]string]
 
+	sum     uint64 // of all members but this one
+	stirred time.Time
+	listed  atomic.Pointer[listed]
+	lists   atomic.Int64 // whole lists under way
+
 	isPresenting atomic.Bool
+	isRefused    atomic.Bool // the last exchange was, as the other was loaded
 	seeds        atomic.Pointer[[]string]
 
+	isMoved bool // some member has a new address or zone
+
 	shownAt uint64
 	shown   int
 }
@@ -75,11 +85,7 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		k.take(ask.Members, len(ask.Members) > 1)
-		if ask.Digest != 0 && ask.Digest == k.digest() {
-			return &wire.KinSync{IsSame: true}, nil
-		}
-		return &wire.KinSync{Members: k.list()}, nil
+		return k.compare(&ask)
 	})
 	w.Handle("kin.here", func(c *wire.Call) (any, error) { return k.Me(), nil })
 	return k
@@ -95,6 +101,7 @@
 	k.r.Go(k.receive)
 	k.r.Go(k.probe)
 	k.r.Go(k.sync)
+	k.r.Go(k.search)
 	k.r.Go(func() { <-k.r.Done(); conn.Close() })
 	return nil
 }
@@ -186,16 +193,6 @@
 	return keepers
 }
 
-func (k *Kin) list() []wire.Member {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	list := []wire.Member{k.me}
-	for _, m := range k.members {
-		list = append(list, m.member)
-	}
-	return list
-}
-
 func (k *Kin) publish() {
 	view := make(map[mark.Name]Standing, len(k.members)+1)
 	for name, m := range k.members {
@@ -203,6 +200,10 @@
 	}
 	view[k.me.Name] = Standing{k.me, time.Time{}}
 	k.view.Store(&view)
+	if old := k.zones.Load(); old != nil && !k.isMoved {
+		return
+	}
+	k.isMoved = false
 	zones := make(map[string]string, len(view))
 	for _, m := range view {
 		zones[hostOf(m.Wire)] = m.Zone
@@ -227,52 +228,54 @@
 
 // take is learn, also of whole lists: those in a list are known to others already.
 func (k *Kin) take(news []wire.Member, isList bool) {
+	if isList && !k.isNews(news) {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	didChange := false
 	for _, m := range news {
 		if m.Name == k.me.Name {
-			if m.Birth == k.me.Birth && m.State != Alive && m.Incarnation >= k.me.Incarnation && k.me.State == Alive {
-				k.me.Incarnation = m.Incarnation + 1
-				k.me.State = Alive
-				didChange = true
-			}
-			if m.Birth != k.me.Birth && m.Incarnation >= k.me.Incarnation {
-				k.me.Incarnation = m.Incarnation + 1
+			if refuted := refutes(k.me, m); refuted > 0 {
+				k.me.Incarnation = refuted
 				didChange = true
 			}
 			continue
 		}
-		if m.Name == "" || m.Birth == "" || m.Wire == "" {
+		old, ok := k.members[m.Name]
+		before := wire.Member{}
+		if ok {
+			before = old.member
+		}
+		if !isNewer(before, ok, m) {
+			if ok && m.Birth == before.Birth && m.State == Alive && m.Incarnation == before.Incarnation && !isList {
+				old.heard++
+			}
 			continue
 		}
-		old, ok := k.members[m.Name]
 		switch {
 		case !ok:
-			if rank(m.State) == 2 {
-				continue
-			}
 			k.r.Sign.Say(sign.MemberUp, "member", string(m.Name), "wire", m.Wire, "zone", m.Zone)
-		case old.member.Birth != m.Birth:
-			if m.State != Alive || m.Incarnation <= old.member.Incarnation {
-				continue
-			}
+		case before.Birth != m.Birth:
 			k.r.Sign.Say(sign.MemberReborn, "member", string(m.Name), "birth", string(m.Birth), "wire", m.Wire)
 		default:
-			isNewer := m.Incarnation > old.member.Incarnation || m.Incarnation == old.member.Incarnation && rank(m.State) > rank(old.member.State)
-			if !isNewer {
-				continue
+			k.tell(before.State, m)
+			if before.State == Down && m.State == Alive {
+				k.stirred = time.Now()
 			}
-			k.tell(old.member.State, m)
 		}
-		since := time.Now()
-		if ok && old.member.Birth == m.Birth && rank(old.member.State) == rank(m.State) {
-			since = old.since
+		fresh := &known{member: m, since: time.Now(), sum: sumOf(m)}
+		if ok && before.Birth == m.Birth && rank(before.State) == rank(m.State) {
+			fresh.since = old.since
 		}
-		fresh := &known{member: m, since: since}
 		if isList && !ok {
 			fresh.sent = k.tellings() - 1
 		}
+		if ok {
+			k.sum ^= old.sum
+		}
+		k.sum ^= fresh.sum
+		k.isMoved = k.isMoved || !ok || before.Wire != m.Wire || before.Zone != m.Zone
 		k.members[m.Name] = fresh
 		didChange = true
 	}
@@ -281,6 +284,42 @@
 	}
 }
 
+// isNewer tells whether word of a member says more than what is known of it, if
+// anything is.
+func isNewer(old wire.Member, isKnown bool, m wire.Member) bool {
+	switch {
+	case m.Name == "" || m.Birth == "" || m.Wire == "":
+		return false
+	case !isKnown:
+		return rank(m.State) < 2
+	case old.Birth != m.Birth:
+		return m.State == Alive && m.Incarnation > old.Incarnation
+	}
+	return m.Incarnation > old.Incarnation || m.Incarnation == old.Incarnation && rank(m.State) > rank(old.State)
+}
+
+// refutes is the incarnation by which this node answers word of itself; 0 for none.
+func refutes(me, m wire.Member) uint64 {
+	isDoubted := m.Birth == me.Birth && m.State != Alive && me.State == Alive
+	if m.Incarnation >= me.Incarnation && (isDoubted || m.Birth != me.Birth) {
+		return m.Incarnation + 1
+	}
+	return 0
+}
+
+// isNews tells, without the lock, whether a list says anything that is not known: so
+// that lists of what is known already don't wait for one another.
+func (k *Kin) isNews(list []wire.Member) bool {
+	view := k.View()
+	for _, m := range list {
+		old, ok := view[m.Name]
+		if m.Name == k.r.Name && refutes(old.Member, m) > 0 || m.Name != k.r.Name && isNewer(old.Member, ok, m) {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Kin) tell(before string, m wire.Member) {
 	if before == m.State {
 		return
@@ -295,8 +334,9 @@
 	}
 }
 
-// gossipMost is how many members one datagram tells of.
-const gossipMost = 6
+// gossipMost is how many members one datagram tells of. Whatever others keep telling
+// this node has gone round, and is told toldLeast times only.
+const gossipMost, toldLeast = 6, 4
 
 // gossip picks the news that was passed on least often, so that what is new goes
 // round before what most know already.
@@ -306,7 +346,7 @@
 	limit := k.tellings()
 	var picked []*known
 	for _, m := range k.members {
-		if m.sent >= limit {
+		if m.sent >= limit || m.sent >= toldLeast && m.sent+2*m.heard >= limit {
 			continue
 		}
 		at := len(picked)
@@ -328,9 +368,9 @@
 
 // tellings is how often a piece of news is passed on; the lock is held.
 func (k *Kin) tellings() int {
-	limit := 4
+	limit := 6
 	for n := len(k.members) + 1; n > 1; n /= 2 {
-		limit += 2
+		limit++
 	}
 	return limit
 }
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -102,7 +102,7 @@
 	}
 	k.r.Go(func() {
 		defer k.isPresenting.Store(false)
-		k.exchange(m.Wire)
+		k.exchange(m.Wire, true)
 	})
 }
 
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -1,10 +1,12 @@
-// Exchanging member lists: a digest of all that is known goes first, whole lists
-// only where it differs, and back only what the other side lacked; so that the cost
-// of an exchange does not grow with the fleet while nothing changes.
+// Exchanging member lists: a digest of all that is known goes first; where it differs
+// the digests of ranges of names, and members only of those ranges that differ. So an
+// exchange costs what has changed, not what the fleet is. Whole lists go to those who
+// know next to nobody: encoded once for a view, and only so many at once.
 package kin
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -14,10 +16,23 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-// sync exchanges whole lists: with the seeds until one answers, and with a
-// random member from time to time.
+const (
+	syncPause  = 10 * time.Second
+	syncSoon   = time.Second
+	joinPause  = 300 * time.Millisecond
+	joinSeldom = 2 * time.Second
+	stirTime   = 10 * time.Second
+
+	rangeSize  = 8
+	rangesMost = 64
+	listsMost  = 4
+)
+
+// sync compares lists: with the seeds until one answers, and with a random member
+// from time to time; sooner for a while after some came back that were held for down,
+// as whoever was on the other side of a cut must learn who was on this one.
 func (k *Kin) sync() {
-	isIn := false
+	isIn, join := false, joinPause
 	for {
 		var addresses []string
 		seeds := *k.seeds.Load()
@@ -33,24 +48,28 @@
 				pick := rand.IntN(len(addresses))
 				addresses = addresses[pick : pick+1]
 			}
-			if lost := k.lost(); len(lost) > 0 {
-				addresses = append(addresses, lost[rand.IntN(len(lost))])
-			}
 			if len(seeds) > 0 && (rand.IntN(4) == 0 || len(addresses) == 0) {
 				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
+		isRefused := false
 		for _, address := range addresses {
 			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
 				isIn = true
 			}
+			isRefused = isRefused || k.isRefused.Load()
 		}
-		pause := 300 * time.Millisecond
-		if isIn {
-			pause = realm.Jitter(10 * time.Second)
-			if len(k.View()) < 3 || len(k.lost()) > 0 {
-				pause = realm.Jitter(time.Second)
-			}
+		pause := join
+		switch {
+		case isIn && (len(k.View()) < 3 || k.isStirred()):
+			pause = syncSoon
+		case isIn:
+			pause = syncPause
+		case isRefused:
+			join = min(2*join, joinSeldom)
+		}
+		if isIn || isRefused {
+			pause = realm.Jitter(pause)
 		}
 		if !k.r.Pause(pause) {
 			return
@@ -58,64 +77,189 @@
 	}
 }
 
-// lost is the addresses of members that went down of late without a word: each
-// side of a healed cut holds the other for down, and neither probes it.
-func (k *Kin) lost() (addresses []string) {
-	for _, s := range k.View() {
-		if s.State == Down && time.Since(s.Since) < lostKept {
-			addresses = append(addresses, s.Wire)
-		}
-	}
-	return addresses
+func (k *Kin) isStirred() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.stirred.IsZero() && time.Since(k.stirred) < stirTime
 }
 
-// Sync exchanges whole lists with one address, and once more if that showed
-// this node that it was held for down.
+// Sync compares lists with one address, and once more if that showed this node that
+// it was held for down.
 func (k *Kin) Sync(address string) bool {
 	before := k.Me().Incarnation
-	if !k.exchange(address) {
+	if !k.exchange(address, false) {
 		return false
 	}
 	if k.Me().Incarnation != before {
-		k.exchange(address)
+		k.exchange(address, true)
 	}
 	return true
 }
 
-func (k *Kin) exchange(address string) bool {
+// exchange makes two lists the same; with isShown this node tells of itself first.
+func (k *Kin) exchange(address string, isShown bool) bool {
 	ctx, end := context.WithTimeout(k.r, time.Second)
 	defer end()
+	ask := &wire.KinSync{Ranges: k.ranges()}
+	if isShown || ask.Ranges == 1 {
+		ask.Members = []wire.Member{k.Me()}
+	}
+	ask.Digest = k.digest()
 	var receipt wire.KinSync
-	if err := k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Digest: k.digest()}, &receipt); err != nil {
+	if err := k.w.Ask(ctx, address, "kin.sync", ask, &receipt); err != nil {
 		return false
 	}
-	if receipt.IsSame {
+	k.isRefused.Store(receipt.Later > 0)
+	switch {
+	case receipt.Later > 0:
+		return false
+	case receipt.IsSame:
+		return true
+	case ask.Ranges > 1 && len(receipt.Sums) == ask.Ranges:
+		mine := k.sums(ask.Ranges)
+		ask = &wire.KinSync{Ranges: ask.Ranges}
+		for no, sum := range receipt.Sums {
+			if sum != mine[no] {
+				ask.Differ = append(ask.Differ, no)
+			}
+		}
+		if len(ask.Differ) == 0 {
+			return true
+		}
+		ask.Members = k.within(ask.Ranges, ask.Differ)
+		receipt = wire.KinSync{}
+		if err := k.w.Ask(ctx, address, "kin.sync", ask, &receipt); err != nil {
+			return false
+		}
+		k.take(receipt.Members, true)
 		return true
 	}
 	k.take(receipt.Members, true)
-	if mine := k.newer(receipt.Members); len(mine) > 0 {
-		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest()}, &receipt) == nil
+	if mine := newer(k.whole(), receipt.Members); len(mine) > 0 {
+		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest(), Ranges: 2}, &receipt) == nil
 	}
 	return true
 }
 
+// compare answers an exchange.
+func (k *Kin) compare(ask *wire.KinSync) (any, error) {
+	k.take(ask.Members, len(ask.Members) > 1)
+	switch {
+	case ask.Digest != 0 && ask.Digest == k.digest():
+		return &wire.KinSync{IsSame: true}, nil
+	case ask.Ranges > rangesMost || ask.Ranges < 0:
+		ask.Ranges = 0
+	case len(ask.Differ) > 0 && ask.Ranges > 1:
+		return &wire.KinSync{Members: newer(k.within(ask.Ranges, ask.Differ), ask.Members)}, nil
+	case ask.Ranges > 1:
+		return &wire.KinSync{Sums: k.sums(ask.Ranges)}, nil
+	}
+	if k.lists.Add(1) > listsMost && ask.Ranges == 1 {
+		k.lists.Add(-1)
+		return &wire.KinSync{Later: joinPause.Milliseconds()}, nil
+	}
+	leave := func() { k.lists.Add(-1) }
+	raw, err := k.encoded()
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	return &wire.Raw{Body: raw, Sent: leave}, nil
+}
+
+// listed is a view's whole list as it goes out.
+type listed struct {
+	view *map[mark.Name]Standing
+	raw  json.RawMessage
+}
+
+func (k *Kin) encoded() (json.RawMessage, error) {
+	view := k.view.Load()
+	if kept := k.listed.Load(); kept != nil && kept.view == view {
+		return kept.raw, nil
+	}
+	raw, err := json.Marshal(&wire.KinSync{Members: listOf(*view)})
+	if err != nil {
+		return nil, err
+	}
+	k.listed.Store(&listed{view, raw})
+	return raw, nil
+}
+
+func listOf(view map[mark.Name]Standing) []wire.Member {
+	list := make([]wire.Member, 0, len(view))
+	for _, s := range view {
+		list = append(list, s.Member)
+	}
+	return list
+}
+
+func (k *Kin) whole() []wire.Member { return listOf(k.View()) }
+
+// ranges is into how many ranges of names the list is cut, some members in each; one
+// for who knows next to nobody.
+func (k *Kin) ranges() int {
+	n := 1
+	for n*rangeSize < len(k.View()) && n < rangesMost {
+		n *= 2
+	}
+	return n
+}
+
+func rangeOf(name mark.Name, ranges int) int {
+	return int(mark.Score("range", string(name)) % uint64(ranges))
+}
+
+// sumOf is a member's part in a digest. Those that are gone have none: a node that
+// came later never learns of them, and its list would differ for good.
+func sumOf(m wire.Member) uint64 {
+	if rank(m.State) == 2 {
+		return 0
+	}
+	return mark.Score(string(m.Name), string(m.Birth), strconv.FormatUint(m.Incarnation, 10), m.State)
+}
+
 // digest is one number for all that is known here.
-func (k *Kin) digest() (sum uint64) {
-	for _, m := range k.list() {
-		sum ^= mark.Score(string(m.Name), string(m.Birth), strconv.FormatUint(m.Incarnation, 10), m.State)
+func (k *Kin) digest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(k.sum^sumOf(k.me), 1)
+}
+
+// sums is one number for each range.
+func (k *Kin) sums(ranges int) []uint32 {
+	sums := make([]uint32, ranges)
+	for name, s := range k.View() {
+		sums[rangeOf(name, ranges)] ^= uint32(sumOf(s.Member))
+	}
+	return sums
+}
+
+// within is the members of some ranges.
+func (k *Kin) within(ranges int, some []int) (list []wire.Member) {
+	isMeant := make([]bool, ranges)
+	for _, no := range some {
+		if no >= 0 && no < ranges {
+			isMeant[no] = true
+		}
+	}
+	for name, s := range k.View() {
+		if isMeant[rangeOf(name, ranges)] {
+			list = append(list, s.Member)
+		}
 	}
-	return max(sum, 1)
+	return list
 }
 
-// newer is what is known here and not, or less, in another's list.
-func (k *Kin) newer(theirs []wire.Member) (mine []wire.Member) {
+// newer is what one list says and another does not, or less of.
+func newer(ours, theirs []wire.Member) (mine []wire.Member) {
 	known := map[mark.Name]wire.Member{}
 	for _, m := range theirs {
 		known[m.Name] = m
 	}
-	for _, m := range k.list() {
+	for _, m := range ours {
 		old, ok := known[m.Name]
-		if !ok || old.Birth != m.Birth || old.Incarnation < m.Incarnation || old.Incarnation == m.Incarnation && rank(old.State) < rank(m.State) {
+		if !ok && rank(m.State) < 2 || ok && (old.Birth != m.Birth || old.Incarnation < m.Incarnation || old.Incarnation == m.Incarnation && rank(old.State) < rank(m.State)) {
 			mine = append(mine, m)
 		}
 	}
--- /dev/null
+++ b/internal/kin/sync_test.go
@@ -0,0 +1,331 @@
+// What comparing lists costs, who looks for a lost member, and how long news goes round.
+package kin
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// lines is a network in memory: a listener for each address.
+type lines struct {
+	mu   sync.Mutex
+	ends map[string]chan net.Conn
+}
+
+type end struct {
+	conns chan net.Conn
+	over  chan struct{}
+	once  sync.Once
+}
+
+func (e *end) Accept() (net.Conn, error) {
+	select {
+	case conn := <-e.conns:
+		return conn, nil
+	case <-e.over:
+		return nil, net.ErrClosed
+	}
+}
+func (e *end) Close() error   { e.once.Do(func() { close(e.over) }); return nil }
+func (e *end) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *lines) net() realm.Net {
+	return realm.Net{
+		Listen: func(address string) (net.Listener, error) {
+			e := &end{conns: make(chan net.Conn), over: make(chan struct{})}
+			l.mu.Lock()
+			l.ends[address] = e.conns
+			l.mu.Unlock()
+			return e, nil
+		},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			l.mu.Lock()
+			conns := l.ends[address]
+			l.mu.Unlock()
+			if conns == nil {
+				return nil, net.ErrClosed
+			}
+			mine, its := net.Pipe()
+			select {
+			case conns <- its:
+				return mine, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		},
+	}
+}
+
+func member(no int) wire.Member {
+	return wire.Member{Name: mark.Name(fmt.Sprint("node", no)), Birth: mark.Birth(fmt.Sprint("birth", no)), Wire: fmt.Sprintf("10.1.%d.%d:7000", no/200, no%200), Zone: fmt.Sprint("z", no%7), Strength: 100, Incarnation: 1, State: Alive}
+}
+
+func members(n int) (list []wire.Member) {
+	for no := range n {
+		list = append(list, member(no))
+	}
+	return list
+}
+
+// start is a node's view; it neither probes nor compares by itself.
+func (l *lines) start(t *testing.T, ctx context.Context, m wire.Member) *Kin {
+	t.Helper()
+	settings, err := props.Load("", map[string]string{"name": string(m.Name), "zone": m.Zone, "wire.address": m.Wire, "api.address": "10.0.0.9:1", "gate.address": "10.0.0.9:2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := realm.New(ctx, settings, sign.New(t.Output(), "error", string(m.Name)), l.net())
+	w := wire.New(r)
+	k := New(r, w, m)
+	if err := w.Open(); err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func sent(k *Kin) (bytes int64) {
+	for _, count := range k.w.Traffic() {
+		bytes += count[1]
+	}
+	return bytes
+}
+
+// isSame tells whether both hold the same of all that are not gone.
+func isSame(a, b *Kin) bool {
+	live := func(k *Kin) map[mark.Name]wire.Member {
+		some := map[mark.Name]wire.Member{}
+		for name, s := range k.View() {
+			if rank(s.State) < 2 {
+				some[name] = s.Member
+			}
+		}
+		return some
+	}
+	return maps.Equal(live(a), live(b))
+}
+
+func TestListsThatDifferInLittleCostLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		a, b := l.start(t, ctx, member(0)), l.start(t, ctx, member(1))
+		a.take(members(460), true)
+		b.take(members(460), true)
+		if !a.Sync(b.Me().Wire) {
+			t.Fatal("not in touch")
+		}
+		if cost := sent(a) + sent(b); cost > 400 {
+			t.Errorf("lists that are the same cost %d bytes", cost)
+		}
+		restarted, down := member(77), member(300)
+		restarted.Birth, restarted.Incarnation, down.State = "another", 5, Down
+		a.take([]wire.Member{restarted}, false)
+		b.take([]wire.Member{down}, false)
+		before := sent(a) + sent(b)
+		if !a.Sync(b.Me().Wire) || !isSame(a, b) {
+			t.Fatal("the lists still differ")
+		}
+		if cost := sent(a) + sent(b) - before; cost > 8000 {
+			t.Errorf("two differences cost %d bytes", cost)
+		}
+		// One who knows nobody gets it all, and is known.
+		c := l.start(t, ctx, member(460))
+		if !c.Sync(b.Me().Wire) || !isSame(b, c) {
+			t.Error("who joins does not know all, or is not known")
+		}
+		// That it never heard of the one that is down does not make lists differ.
+		before = sent(b) + sent(c)
+		if !c.Sync(b.Me().Wire) {
+			t.Fatal("not in touch")
+		}
+		if cost := sent(b) + sent(c) - before; cost > 400 {
+			t.Errorf("lists that differ only in one that is gone cost %d bytes", cost)
+		}
+	})
+}
+
+func TestTheSumOfAListIsThatOfItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		a, b := l.start(t, ctx, member(0)), l.start(t, ctx, member(1))
+		for i := range 300 {
+			m := member(i * 7 % 50)
+			m.Incarnation, m.State = uint64(1+i%5), []string{Alive, Suspect, Down, Alive, Left}[i%5]
+			if i%11 == 0 {
+				m.Birth = mark.Birth(fmt.Sprint("again", i))
+			}
+			a.take([]wire.Member{m}, i%2 == 0)
+		}
+		a.Amend(func(m *wire.Member) { m.Keeps = true })
+		b.take(a.whole(), true)
+		a.take(b.whole(), true)
+		b.take(a.whole(), true)
+		sum := uint64(0)
+		for _, m := range a.whole() {
+			sum ^= sumOf(m)
+		}
+		if a.digest() != sum {
+			t.Errorf("%x is kept, %x is right", a.digest(), sum)
+		}
+		for i, of := range a.sums(8) {
+			sum := uint32(0)
+			for _, m := range a.within(8, []int{i}) {
+				sum ^= uint32(sumOf(m))
+			}
+			if sum != of {
+				t.Error("range", i)
+			}
+		}
+	})
+}
+
+func TestOnlySoManyWholeListsAreUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		a := l.start(t, ctx, member(0))
+		a.take(members(460), true)
+		var given []*wire.Raw
+		for range listsMost {
+			got, err := a.compare(&wire.KinSync{Digest: 1, Ranges: 1})
+			raw, ok := got.(*wire.Raw)
+			if !ok || err != nil {
+				t.Fatal(got, err)
+			}
+			given = append(given, raw)
+		}
+		if &given[0].Body[0] != &given[1].Body[0] {
+			t.Error("the list is encoded anew for each")
+		}
+		got, _ := a.compare(&wire.KinSync{Digest: 1, Ranges: 1})
+		if receipt, ok := got.(*wire.KinSync); !ok || receipt.Later == 0 {
+			t.Errorf("one more is given: %T", got)
+		}
+		// What differs in little is compared all the same.
+		if got, _ := a.compare(&wire.KinSync{Digest: 1, Ranges: 16}); len(got.(*wire.KinSync).Sums) != 16 {
+			t.Error("no sums")
+		}
+		b := l.start(t, ctx, member(1))
+		if b.Sync(a.Me().Wire) || !b.isRefused.Load() {
+			t.Error("the refusal is not noted")
+		}
+		given[0].Sent()
+		if !b.Sync(a.Me().Wire) || len(b.View()) != 460 {
+			t.Error("a place was lost")
+		}
+	})
+}
+
+func TestFewLookForALostMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		looking := 0
+		var one *Kin
+		lost := member(33)
+		for no := range 60 {
+			if no == 33 {
+				continue
+			}
+			k := l.start(t, ctx, member(no))
+			k.take(members(60), true)
+			down := lost
+			down.State = Down
+			k.take([]wire.Member{down}, false)
+			if name, _ := k.due(map[mark.Name]*hunt{}, time.Now()); name == lost.Name {
+				looking++
+				one = k
+			}
+		}
+		if looking != searchers {
+			t.Fatalf("%d nodes look for one lost member", looking)
+		}
+		// The pauses grow, up to a bound; it is given up in the end.
+		hunts := map[mark.Name]*hunt{}
+		var asked []time.Time
+		for range 2 * int(lostKept/time.Second) {
+			if name, _ := one.due(hunts, time.Now()); name != "" {
+				asked = append(asked, time.Now())
+			}
+			time.Sleep(time.Second)
+		}
+		if n := len(asked); n < int(lostKept/searchMost)*2/3 || n > int(lostKept/searchMost)*3/2 {
+			t.Fatalf("asked %d times", n)
+		}
+		if first, later := asked[1].Sub(asked[0]), asked[9].Sub(asked[8]); later < 2*first {
+			t.Errorf("the first pause was %s, a later one %s", first, later)
+		}
+		if last := asked[len(asked)-1].Sub(asked[0]); last > lostKept {
+			t.Error("still asked after", last)
+		}
+		// Back again, it is looked for no longer.
+		back := lost
+		back.Incarnation = 9
+		one.take([]wire.Member{back}, false)
+		if name, _ := one.due(hunts, time.Now()); name != "" || len(hunts) != 0 {
+			t.Error("looked for though it is back")
+		}
+	})
+}
+
+func TestNewsThatAllKnowDiesDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		tellings := func(heard int) (n int) {
+			k := l.start(t, ctx, member(0))
+			k.take(members(460), true)
+			for len(k.gossip()) > 0 {
+			}
+			news := member(500)
+			k.take([]wire.Member{news}, false)
+			for range heard {
+				k.take([]wire.Member{news}, false)
+			}
+			for len(k.gossip()) > 0 {
+				n++
+			}
+			return n
+		}
+		if n := tellings(0); n < 10 || n > 16 {
+			t.Errorf("news is told %d times in a fleet of 460", n)
+		}
+		if n := tellings(50); n != toldLeast {
+			t.Errorf("news that all tell is told %d times more", n)
+		}
+		k := l.start(t, ctx, member(0))
+		k.take(members(460), true)
+		for len(k.gossip()) > 0 {
+		}
+		doubted := member(9)
+		doubted.State = Suspect
+		for range 50 {
+			k.take([]wire.Member{doubted}, false)
+		}
+		n := 0
+		for len(k.gossip()) > 0 {
+			n++
+		}
+		if n < 10 {
+			t.Errorf("a suspicion is told %d times only", n)
+		}
+	})
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -59,10 +59,14 @@
 	News  []Member   `json:"news,omitempty"`
 }
 
-// KinSync exchanges member lists: a digest of all that is known first, members only where it differs.
+// KinSync exchanges member lists. An ask bears a digest of all that is known; ranges is into how many ranges of names the asker would have it cut (1 asks for the whole list, 0 is an older build's and does too), members what the asker tells. The receipt says that both are the same, or each range's digest, or members, or in how many milliseconds to come again. An ask with differ names the ranges that differ, with the asker's members of these.
 type KinSync struct {
 	Digest  uint64   `json:"digest,omitempty"`
+	Ranges  int      `json:"ranges,omitempty"`
+	Differ  []int    `json:"differ,omitempty"`
+	Sums    []uint32 `json:"sums,omitempty"`
 	IsSame  bool     `json:"is_same,omitempty"`
+	Later   int64    `json:"later,omitempty"`
 	Members []Member `json:"members,omitempty"`
 }
 
