A least pause between two relays of pulses; pipes that nobody asks on are closed

Cause: relays to the owner followed one another as fast as they came back (883 a second at 460 gates), though one answer serves all who wait. A pipe opened to compare lists with a random node was never closed, so that in time each node had one to every other, and TCP asks for a sign of life on each every 5 s, which `show traffic` does not count.

Changed: flow/relay.go, a tenth of flow.pulse between two relays at least (25 ms at the default, 100 ms at a pulse of 1 s); the first after a rest does not wait, ages count from when the relay was sent. wire.idle (20 s): the asking end closes a pipe on which nothing is asked; an ask that meets that goes over a new pipe, as nothing was written.

Not built: gathering pulses by a proxy of each zone. At 460 gates in 7 zones that one would answer 65 others with some 60 to 170 bytes each, more than the 3 kB/s that a node may spend; the three core nodes are set aside, and answer 460 pulses a second together.

--- /dev/null
+++ b/internal/flow/relay.go
@@ -0,0 +1,96 @@
+// Pulses that a control node passes on to the owner of the configuration part: one
+// serves all proxies that wait when it is sent, and between two lies a least pause, so
+// that the owner hears as much of a large fleet as of a small one.
+package flow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// relay is one pulse to the owner, shared by all proxies that wait for it.
+type relay struct {
+	done    chan struct{}
+	sent    time.Time
+	receipt *wire.PulseReceipt
+	err     error
+}
+
+// relays are a control node's, one after another.
+type relays struct {
+	r   *realm.Realm
+	ask func() (*wire.PulseReceipt, error)
+
+	mu        sync.Mutex
+	isRunning bool
+	waiting   *relay
+	last      time.Time // when the last was sent
+}
+
+// relayShare is the least pause between two relays, as a share of that between two
+// pulses of one proxy.
+const relayShare = 10
+
+// get waits for a relay that is sent from now on; its ages are older by the time that
+// passed since it was sent.
+func (s *relays) get(ctx context.Context) (*wire.PulseReceipt, error) {
+	s.mu.Lock()
+	mine := s.waiting
+	if mine == nil {
+		mine = &relay{done: make(chan struct{})}
+		s.waiting = mine
+		if !s.isRunning {
+			s.isRunning = true
+			s.r.Go(s.run)
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case <-mine.done:
+	case <-ctx.Done():
+		return nil, fault.New(fault.NoOwner, "%v", ctx.Err())
+	}
+	if mine.err != nil {
+		return nil, mine.err
+	}
+	grown := s.r.Since(mine.sent).Microseconds() + 1
+	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
+	for i, age := range mine.receipt.Parts {
+		receipt.Parts[i] = age
+		if age >= 0 {
+			receipt.Parts[i] = age + grown
+		}
+	}
+	return receipt, nil
+}
+
+// run sends relays until nobody waits for one.
+func (s *relays) run() {
+	for {
+		s.mu.Lock()
+		if s.waiting == nil {
+			s.isRunning = false
+			s.mu.Unlock()
+			return
+		}
+		left := s.r.Props.FlowPulse/relayShare - s.r.Since(s.last)
+		s.mu.Unlock()
+		isOver := left > 0 && !s.r.Pause(left)
+		s.mu.Lock()
+		now := s.waiting
+		s.waiting, s.last = nil, s.r.Now()
+		now.sent = s.last
+		s.mu.Unlock()
+		if isOver {
+			now.err = fault.New(fault.Stopping, "")
+		} else {
+			now.receipt, now.err = s.ask()
+		}
+		close(now.done)
+	}
+}
--- /dev/null
+++ b/internal/flow/relay_test.go
@@ -0,0 +1,76 @@
+// Relays of pulses: few for many proxies, and as old as they are.
+package flow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func TestManyPulsesMakeFewRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		r := (&switchboard{listeners: map[string]*board{}}).realm(t, ctx, "core", "10.0.0.1:1")
+		const way = 5 * time.Millisecond
+		relayed := 0
+		var isCut atomic.Bool
+		s := &relays{r: r, ask: func() (*wire.PulseReceipt, error) {
+			relayed++
+			time.Sleep(way)
+			if isCut.Load() {
+				return nil, errors.New("cut")
+			}
+			return &wire.PulseReceipt{Epoch: 3, Age: 1000, Parts: []int64{-1, 2000}}, nil
+		}}
+		least := r.Props.FlowPulse / relayShare
+		one := func() {
+			asked := time.Now()
+			receipt, err := s.get(ctx)
+			took := time.Since(asked)
+			if err != nil || took > least+2*way {
+				t.Errorf("%v after %s", err, took)
+				return
+			}
+			if age := receipt.Age; age < 1000+way.Microseconds() || age > 1000+took.Microseconds()+1 || receipt.Parts[0] != -1 || receipt.Parts[1] != age+1000 {
+				t.Errorf("ages %d and %v after %s", age, receipt.Parts, took)
+			}
+		}
+		// A first one does not wait.
+		began := time.Now()
+		one()
+		if took := time.Since(began); took != way {
+			t.Errorf("the first took %s", took)
+		}
+		var all sync.WaitGroup
+		for range 460 {
+			all.Go(func() {
+				for range 4 {
+					one()
+					time.Sleep(r.Props.FlowPulse - way)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		all.Wait()
+		if most := int(time.Since(began)/least) + 2; relayed > most {
+			t.Errorf("%d relays in %s", relayed, time.Since(began))
+		}
+		isCut.Store(true)
+		if _, err := s.get(ctx); err == nil {
+			t.Error("a relay that failed is told as done")
+		}
+		// The end of life keeps nobody waiting.
+		go r.End()
+		synctest.Wait()
+		if _, err := s.get(ctx); err == nil {
+			t.Error("relayed after the end")
+		}
+	})
+}
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -29,25 +29,17 @@
 	ledger  *plan.Ledger
 	planner *plan.Planner
 
-	mu      sync.Mutex
-	running *relay
-	waiting *relay
-	deltas  map[string]wire.Group
+	mu     sync.Mutex
+	deltas map[string]wire.Group
 
-	turns turns
-	coder coder
-}
-
-// relay is one pulse to the owner, shared by all proxies that wait for it.
-type relay struct {
-	done    chan struct{}
-	sent    time.Time
-	receipt *wire.PulseReceipt
-	err     error
+	turns  turns
+	coder  coder
+	relays relays
 }
 
 func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *plan.Ledger, planner *plan.Planner) *Server {
 	s := &Server{r: r, w: w, k: k, p: p, ledger: ledger, planner: planner}
+	s.relays.r, s.relays.ask = r, s.ask
 	w.Handle("flow.listen", func(c *wire.Call) (any, error) {
 		var ask wire.ListenAsk
 		if err := c.Read(&ask); err != nil {
@@ -185,50 +177,7 @@
 	if s.p.Part(mark.Config).IsServing() {
 		return s.planner.Pulse()
 	}
-	s.mu.Lock()
-	mine := s.waiting
-	if mine == nil {
-		mine = &relay{done: make(chan struct{})}
-		s.waiting = mine
-		if s.running == nil {
-			s.start()
-		}
-	}
-	s.mu.Unlock()
-	select {
-	case <-mine.done:
-	case <-ctx.Done():
-		return nil, fault.New(fault.NoOwner, "%v", ctx.Err())
-	}
-	if mine.err != nil {
-		return nil, mine.err
-	}
-	grown := s.r.Since(mine.sent).Microseconds() + 1
-	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
-	for i, age := range mine.receipt.Parts {
-		receipt.Parts[i] = age
-		if age >= 0 {
-			receipt.Parts[i] = age + grown
-		}
-	}
-	return receipt, nil
-}
-
-// start sends the waiting relay; the next one starts when it is back.
-func (s *Server) start() {
-	now := s.waiting
-	s.running, s.waiting = now, nil
-	s.r.Go(func() {
-		now.sent = s.r.Now()
-		now.receipt, now.err = s.ask()
-		close(now.done)
-		s.mu.Lock()
-		s.running = nil
-		if s.waiting != nil {
-			s.start()
-		}
-		s.mu.Unlock()
-	})
+	return s.relays.get(ctx)
 }
 
 func (s *Server) ask() (*wire.PulseReceipt, error) {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -74,6 +74,7 @@
 	GateBodies     int           // how many large request bodies are read at once; 0 is no bound
 	GateWait       time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
 	WireDial       time.Duration // time for a connection to another process
+	WireIdle       time.Duration // how long a connection to another process is kept on which nothing is asked
 }
 
 var table = []entry{
@@ -145,4 +146,5 @@
 	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
 	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
 	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
+	{key: "wire.idle", kind: "duration", fallback: "20s", low: "1s", high: "1h", doc: "how long a connection to another process is kept on which nothing is asked", set: func(p *Props, v any) { p.WireIdle = v.(time.Duration) }},
 }
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -27,7 +28,9 @@
 	next    uint64
 	waiting map[uint64]chan *Frame
 	isOver  bool
+	isIdle  bool
 	lastGot time.Time
+	lastUse time.Time
 }
 
 // A pipe on which nothing came for the length of an ask that ran out of time is
@@ -75,6 +78,9 @@
 		close(p.ready)
 		return
 	}
+	p.mu.Lock()
+	p.lastUse = time.Now()
+	p.mu.Unlock()
 	close(p.ready)
 	reader := bufio.NewReaderSize(conn, 16<<10)
 	for {
@@ -88,6 +94,7 @@
 		}
 		p.mu.Lock()
 		p.lastGot = time.Now()
+		p.lastUse = p.lastGot
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -98,6 +105,40 @@
 	p.close()
 }
 
+// errIdle is of a pipe that was closed as idle just when it was to be used; nothing
+// was written.
+var errIdle = errors.New("pipe closed as idle")
+
+// sweep closes the pipes on which nothing was asked for a while: each asks its ends
+// for signs of life, and a node that talks to a random other now and then would in
+// time keep one to each.
+func (w *Wire) sweep() {
+	for w.r.Pause(w.r.Props.WireIdle / 4) {
+		w.mu.Lock()
+		pipes := make([]*pipe, 0, len(w.pipes))
+		for _, p := range w.pipes {
+			pipes = append(pipes, p)
+		}
+		w.mu.Unlock()
+		for _, p := range pipes {
+			if p.rest() {
+				p.close()
+			}
+		}
+	}
+}
+
+// rest marks a pipe as closed if it is idle.
+func (p *pipe) rest() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isOver || len(p.waiting) > 0 || p.lastUse.IsZero() || time.Since(p.lastUse) < p.w.r.Props.WireIdle {
+		return false
+	}
+	p.isOver, p.isIdle = true, true
+	return true
+}
+
 func (p *pipe) forget() {
 	p.w.mu.Lock()
 	if p.w.pipes[p.address] == p {
@@ -121,6 +162,11 @@
 func (p *pipe) ask(ctx context.Context, frame *Frame) (*Frame, error) {
 	waiter := make(chan *Frame, 1)
 	p.mu.Lock()
+	if p.isIdle {
+		p.mu.Unlock()
+		p.forget()
+		return nil, errIdle
+	}
 	if p.isOver {
 		p.mu.Unlock()
 		return nil, fault.New(fault.Unreached, "%s: pipe closed", p.address)
@@ -128,6 +174,7 @@
 	p.next++
 	frame.Id = p.next
 	p.waiting[frame.Id] = waiter
+	p.lastUse = time.Now()
 	p.mu.Unlock()
 	raw, err := pack(frame)
 	if err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -94,6 +94,7 @@
 			}
 		}
 	})
+	w.r.Go(w.sweep)
 	w.r.Go(func() {
 		<-w.r.Done()
 		listener.Close()
@@ -289,11 +290,7 @@
 		}
 		frame.Deadline = left.Microseconds() + 1
 	}
-	p, err := w.pipe(ctx, address)
-	if err != nil {
-		return err
-	}
-	receipt, err := p.ask(ctx, frame)
+	receipt, err := w.over(ctx, address, frame)
 	if err != nil {
 		return err
 	}
@@ -317,5 +314,18 @@
 	return nil
 }
 
+// over asks on the pipe to an address, and on a new one if that was closed as idle.
+func (w *Wire) over(ctx context.Context, address string, frame *Frame) (*Frame, error) {
+	for {
+		p, err := w.pipe(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if receipt, err := p.ask(ctx, frame); err != errIdle {
+			return receipt, err
+		}
+	}
+}
+
 // From is the id of the node that asks, for logs.
 func (w *Wire) From() mark.Name { return w.r.Name }
