--- a/internal/flow/relay.go
+++ b/internal/flow/relay.go
@@ -30,17 +30,25 @@
 	isRunning bool
 	waiting   *relay
 	last      time.Time // when the last was sent
+	told      *relay    // the last that was answered
 }
 
 // relayShare is the least pause between two relays, as a share of that between two
-// pulses of one proxy.
-const relayShare = 10
+// pulses of one proxy. For relayTime what the owner said is passed on, with its age,
+// without asking it again.
+const (
+	relayShare = 10
+	relayTime  = 50 * time.Millisecond
+)
 
 // get waits for a relay that is sent from now on; its ages are older by the time that
 // passed since it was sent.
 func (s *relays) get(ctx context.Context) (*wire.PulseReceipt, error) {
 	s.mu.Lock()
 	mine := s.waiting
+	if s.told != nil && s.r.Since(s.told.sent) < relayTime {
+		mine = s.told
+	}
 	if mine == nil {
 		mine = &relay{done: make(chan struct{})}
 		s.waiting = mine
@@ -92,5 +100,10 @@
 			now.receipt, now.err = s.ask()
 		}
 		close(now.done)
+		if now.err == nil {
+			s.mu.Lock()
+			s.told = now
+			s.mu.Unlock()
+		}
 	}
 }
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -31,6 +31,7 @@
 
 	mu     sync.Mutex
 	deltas map[string]wire.Group
+	packs  map[string][]byte
 
 	turns  turns
 	coder  coder
@@ -76,6 +77,7 @@
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
 			receipt := differ(sheet, have)
+			receipt.Age = sheet.Age().Milliseconds()
 			if ask.Small {
 				s.along(sheet, have, receipt)
 			}
--- a/internal/flow/start.go
+++ b/internal/flow/start.go
@@ -20,16 +20,17 @@
 		return
 	}
 	c.r.Go(func() {
-		pause := c.r.Props.FlowRetry
+		first := min(c.r.Props.FlowRetry, firstPause)
+		pause := first
 		for {
 			isDone, isLoaded, later := c.fetchAll()
 			if isDone {
 				break
 			}
 			if isLoaded {
-				pause = min(2*pause, max(c.r.Props.FlowCool, c.r.Props.FlowRetry))
+				pause = min(2*max(pause, c.r.Props.FlowRetry), max(c.r.Props.FlowCool, c.r.Props.FlowRetry))
 			} else {
-				pause = c.r.Props.FlowRetry
+				pause = first
 			}
 			if !c.r.Pause(realm.Jitter(max(pause, later))) {
 				return
@@ -46,8 +47,7 @@
 func (c *Client) fetchAll() (isDone, isLoaded bool, later time.Duration) {
 	for _, m := range c.k.Keepers() {
 		ctx, end := context.WithTimeout(c.r, 5*time.Second)
-		var receipt wire.FetchReceipt
-		err := c.w.Ask(ctx, m.Wire, "flow.fetch", &wire.FetchAsk{}, &receipt)
+		receipt, err := c.fetch(ctx, m.Wire, &wire.FetchAsk{})
 		end()
 		if err != nil {
 			isLoaded = isLoaded || fault.Is(err, fault.ReplyLost)
--- a/internal/flow/whole.go
+++ b/internal/flow/whole.go
@@ -69,16 +69,23 @@
 type coder struct {
 	mu     sync.Mutex
 	groups map[string]coded
-	sheet  *plan.Sheet
-	whole  json.RawMessage
+	wholes [2]struct {
+		sheet *plan.Sheet
+		raw   json.RawMessage
+	} // plain, and packed
 }
 
-// all is the whole of an epoch with its manifest, as the receipt of a full fetch.
-func (c *coder) all(sheet *plan.Sheet) (json.RawMessage, error) {
+// all is the whole of an epoch with its manifest, as the receipt of a full fetch, with
+// its groups packed or not.
+func (c *coder) all(sheet *plan.Sheet, isPacked bool) (json.RawMessage, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sheet == sheet {
-		return c.whole, nil
+	kept := &c.wholes[0]
+	if isPacked {
+		kept = &c.wholes[1]
+	}
+	if kept.sheet == sheet {
+		return kept.raw, nil
 	}
 	manifest := sheet.Manifest()
 	groups := make(map[string]json.RawMessage, len(manifest))
@@ -95,12 +102,22 @@
 			delete(c.groups, name)
 		}
 	}
-	whole, err := joinGroups(&wire.FetchReceipt{Epoch: sheet.Epoch, Manifest: manifest}, groups)
+	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Manifest: manifest}
+	text, err := joinGroups(groups)
+	if err != nil {
+		return nil, err
+	}
+	if isPacked && len(text) >= packLeast {
+		receipt.Packed = deflate(text)
+		kept.raw, err = json.Marshal(receipt)
+	} else {
+		kept.raw, err = withGroups(receipt, text)
+	}
 	if err != nil {
 		return nil, err
 	}
-	c.sheet, c.whole = sheet, whole
-	return whole, nil
+	kept.sheet = sheet
+	return kept.raw, nil
 }
 
 // group is one whole group as it goes out.
@@ -126,15 +143,10 @@
 	return raw, nil
 }
 
-// joinGroups is the receipt with groups that are encoded already.
-func joinGroups(receipt *wire.FetchReceipt, groups map[string]json.RawMessage) (json.RawMessage, error) {
-	head, err := json.Marshal(receipt)
-	if err != nil || len(groups) == 0 {
-		return head, err
-	}
+// joinGroups is the text of groups that are encoded already.
+func joinGroups(groups map[string]json.RawMessage) (json.RawMessage, error) {
 	var text bytes.Buffer
-	text.Write(head[:len(head)-1])
-	text.WriteString(`,"groups":{`)
+	text.WriteByte('{')
 	for i, name := range slices.Sorted(maps.Keys(groups)) {
 		if i > 0 {
 			text.WriteByte(',')
@@ -147,59 +159,78 @@
 		text.WriteByte(':')
 		text.Write(groups[name])
 	}
-	text.WriteString("}}")
+	text.WriteByte('}')
 	return text.Bytes(), nil
 }
 
+// withGroups is a receipt with the text of its groups.
+func withGroups(receipt *wire.FetchReceipt, groups json.RawMessage) (json.RawMessage, error) {
+	head, err := json.Marshal(receipt)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(head[:len(head)-1], []byte(`,"groups":`), groups, []byte("}")), nil
+}
+
 // fetch answers a fetch: of the groups named, or of all.
 func (s *Server) fetch(c *wire.Call, ask *wire.FetchAsk) (any, error) {
 	if len(ask.Groups) == 0 {
-		return s.fetchAll(c)
+		return s.fetchAll(c, ask.Packs)
 	}
 	sheet := s.ledger.Sheet()
-	groups := map[string]json.RawMessage{}
+	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
 	for _, name := range ask.Groups {
-		group, ok := sheet.Carried(name)
-		if !ok {
-			continue
+		if group, ok := sheet.Carried(name); ok {
+			receipt.Groups[name] = s.short(name, ask.Held[name], group)
 		}
-		short := s.short(name, ask.Held[name], group)
+	}
+	if ask.Packs {
+		if s.pack(receipt); receipt.Packed != nil {
+			return receipt, nil
+		}
+	}
+	groups := map[string]json.RawMessage{}
+	for name, group := range receipt.Groups {
 		raw, err := json.RawMessage(nil), error(nil)
-		if short.Base == "" {
-			raw, err = s.coder.group(name, short)
+		if group.Base == "" {
+			raw, err = s.coder.group(name, group)
 		} else {
-			raw, err = json.Marshal(&short)
+			raw, err = json.Marshal(&group)
 		}
 		if err != nil {
 			return nil, fault.New(fault.Internal, "%v", err)
 		}
 		groups[name] = raw
 	}
-	raw, err := joinGroups(&wire.FetchReceipt{Epoch: sheet.Epoch}, groups)
+	text, err := joinGroups(groups)
+	if err == nil {
+		receipt.Groups = nil
+		text, err = withGroups(receipt, text)
+	}
 	if err != nil {
 		return nil, fault.New(fault.Internal, "%v", err)
 	}
-	return &wire.Raw{Body: raw}, nil
+	return &wire.Raw{Body: text}, nil
 }
 
-func (s *Server) fetchAll(c *wire.Call) (any, error) {
+func (s *Server) fetchAll(c *wire.Call, isPacked bool) (any, error) {
 	// A member that was just started holds what its last snapshot holds, until an
 	// owner has told it how far the log is committed.
 	if _, isOwned := s.p.Owner(mark.Config); !isOwned {
 		return &wire.FetchReceipt{}, nil
 	}
-	return s.hand(c, s.ledger.Sheet())
+	return s.hand(c, s.ledger.Sheet(), isPacked)
 }
 
 // hand gives the whole of an epoch if there is a place.
-func (s *Server) hand(c *wire.Call, sheet *plan.Sheet) (any, error) {
+func (s *Server) hand(c *wire.Call, sheet *plan.Sheet, isPacked bool) (any, error) {
 	began := time.Now()
 	later, isTaken := s.turns.take(began, s.r.Props.FlowFetches, s.r.Props.FlowCool)
 	if !isTaken {
 		return &wire.FetchReceipt{Later: max(later.Milliseconds(), 1)}, nil
 	}
 	leave := func() { s.turns.leave(time.Since(began)) }
-	raw, err := s.coder.all(sheet)
+	raw, err := s.coder.all(sheet, isPacked)
 	if err != nil || c.Err() != nil {
 		leave()
 		return nil, fault.New(fault.ReplyLost, "the fetch is given up: %v", err)
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,7 +20,7 @@
 const (
 	syncPause  = 10 * time.Second
 	syncSoon   = time.Second
-	joinPause  = 300 * time.Millisecond
+	joinPause  = 100 * time.Millisecond // until a seed has answered
 	joinSeldom = 2 * time.Second
 	stirTime   = 10 * time.Second
 
@@ -52,13 +53,11 @@
 				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
-		isRefused := false
-		for _, address := range addresses {
-			if address != k.r.Props.WireAddress && address != k.r.Props.WireAdvertise && k.Sync(address) {
-				isIn = true
-			}
-			isRefused = isRefused || k.isRefused.Load()
+		k.isRefused.Store(false)
+		if k.syncAny(addresses) {
+			isIn = true
 		}
+		isRefused := k.isRefused.Load()
 		pause := join
 		switch {
 		case isIn && (len(k.View()) < 3 || k.isStirred()):
@@ -77,6 +76,26 @@
 	}
 }
 
+// syncAny compares with all of them at once, for one that is down says nothing for
+// as long as a dial may take, and is true as soon as one has answered.
+func (k *Kin) syncAny(addresses []string) bool {
+	answers := make(chan bool, len(addresses))
+	asked := 0
+	for _, address := range addresses {
+		if address == k.r.Props.WireAddress || address == k.r.Props.WireAdvertise {
+			continue
+		}
+		asked++
+		k.r.Go(func() { answers <- k.Sync(address) })
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Kin) isStirred() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -109,9 +128,9 @@
 	if err := k.w.Ask(ctx, address, "kin.sync", ask, &receipt); err != nil {
 		return false
 	}
-	k.isRefused.Store(receipt.Later > 0)
 	switch {
 	case receipt.Later > 0:
+		k.isRefused.Store(true)
 		return false
 	case receipt.IsSame:
 		return true
@@ -136,7 +155,18 @@
 	}
 	k.take(receipt.Members, true)
 	if mine := newer(k.whole(), receipt.Members); len(mine) > 0 {
-		return k.w.Ask(ctx, address, "kin.sync", &wire.KinSync{Members: mine, Digest: k.digest(), Ranges: 2}, &receipt) == nil
+		ask = &wire.KinSync{Members: mine, Digest: k.digest(), Ranges: rangesMost}
+		for _, m := range mine {
+			if no := rangeOf(m.Name, rangesMost); !slices.Contains(ask.Differ, no) {
+				ask.Differ = append(ask.Differ, no)
+			}
+		}
+		receipt = wire.KinSync{}
+		if err := k.w.Ask(ctx, address, "kin.sync", ask, &receipt); err != nil {
+			return false
+		}
+		// One that was held for down here has refuted that in its second answer.
+		k.take(receipt.Members, true)
 	}
 	return true
 }
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -16,6 +16,7 @@
 	"github.com/syndtr/goleveldb/leveldb/storage"
 	"golang.org/x/sys/unix"
 
+	"github.com/sumactrestle/sumactrestle/internal/gauge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
@@ -39,6 +40,7 @@
 	Sign  *sign.Sign
 	Net   Net
 	Name  mark.Name
+	Times *gauge.Times
 
 	end context.CancelFunc
 
@@ -49,7 +51,7 @@
 
 func New(parent context.Context, p *props.Props, s *sign.Sign, n Net) *Realm {
 	ctx, end := context.WithCancel(parent)
-	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), end: end}
+	r := &Realm{Context: ctx, Props: p, Sign: s, Net: n, Name: mark.Name(p.Name), Times: &gauge.Times{Services: p.MetricsServices}, end: end}
 	r.idle = sync.NewCond(&r.mu)
 	return r
 }
@@ -157,3 +159,15 @@
 
 func (t Turn) Lock()   { t <- struct{}{} }
 func (t Turn) Unlock() { <-t }
+
+// LockWithin gives up after a time; it tells whether the lock is held.
+func (t Turn) LockWithin(d time.Duration) bool {
+	wakeup := time.NewTimer(d)
+	defer wakeup.Stop()
+	select {
+	case t <- struct{}{}:
+		return true
+	case <-wakeup.C:
+		return false
+	}
+}
--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -33,12 +32,21 @@
 	lastUse time.Time
 }
 
-// A pipe on which nothing came for the length of an ask that ran out of time is
-// dropped: a connection that lived through a cut may otherwise stay silent for
-// as long as TCP's own growing pauses last.
-const (
-	deafTime = 300 * time.Millisecond
-)
+// heard notes each byte that comes. A pipe on which none came for the length of an ask
+// that ran out of time is dropped: a connection that lived through a cut may otherwise
+// stay silent for as long as TCP's own growing pauses last. One that is in the midst of
+// a long receipt is not: that would begin anew, and fill the link that made it late.
+type heard struct{ p *pipe }
+
+func (h heard) Read(to []byte) (int, error) {
+	n, err := h.p.conn.Read(to)
+	if n > 0 {
+		h.p.mu.Lock()
+		h.p.lastGot = time.Now()
+		h.p.mu.Unlock()
+	}
+	return n, err
+}
 
 func (w *Wire) pipe(ctx context.Context, address string) (*pipe, error) {
 	w.mu.Lock()
@@ -62,9 +70,7 @@
 }
 
 func (p *pipe) run() {
-	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
-	conn, err := p.w.r.Net.Dial(ctx, p.address)
-	end()
+	conn, err := p.dial()
 	if err != nil {
 		p.problem = fault.New(fault.Unreached, "%s: %v", p.address, err)
 		p.forget()
@@ -82,7 +88,7 @@
 	p.lastUse = time.Now()
 	p.mu.Unlock()
 	close(p.ready)
-	reader := bufio.NewReaderSize(conn, 16<<10)
+	reader := bufio.NewReaderSize(heard{p}, 16<<10)
 	for {
 		line, err := readLine(reader, p.w.r.Props.WireLine)
 		if err != nil {
@@ -93,8 +99,7 @@
 			break
 		}
 		p.mu.Lock()
-		p.lastGot = time.Now()
-		p.lastUse = p.lastGot
+		p.lastUse = time.Now()
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -105,40 +110,51 @@
 	p.close()
 }
 
-// errIdle is of a pipe that was closed as idle just when it was to be used; nothing
-// was written.
-var errIdle = errors.New("pipe closed as idle")
+// dials is how many connections are tried for one pipe: a machine that was down when
+// the first was asked for is asked again by the system only after a second.
+const dials = 3
 
-// sweep closes the pipes on which nothing was asked for a while: each asks its ends
-// for signs of life, and a node that talks to a random other now and then would in
-// time keep one to each.
-func (w *Wire) sweep() {
-	for w.r.Pause(w.r.Props.WireIdle / 4) {
-		w.mu.Lock()
-		pipes := make([]*pipe, 0, len(w.pipes))
-		for _, p := range w.pipes {
-			pipes = append(pipes, p)
-		}
-		w.mu.Unlock()
-		for _, p := range pipes {
-			if p.rest() {
-				p.close()
+// dial opens a connection. While none is there and none was refused, another is tried
+// beside it after a part of the time; the first that opens is the pipe's.
+func (p *pipe) dial() (net.Conn, error) {
+	ctx, end := context.WithTimeout(p.w.r, p.w.r.Props.WireDial)
+	defer end()
+	type opened struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan opened, dials)
+	begin := func() {
+		p.w.r.Go(func() {
+			conn, err := p.w.r.Net.Dial(ctx, p.address)
+			results <- opened{conn, err}
+		})
+	}
+	again := time.NewTicker(p.w.r.Props.WireDial / dials)
+	defer again.Stop()
+	begin()
+	begun := 1
+	for {
+		select {
+		case got := <-results:
+			left := begun - 1
+			p.w.r.Go(func() {
+				for range left {
+					if late := <-results; late.conn != nil {
+						late.conn.Close()
+					}
+				}
+			})
+			return got.conn, got.err
+		case <-again.C:
+			if begun < dials {
+				begin()
+				begun++
 			}
 		}
 	}
 }
 
-// rest marks a pipe as closed if it is idle.
-func (p *pipe) rest() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.isOver || len(p.waiting) > 0 || p.lastUse.IsZero() || time.Since(p.lastUse) < p.w.r.Props.WireIdle {
-		return false
-	}
-	p.isOver, p.isIdle = true, true
-	return true
-}
-
 func (p *pipe) forget() {
 	p.w.mu.Lock()
 	if p.w.pipes[p.address] == p {
@@ -199,7 +215,7 @@
 	case <-ctx.Done():
 		p.mu.Lock()
 		delete(p.waiting, frame.Id)
-		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > deafTime
+		isDeaf := p.lastGot.Before(sent) && time.Since(sent) > p.w.r.Props.WireDeaf
 		p.mu.Unlock()
 		if isDeaf {
 			p.close()
