--- a/internal/kin/sync_test.go
+++ b/internal/kin/sync_test.go
@@ -329,3 +329,38 @@
 		}
 	})
 }
+
+func TestALostCoreNodeIsAskedEverySecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		l := &lines{ends: map[string]chan net.Conn{}}
+		for _, size := range []int{10, 60} {
+			var lookers []*Kin
+			for no := 1; no < size; no++ {
+				all := members(size)
+				all[0].Core = true
+				k := l.start(t, ctx, all[no])
+				k.take(all, true)
+				down := all[0]
+				down.State = Down
+				k.take([]wire.Member{down}, false)
+				if k.searches(k.View(), down) {
+					lookers = append(lookers, k)
+				}
+			}
+			if right := map[int]int{10: 9, 60: searchers}[size]; len(lookers) != right {
+				t.Fatalf("%d of %d nodes look for a lost core node", len(lookers), size)
+			}
+			hunts, last := map[mark.Name]*hunt{}, time.Now()
+			for range 1200 {
+				if len(lookers[0].due(hunts, time.Now())) > 0 {
+					last = time.Now()
+				} else if time.Since(last) > searchFirst*5/4 {
+					t.Fatal("a core node was not asked for", time.Since(last))
+				}
+				time.Sleep(searchTurn / 4)
+			}
+		}
+	})
+}
