--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,24 +29,18 @@
 	ledger  *plan.Ledger
 	planner *plan.Planner
 
-	mu      sync.Mutex
-	running *relay
-	waiting *relay
-	last    *relay
-	deltas  map[string]wire.Group
-	packs   map[string][]byte
-}
+	mu     sync.Mutex
+	deltas map[string]wire.Group
+	packs  map[string][]byte
 
-// relay is one pulse to the owner, shared by all proxies that wait for it.
-type relay struct {
-	done    chan struct{}
-	sent    time.Time
-	receipt *wire.PulseReceipt
-	err     error
+	turns  turns
+	coder  coder
+	relays relays
 }
 
 func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *plan.Ledger, planner *plan.Planner) *Server {
 	s := &Server{r: r, w: w, k: k, p: p, ledger: ledger, planner: planner}
+	s.relays.r, s.relays.ask = r, s.ask
 	w.Handle("flow.listen", func(c *wire.Call) (any, error) {
 		var ask wire.ListenAsk
 		if err := c.Read(&ask); err != nil {
@@ -61,11 +53,7 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		receipt := s.fetch(&ask)
-		if ask.Packs {
-			s.pack(receipt)
-		}
-		return receipt, nil
+		return s.fetch(c, &ask)
 	})
 	w.Handle("flow.pulse", func(c *wire.Call) (any, error) { return s.pulse(c) })
 	return s
@@ -150,27 +138,6 @@
 	return receipt
 }
 
-func (s *Server) fetch(ask *wire.FetchAsk) *wire.FetchReceipt {
-	sheet := s.ledger.Sheet()
-	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
-	names := ask.Groups
-	if len(names) == 0 {
-		// A member that was just started holds what its last snapshot holds, until an
-		// owner has told it how far the log is committed.
-		if _, isOwned := s.p.Owner(mark.Config); !isOwned {
-			return &wire.FetchReceipt{}
-		}
-		receipt.Manifest = sheet.Manifest()
-		names = slices.Collect(maps.Keys(receipt.Manifest))
-	}
-	for _, name := range names {
-		if group, ok := sheet.Carried(name); ok {
-			receipt.Groups[name] = s.short(name, ask.Held[name], group)
-		}
-	}
-	return receipt
-}
-
 // short is a target list as what differs from the one that the asker holds, if that
 // is known here and the difference is right.
 func (s *Server) short(name, held string, group wire.Group) wire.Group {
@@ -203,10 +170,6 @@
 	return delta
 }
 
-// relayTime is how long what the owner said is passed on, with its age, without asking
-// it again.
-const relayTime = 50 * time.Millisecond
-
 // deltasKept bounds the differences that are kept for the next asker.
 const deltasKept = 256
 
@@ -216,56 +179,7 @@
 	if s.p.Part(mark.Config).IsServing() {
 		return s.planner.Pulse()
 	}
-	s.mu.Lock()
-	mine := s.waiting
-	if last := s.last; last != nil && s.r.Since(last.sent) < relayTime {
-		mine = last
-	}
-	if mine == nil {
-		mine = &relay{done: make(chan struct{})}
-		s.waiting = mine
-		if s.running == nil {
-			s.start()
-		}
-	}
-	s.mu.Unlock()
-	select {
-	case <-mine.done:
-	case <-ctx.Done():
-		return nil, fault.New(fault.NoOwner, "%v", ctx.Err())
-	}
-	if mine.err != nil {
-		return nil, mine.err
-	}
-	grown := s.r.Since(mine.sent).Microseconds() + 1
-	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
-	for i, age := range mine.receipt.Parts {
-		receipt.Parts[i] = age
-		if age >= 0 {
-			receipt.Parts[i] = age + grown
-		}
-	}
-	return receipt, nil
-}
-
-// start sends the waiting relay; the next one starts when it is back.
-func (s *Server) start() {
-	now := s.waiting
-	s.running, s.waiting = now, nil
-	s.r.Go(func() {
-		now.sent = s.r.Now()
-		now.receipt, now.err = s.ask()
-		close(now.done)
-		s.mu.Lock()
-		s.running = nil
-		if now.err == nil {
-			s.last = now
-		}
-		if s.waiting != nil {
-			s.start()
-		}
-		s.mu.Unlock()
-	})
+	return s.relays.get(ctx)
 }
 
 func (s *Server) ask() (*wire.PulseReceipt, error) {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -39,6 +39,7 @@
 	FlowHold        time.Duration // how long a listener request is held
 	FlowBehind      time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
 	FlowServers     int           // how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all
+	FlowFetches     int           // how many full fetches a control node answers at once; who comes beside them is told when to ask again
 	FlowPause       time.Duration // pause after a fetch that brought nothing newer
 	FlowRetry       time.Duration // pause between tries after an error
 	FlowTries       int           // tries before the long pause
@@ -73,10 +74,11 @@
 	GateBodies      int           // how many large request bodies are read at once; 0 is no bound
 	GateWait        time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
 	WireDial        time.Duration // time for a connection to another process
-	MetricsServe    bool          // show metrics for scraping under /metrics on api.address
-	MetricsServices int           // services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name
+	WireIdle        time.Duration // how long a connection to another process is kept on which nothing is asked
 	WireDeaf        time.Duration // for how long nothing may come over a connection to another process while an ask waits, before it is given up
 	GateWindow      int           // receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own
+	MetricsServe    bool          // show metrics for scraping under /metrics on api.address
+	MetricsServices int           // services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name
 	GateDoubles     int           // how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries
 }
 
@@ -114,6 +116,7 @@
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
 	{key: "flow.behind", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays", set: func(p *Props, v any) { p.FlowBehind = v.(time.Duration) }},
 	{key: "flow.servers", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many control nodes a proxy listens to, the nearest first and one of another zone at least; 0 is for all", set: func(p *Props, v any) { p.FlowServers = v.(int) }},
+	{key: "flow.fetches", kind: "int", fallback: "8", low: "1", high: "1000", doc: "how many full fetches a control node answers at once; who comes beside them is told when to ask again", set: func(p *Props, v any) { p.FlowFetches = v.(int) }},
 	{key: "flow.pause", kind: "duration", fallback: "200ms", low: "10ms", high: "30s", doc: "pause after a fetch that brought nothing newer", set: func(p *Props, v any) { p.FlowPause = v.(time.Duration) }},
 	{key: "flow.retry", kind: "duration", fallback: "200ms", low: "10ms", high: "5s", doc: "pause between tries after an error", set: func(p *Props, v any) { p.FlowRetry = v.(time.Duration) }},
 	{key: "flow.tries", kind: "int", fallback: "3", low: "1", high: "100", doc: "tries before the long pause", set: func(p *Props, v any) { p.FlowTries = v.(int) }},
@@ -148,9 +151,10 @@
 	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
 	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
 	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
-	{key: "metrics.serve", kind: "bool", fallback: "false", low: "", high: "", doc: "show metrics for scraping under /metrics on api.address", set: func(p *Props, v any) { p.MetricsServe = v.(bool) }},
-	{key: "metrics.services", kind: "int", fallback: "512", low: "0", high: "65536", doc: "services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name", set: func(p *Props, v any) { p.MetricsServices = v.(int) }},
+	{key: "wire.idle", kind: "duration", fallback: "20s", low: "1s", high: "1h", doc: "how long a connection to another process is kept on which nothing is asked", set: func(p *Props, v any) { p.WireIdle = v.(time.Duration) }},
 	{key: "wire.deaf", kind: "duration", fallback: "300ms", low: "50ms", high: "30s", doc: "for how long nothing may come over a connection to another process while an ask waits, before it is given up", set: func(p *Props, v any) { p.WireDeaf = v.(time.Duration) }},
 	{key: "gate.window", kind: "int", fallback: "0", low: "0", high: "1073741824", doc: "receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own", set: func(p *Props, v any) { p.GateWindow = v.(int) }},
+	{key: "metrics.serve", kind: "bool", fallback: "false", low: "", high: "", doc: "show metrics for scraping under /metrics on api.address", set: func(p *Props, v any) { p.MetricsServe = v.(bool) }},
+	{key: "metrics.services", kind: "int", fallback: "512", low: "0", high: "65536", doc: "services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name", set: func(p *Props, v any) { p.MetricsServices = v.(int) }},
 	{key: "gate.doubles", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries", set: func(p *Props, v any) { p.GateDoubles = v.(int) }},
 }
