--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -51,6 +51,7 @@
 	// isLeaving is set while a stopping proxy still serves whoever comes.
 	isLeaving atomic.Bool
 	gossip    *gossip
+	sick      *sick
 	kin       *kin.Kin
 	wire      *wire.Wire
 	settles   chan settled
@@ -62,6 +63,7 @@
 	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), lane: newLane(r.Props.GateRate, r.Props.GateBodies), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
+	g.sick = newSick(g)
 	f.Cache.Subscribe(func(chart *flow.Chart) {
 		t := g.newTable(chart, g.table.Load())
 		g.table.Store(t)
@@ -84,7 +86,7 @@
 func (g *Gate) Inflight() int64 { return g.inflight.Load() }
 
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n := g.inflight.Add(1)
+	began, n := time.Now(), g.inflight.Add(1)
 	defer g.inflight.Add(-1)
 	id := ""
 	if g.r.Props.GateIds == "caller" {
@@ -100,10 +102,11 @@
 	}
 	c, got, err := g.handle(w, r, id, n)
 	if err != nil {
-		g.refuse(w, orderOf(r), err)
-		return
+		g.refuse(w, r, c, err)
+	} else {
+		g.pass(w, c, got)
 	}
-	g.pass(w, c, got)
+	g.took(c, began, err)
 }
 
 // handle plans a request, asks for what it needs, and carries it out.
@@ -123,16 +126,16 @@
 		w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(c.chart.Epoch), 10))
 	}
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	done, err := g.gate(c)
 	if err != nil {
-		return nil, nil, err
+		return c, nil, err
 	}
 	defer done()
 	if err := g.claim(c); err != nil {
 		g.orders.End(c.key, how(err))
-		return nil, nil, err
+		return c, nil, err
 	}
 	got, err := g.carry(c, r)
 	g.orders.End(c.key, how(err))
@@ -236,23 +239,21 @@
 // carry tries targets until one answers. A try that ran nothing, as far as is
 // known for certain, may be followed by another; one that may have run something
 // only if the request may be repeated. Each target that a request was sent to,
-// beyond the first, is paid from the budget of extra tries.
+// beyond the first, is paid from the budget of extra tries. A target's own failure at a
+// request that may be repeated is passed on only if no other target does better.
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
 	ctx, end := context.WithDeadline(g.r, c.deadline)
 	defer end()
-	body, isWhole, err := g.body(c, r)
+	body, isWhole, err := g.body(ctx, c, r)
 	if err != nil {
 		return nil, err
 	}
-	most := targetsMost
-	if c.mapping.Tries > 0 {
-		most = c.mapping.Tries
-	}
 	var problem error
+	var failed *answer
 	sent, misses := 0, 0
 	isWritten := false
-	for sent < most && misses < targetsMost {
-		if !g.lane.await(ctx, r.ContentLength) {
+	for sent < c.most && misses < targetsMost {
+		if len(c.tried) > 0 && !g.lane.await(ctx, r.ContentLength, c.deadline) {
 			break
 		}
 		p := g.assign(c, r.ContentLength)
@@ -261,8 +262,14 @@
 		}
 		c.tried = append(c.tried, p)
 		got, wrote, err := g.try(ctx, c, r, p, body, sent)
+		sent, c.doubles = sent+c.doubles, 0
 		if err == nil {
-			return got, nil
+			if got.response.StatusCode < 500 || !c.isRepeatable || !isWhole {
+				return got, nil
+			}
+			failed = got
+			sent++
+			continue
 		}
 		isRun := wrote && got == nil
 		isWritten = isWritten || isRun
@@ -279,6 +286,9 @@
 			break
 		}
 	}
+	if failed != nil {
+		return failed, nil
+	}
 	if problem == nil {
 		problem = fault.New(fault.NotWritten, "%s", c.service.Name)
 	}
@@ -322,9 +332,9 @@
 
 // refuse answers at once, and spreads the time to come back. What is said is
 // true of the order, if the request bore a key and the order is known here.
-func (g *Gate) refuse(w http.ResponseWriter, key uint64, err error) {
+func (g *Gate) refuse(w http.ResponseWriter, r *http.Request, c *course, err error) {
 	p := fault.Of(err)
-	if key != 0 {
+	if key := orderOf(r); key != 0 {
 		p = ofOrder(g.orders.Of(key), p)
 	}
 	g.note(p.Code.Name)
@@ -346,8 +356,14 @@
 	if status == 499 {
 		status = http.StatusBadGateway
 	}
+	text, _ := json.Marshal(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
+	text = append(text, '\n')
+	isUnread := r.ContentLength != 0 && isLarge(r.ContentLength) && (c == nil || !c.isRead)
+	if isUnread && g.lane.rate > 0 && g.leave(w, status, text) {
+		return
+	}
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(map[string]any{"code": p.Code.No, "name": p.Code.Name, "outcome": p.Code.Outcome, "text": p.Code.Text, "note": p.Note})
+	w.Write(text)
 }
 
 // comeBack spreads the time to come back over one to three times the least, in
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -275,16 +275,18 @@
 // ListenReceipt names the groups that differ; none when the hold time is over; lost says that the sum is of nothing known here; groups are differences so small that they come along.
 type ListenReceipt struct {
 	Epoch   mark.Epoch       `json:"epoch"`
+	Age     int64            `json:"age,omitempty"`
 	Lost    bool             `json:"lost,omitempty"`
 	Groups  map[string]Group `json:"groups,omitempty"`
 	Changed map[string]Held  `json:"changed,omitempty"`
 	Removed []string         `json:"removed,omitempty"`
 }
 
-// FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do.
+// FetchAsk fetches groups; all of them when none is named; of those held under a digest the difference will do; packs tells that the asker reads packed groups.
 type FetchAsk struct {
 	Groups []string          `json:"groups,omitempty"`
 	Held   map[string]string `json:"held,omitempty"`
+	Packs  bool              `json:"packs,omitempty"`
 }
 
 // Group is one configuration group; of a target list it may be what differs from the one with the digest named as base.
@@ -297,11 +299,12 @@
 	Gone   []string        `json:"gone,omitempty"`
 }
 
-// FetchReceipt is groups of one epoch, with the manifest if all were asked for.
+// FetchReceipt is groups of one epoch, with the manifest if all were asked for; packed is the groups, deflated.
 type FetchReceipt struct {
 	Epoch    mark.Epoch       `json:"epoch"`
 	Manifest map[string]Held  `json:"manifest,omitempty"`
 	Groups   map[string]Group `json:"groups,omitempty"`
+	Packed   []byte           `json:"packed,omitempty"`
 }
 
 // PulseAsk renews freshness.
@@ -521,6 +524,11 @@
 	Keys []uint64 `json:"keys"`
 }
 
+// IllAsk tells other proxies how often targets failed since the last word, by the hash of service, instance and address.
+type IllAsk struct {
+	Fails map[string]int `json:"fails"`
+}
+
 // CompareAsk names the digests of a part's ranges at a stamp.
 type CompareAsk struct {
 	Part    mark.Part         `json:"part"`
