--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -33,6 +33,16 @@
 	claim        string
 }
 
+// connectLeast is the least time for a connection to a target, unless gate.connect is
+// shorter.
+const connectLeast = 250 * time.Millisecond
+
+// patience is how long a connection to a target may take: the request's aim at most, so
+// that another target can still be tried.
+func (c *course) patience(most time.Duration) time.Duration {
+	return min(most, max(c.aim, connectLeast))
+}
+
 // table finds mappings by path, and knows the targets of the epoch.
 type table struct {
 	chart  *flow.Chart
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -210,8 +210,8 @@
 	return service + "\n" + instance + "\n" + address
 }
 
-// get finds an idle pipe or dials; the problem means nothing was written.
-func (o *pool) get(ctx context.Context, at, address string) (*pipe, error) {
+// get finds an idle pipe or dials for so long; the problem means nothing was written.
+func (o *pool) get(ctx context.Context, at, address string, patience time.Duration) (*pipe, error) {
 	for {
 		o.mu.Lock()
 		list := o.idle[at]
@@ -227,7 +227,7 @@
 		}
 		p.kill()
 	}
-	limited, end := context.WithTimeout(ctx, o.r.Props.GateConnect)
+	limited, end := context.WithTimeout(ctx, patience)
 	defer end()
 	conn, err := o.r.Net.Dial(limited, address)
 	if err != nil {
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -99,7 +99,7 @@
 	to.begin(began)
 	defer to.end()
 	target := to.target
-	p, err := g.pool.get(ctx, to.at, target.Address)
+	p, err := g.pool.get(ctx, to.at, target.Address, c.patience(g.r.Props.GateConnect))
 	if err != nil {
 		to.strike(time.Now(), true)
 		return nil, false, err
