Only epochs that bind count against flow.behind

Binding is an epoch that bore a change set or took a target away; the ledger notes the last one, the pulse tells it, and flow.behind counts from it. A member that was loaded or mended can't know and takes the epoch itself; so does a proxy to which an older build tells none.

Tests: which epochs bind, and which make a chart old.

--- a/internal/flow/client.go
+++ b/internal/flow/client.go
@@ -20,9 +20,10 @@
 
 // Ages is as of when an epoch, and each part in it, was known to be in force.
 type Ages struct {
-	Epoch  mark.Epoch
-	Config time.Time
-	Parts  [mark.Parts]time.Time
+	Epoch   mark.Epoch
+	Binding mark.Epoch // the last that bore a change set or took a target away
+	Config  time.Time
+	Parts   [mark.Parts]time.Time
 }
 
 // Vouched is the newest ages, and the last that vouch for the epoch before.
--- a/internal/flow/fresh.go
+++ b/internal/flow/fresh.go
@@ -26,7 +26,10 @@
 	if receipt.Epoch < held.Newest.Epoch || len(receipt.Parts) != mark.Parts {
 		return
 	}
-	next := Ages{Epoch: receipt.Epoch, Config: sent.Add(-time.Duration(receipt.Age) * time.Microsecond)}
+	next := Ages{Epoch: receipt.Epoch, Binding: receipt.Binding, Config: sent.Add(-time.Duration(receipt.Age) * time.Microsecond)}
+	if next.Binding == 0 || next.Binding > next.Epoch {
+		next.Binding = next.Epoch // an older build tells none
+	}
 	for i, age := range receipt.Parts {
 		if age >= 0 {
 			next.Parts[i] = sent.Add(-time.Duration(age) * time.Microsecond)
@@ -79,11 +82,12 @@
 	return false
 }
 
-// isNewest tells whether the chart was known to be the newest within that time.
+// isNewest tells whether within that time no epoch was known that binds and is newer
+// than the chart.
 func (c *Client) isNewest(chart *Chart, bound time.Duration) bool {
 	held := c.ages.Load()
 	for _, a := range []*Ages{&held.Newest, &held.Before} {
-		if a.Epoch > 0 && a.Epoch <= chart.Epoch && c.r.Since(a.Config) < bound {
+		if a.Epoch > 0 && a.Binding <= chart.Epoch && c.r.Since(a.Config) < bound {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/flow/fresh_test.go
@@ -0,0 +1,36 @@
+package flow
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// A proxy that is one epoch behind serves on unless that epoch binds.
+func TestOnlyAnEpochThatBindsMakesAChartOld(t *testing.T) {
+	const bound = time.Hour
+	r := realm.New(t.Context(), &props.Props{FlowStay: 24 * time.Hour, FlowBehind: bound}, sign.New(io.Discard, "info", "n"), realm.Net{Slept: func() time.Duration { return 0 }})
+	for _, one := range []struct {
+		epoch, binding mark.Epoch
+		age            time.Duration
+		isFresh        bool
+	}{
+		{7, 3, 0, true}, {8, 3, 0, true}, {9, 7, 0, true}, {8, 8, 0, false},
+		{8, 0, 0, false}, // an older build, which tells none
+		{7, 9, 0, true},  // nonsense: what is told of no epoch binds as the epoch does
+		{8, 3, bound, false}, {7, 3, bound, false},
+	} {
+		c := &Client{r: r, Cache: NewCache(r.Sign)}
+		c.ages.Store(&Vouched{})
+		c.renew(r.Now(), &wire.PulseReceipt{Epoch: one.epoch, Binding: one.binding, Age: one.age.Microseconds(), Parts: make([]int64, mark.Parts)})
+		if got := c.IsFresh(&Chart{Epoch: 7}, "rates"); got != one.isFresh {
+			t.Errorf("%+v: fresh is %v", one, got)
+		}
+	}
+}
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -237,7 +237,7 @@
 		return nil, mine.err
 	}
 	grown := s.r.Since(mine.sent).Microseconds() + 1
-	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
+	receipt := &wire.PulseReceipt{Epoch: mine.receipt.Epoch, Binding: mine.receipt.Binding, Age: mine.receipt.Age + grown, Parts: make([]int64, len(mine.receipt.Parts))}
 	for i, age := range mine.receipt.Parts {
 		receipt.Parts[i] = age
 		if age >= 0 {
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -38,6 +38,7 @@
 
 // Sheet is one epoch as it stands; it is never written to after it was made.
 type Sheet struct {
+	Binding mark.Epoch // the last that bore a change set or took a target away
 	Epoch   mark.Epoch
 	Changed mark.Epoch
 	Version mark.Version
@@ -85,6 +86,10 @@
 	for _, name := range planned.Drop {
 		delete(sheet.Groups, name)
 	}
+	sheet.Binding = old.Binding
+	if planned.Change != nil || takesAway(old, sheet) {
+		sheet.Binding = planned.Epoch
+	}
 	if planned.Change != nil {
 		sheet.Changed = planned.Epoch
 		if planned.Change.Version > 0 {
@@ -155,7 +160,7 @@
 		state.Groups = map[string]wire.Group{}
 	}
 	l.mu.Lock()
-	l.sheet = &Sheet{Epoch: state.Epoch, Changed: state.Changed, Version: state.Version, Groups: state.Groups, Changes: state.Changes}
+	l.sheet = &Sheet{Epoch: state.Epoch, Binding: state.Epoch, Changed: state.Changed, Version: state.Version, Groups: state.Groups, Changes: state.Changes}
 	l.mu.Unlock()
 	return nil
 }
--- a/internal/plan/ranges.go
+++ b/internal/plan/ranges.go
@@ -66,6 +66,7 @@
 		}
 		sheet.Epoch, sheet.Changed, sheet.Version, sheet.Changes = head.Epoch, head.Changed, head.Version, head.Changes
 	}
+	sheet.Binding = sheet.Epoch
 	l.sheet, l.past = sheet, nil
 	return nil
 }
--- a/internal/plan/submit.go
+++ b/internal/plan/submit.go
@@ -108,7 +108,8 @@
 			receipt.Parts[no] = l.r.Since(at).Microseconds() + 1
 		}
 	}
-	receipt.Epoch = l.ledger.Sheet().Epoch
+	sheet := l.ledger.Sheet()
+	receipt.Epoch, receipt.Binding = sheet.Epoch, sheet.Binding
 	receipt.Age = (age + l.r.Since(began)).Microseconds() + 1
 	return receipt, nil
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -310,11 +310,12 @@
 type PulseAsk struct {
 }
 
-// PulseReceipt tells how old the confirmations are, in microseconds; below zero is never.
+// PulseReceipt tells how old the confirmations are, in microseconds; below zero is never. Binding is the last epoch that bore a change set or took a target away.
 type PulseReceipt struct {
-	Epoch mark.Epoch `json:"epoch"`
-	Age   int64      `json:"age"`
-	Parts []int64    `json:"parts"`
+	Epoch   mark.Epoch `json:"epoch"`
+	Binding mark.Epoch `json:"binding,omitempty"`
+	Age     int64      `json:"age"`
+	Parts   []int64    `json:"parts"`
 }
 
 // BondOp is one call on the coordination state.
