--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -103,7 +103,7 @@
 		}
 	}()
 	target := to.target
-	p, err := g.pool.get(ctx, to.at, target.Address)
+	p, err := g.pool.get(ctx, to.at, target.Address, c.patience(g.r.Props.GateConnect))
 	if err != nil {
 		to.strike(time.Now(), true)
 		return nil, false, err
