--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -74,11 +74,12 @@
 	GateBodies      int           // how many large request bodies are read at once; 0 is no bound
 	GateWait        time.Duration // how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out
 	WireDial        time.Duration // time for a connection to another process
-	WireIdle        time.Duration // how long a connection to another process is kept on which nothing is asked
-	WireDeaf        time.Duration // for how long nothing may come over a connection to another process while an ask waits, before it is given up
-	GateWindow      int           // receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own
 	MetricsServe    bool          // show metrics for scraping under /metrics on api.address
 	MetricsServices int           // services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name
+	WireDeaf        time.Duration // for how long nothing may come over a connection to another process while an ask waits, before it is given up
+	GateWindow      int           // receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own
+	GateDoubles     int           // how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries
+	WireIdle        time.Duration // how long a connection to another process is kept on which nothing is asked
 }
 
 var table = []entry{
@@ -150,9 +151,10 @@
 	{key: "gate.bodies", kind: "int", fallback: "0", low: "0", high: "100000", doc: "how many large request bodies are read at once; 0 is no bound", set: func(p *Props, v any) { p.GateBodies = v.(int) }},
 	{key: "gate.wait", kind: "duration", fallback: "0s", low: "0s", high: "10m", doc: "how long a starting proxy waits for its first plan before it takes connections of callers; on a narrow link what is sent to be refused would keep the plan out", set: func(p *Props, v any) { p.GateWait = v.(time.Duration) }},
 	{key: "wire.dial", kind: "duration", fallback: "500ms", low: "50ms", high: "30s", doc: "time for a connection to another process", set: func(p *Props, v any) { p.WireDial = v.(time.Duration) }},
-	{key: "wire.idle", kind: "duration", fallback: "20s", low: "1s", high: "1h", doc: "how long a connection to another process is kept on which nothing is asked", set: func(p *Props, v any) { p.WireIdle = v.(time.Duration) }},
-	{key: "wire.deaf", kind: "duration", fallback: "300ms", low: "50ms", high: "30s", doc: "for how long nothing may come over a connection to another process while an ask waits, before it is given up", set: func(p *Props, v any) { p.WireDeaf = v.(time.Duration) }},
-	{key: "gate.window", kind: "int", fallback: "0", low: "0", high: "1073741824", doc: "receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own", set: func(p *Props, v any) { p.GateWindow = v.(int) }},
 	{key: "metrics.serve", kind: "bool", fallback: "false", low: "", high: "", doc: "show metrics for scraping under /metrics on api.address", set: func(p *Props, v any) { p.MetricsServe = v.(bool) }},
 	{key: "metrics.services", kind: "int", fallback: "512", low: "0", high: "65536", doc: "services whose request times a proxy keeps apart since it started, at up to 8 kB each; the others share one without a name", set: func(p *Props, v any) { p.MetricsServices = v.(int) }},
+	{key: "wire.deaf", kind: "duration", fallback: "300ms", low: "50ms", high: "30s", doc: "for how long nothing may come over a connection to another process while an ask waits, before it is given up", set: func(p *Props, v any) { p.WireDeaf = v.(time.Duration) }},
+	{key: "gate.window", kind: "int", fallback: "0", low: "0", high: "1073741824", doc: "receive buffer of each connection of a caller, in bytes, so that bodies that wait to be read stay out of a narrow link; 0 is the system's own", set: func(p *Props, v any) { p.GateWindow = v.(int) }},
+	{key: "gate.doubles", kind: "int", fallback: "0", low: "0", high: "100", doc: "how many of a hundred repeatable requests of a service may be sent to a second target once their answer is overdue, paid from the budget of extra tries", set: func(p *Props, v any) { p.GateDoubles = v.(int) }},
+	{key: "wire.idle", kind: "duration", fallback: "20s", low: "1s", high: "1h", doc: "how long a connection to another process is kept on which nothing is asked", set: func(p *Props, v any) { p.WireIdle = v.(time.Duration) }},
 }
