--- a/internal/gate/pipe_test.go
+++ b/internal/gate/pipe_test.go
@@ -25,7 +25,7 @@
 		defer o.prune(func(string) bool { return false })
 		// use takes a pipe, and leaves it idle for a while.
 		use := func(rest time.Duration) *pipe {
-			p, err := o.get(r, "s", "t")
+			p, err := o.get(r, "s", "t", time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
