--- a/internal/flow/pulse.go
+++ b/internal/flow/pulse.go
@@ -17,37 +17,93 @@
 	catchUpPause = 100 * time.Millisecond
 	catchUpTime  = time.Second
 	pulseTries   = 4
+	pulsesMost   = 6
+	soon         = 500 * time.Millisecond
+	homeTime     = 5 * time.Second
 )
 
 // pulse renews freshness through one control node, the nearest that answers. Until
 // the first plan is fresh it asks more often, for so long nothing can be served; and
 // while none answers, so that word comes soon after the way to one is back.
 func (c *Client) pulse() {
-	isAnswered := true
-	for c.r.Pause(realm.Jitter(c.pulsePause(isAnswered))) {
+	c.isAnswered.Store(true)
+	for c.r.Pause(realm.Jitter(c.pulsePause())) {
 		cores := c.k.Keepers()
-		if !isAnswered || len(cores) == 0 {
+		if !c.isAnswered.Load() || len(cores) == 0 {
 			// Those held for down here may be back: nothing hangs on that opinion.
 			cores = append(cores[:len(cores):len(cores)], c.lostKeepers()...)
 		}
-		isAnswered = false
+		c.goHome()
+		if behind := c.r.Props.FlowBehind; behind > 0 {
+			c.pulseBeside(cores, behind)
+			continue
+		}
+		isAnswered := false
 		for range min(pulseTries, len(cores)) {
-			m := cores[c.pick.Load()%uint64(len(cores))]
-			sent := c.r.Now()
-			ctx, end := context.WithTimeout(c.r, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond)
-			var receipt wire.PulseReceipt
-			err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt)
-			end()
-			if err == nil {
-				isAnswered = true
-				c.renew(sent, &receipt)
-				c.catchUp(m.Wire, receipt.Epoch)
-				c.meet(m)
+			if isAnswered = c.pulseTo(cores, min(c.r.Props.FlowPulse, 400*time.Millisecond)+100*time.Millisecond); isAnswered {
 				break
 			}
-			c.pick.Add(1)
 		}
+		c.isAnswered.Store(isAnswered)
+		c.tell()
+	}
+}
+
+// pulseBeside sends a pulse without waiting for those before it. Where a proxy goes by
+// flow.behind its link may be slow, and a word that comes late is still right, as it
+// counts from when it was asked for. A control node that does not answer soon is passed
+// by in the next pulse all the same: it may be gone.
+func (c *Client) pulseBeside(cores []wire.Member, limit time.Duration) {
+	if len(cores) == 0 {
+		c.isAnswered.Store(false)
+		return
+	}
+	if c.pulses.Load() >= pulsesMost {
+		return
+	}
+	c.pulses.Add(1)
+	c.r.Go(func() {
+		defer c.pulses.Add(-1)
+		pick := c.pick.Load()
+		late := time.AfterFunc(min(limit/2, soon), func() { c.passBy(pick) })
+		defer late.Stop()
+		c.isAnswered.Store(c.pulseTo(cores, limit))
 		c.tell()
+	})
+}
+
+// pulseTo asks one control node; one that does not answer is passed by in the next.
+func (c *Client) pulseTo(cores []wire.Member, limit time.Duration) bool {
+	pick := c.pick.Load()
+	m := cores[pick%uint64(len(cores))]
+	sent := c.r.Now()
+	ctx, end := context.WithTimeout(c.r, limit)
+	defer end()
+	var receipt wire.PulseReceipt
+	if err := c.w.Ask(ctx, m.Wire, "flow.pulse", &wire.PulseAsk{}, &receipt); err != nil {
+		c.passBy(pick)
+		return false
+	}
+	c.renew(sent, &receipt)
+	c.catchUp(m.Wire, receipt.Epoch)
+	c.meet(m)
+	return true
+}
+
+// passBy has the next control node asked, unless another pulse saw to that.
+func (c *Client) passBy(pick uint64) {
+	if c.pick.CompareAndSwap(pick, pick+1) {
+		now := c.r.Now()
+		c.picked.Store(&now)
+	}
+}
+
+// goHome has the nearest asked again some time after it was passed by, where no request
+// hangs on each pulse: what goes to another zone costs more.
+func (c *Client) goHome() {
+	if at := c.picked.Load(); c.r.Props.FlowStay > 0 && at != nil && c.r.Since(*at) > homeTime {
+		c.pick.Store(0)
+		c.picked.Store(nil)
 	}
 }
 
@@ -87,18 +143,19 @@
 		}
 		limited, end := context.WithTimeout(c.r, catchUpTime)
 		defer end()
+		pick := c.pick.Load()
 		if c.poll(limited, address); isBehind() {
-			c.pick.Add(1)
+			c.passBy(pick)
 		}
 	})
 }
 
 // pulsePause is short until the first word has come, and while none comes.
-func (c *Client) pulsePause(isAnswered bool) time.Duration {
+func (c *Client) pulsePause() time.Duration {
 	switch {
 	case c.Ages().Epoch == 0:
 		return min(c.r.Props.FlowPulse, 150*time.Millisecond)
-	case !isAnswered:
+	case !c.isAnswered.Load():
 		return min(c.r.Props.FlowPulse, 250*time.Millisecond)
 	}
 	return c.r.Props.FlowPulse
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -34,7 +34,9 @@
 	mu      sync.Mutex
 	running *relay
 	waiting *relay
+	last    *relay
 	deltas  map[string]wire.Group
+	packs   map[string][]byte
 }
 
 // relay is one pulse to the owner, shared by all proxies that wait for it.
@@ -59,7 +61,11 @@
 		if err := c.Read(&ask); err != nil {
 			return nil, err
 		}
-		return s.fetch(&ask), nil
+		receipt := s.fetch(&ask)
+		if ask.Packs {
+			s.pack(receipt)
+		}
+		return receipt, nil
 	})
 	w.Handle("flow.pulse", func(c *wire.Call) (any, error) { return s.pulse(c) })
 	return s
@@ -83,6 +89,7 @@
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
 			receipt := differ(sheet, have)
+			receipt.Age = sheet.Age().Milliseconds()
 			if ask.Small {
 				s.along(sheet, have, receipt)
 			}
@@ -196,6 +203,10 @@
 	return delta
 }
 
+// relayTime is how long what the owner said is passed on, with its age, without asking
+// it again.
+const relayTime = 50 * time.Millisecond
+
 // deltasKept bounds the differences that are kept for the next asker.
 const deltasKept = 256
 
@@ -207,6 +218,9 @@
 	}
 	s.mu.Lock()
 	mine := s.waiting
+	if last := s.last; last != nil && s.r.Since(last.sent) < relayTime {
+		mine = last
+	}
 	if mine == nil {
 		mine = &relay{done: make(chan struct{})}
 		s.waiting = mine
@@ -244,6 +258,9 @@
 		close(now.done)
 		s.mu.Lock()
 		s.running = nil
+		if now.err == nil {
+			s.last = now
+		}
 		if s.waiting != nil {
 			s.start()
 		}
--- a/internal/kin/sync.go
+++ b/internal/kin/sync.go
@@ -9,8 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
@@ -18,6 +16,9 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
+// seekPause is how soon the seeds are asked again while none has answered.
+const seekPause = 100 * time.Millisecond
+
 // sync exchanges whole lists: with the seeds until one answers, and with a
 // random member from time to time.
 func (k *Kin) sync() {
@@ -42,8 +43,10 @@
 				addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 			}
 		}
-		isIn = k.syncAll(addresses, isIn) || isIn
-		pause := 300 * time.Millisecond
+		if k.syncAny(addresses) {
+			isIn = true
+		}
+		pause := seekPause
 		if isIn {
 			pause = realm.Jitter(10 * time.Second)
 			if len(k.View()) < 3 || len(k.Lost()) > 0 {
@@ -56,30 +59,24 @@
 	}
 }
 
-// syncAll exchanges lists with some: one after another while this node is new, as
-// the second then has little to tell; else all at once, so that one that is silent
-// holds up none that has come back.
-func (k *Kin) syncAll(addresses []string, isIn bool) (isAnswered bool) {
-	var all sync.WaitGroup
-	var anyOf atomic.Bool
+// syncAny exchanges with all of them at once, for one that is down says nothing for
+// as long as a dial may take, and is true as soon as one has answered.
+func (k *Kin) syncAny(addresses []string) bool {
+	answers := make(chan bool, len(addresses))
+	asked := 0
 	for _, address := range addresses {
 		if address == k.r.Props.WireAddress || address == k.r.Props.WireAdvertise {
 			continue
 		}
-		ask := func() {
-			if k.Sync(address) {
-				anyOf.Store(true)
-			}
-		}
-		if !isIn {
-			ask()
-			continue
+		asked++
+		k.r.Go(func() { answers <- k.Sync(address) })
+	}
+	for range asked {
+		if <-answers {
+			return true
 		}
-		all.Add(1)
-		k.r.Go(func() { defer all.Done(); ask() })
 	}
-	all.Wait()
-	return anyOf.Load()
+	return false
 }
 
 // Lost is the members that went down of late without a word, by name: each side of
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -52,6 +52,7 @@
 	isGoing atomic.Bool
 
 	isStirring atomic.Bool
+	beats      atomic.Int64
 }
 
 // Face is a handler of a node's calls, at an address of its own.
@@ -217,6 +218,14 @@
 		return fault.New(fault.BadProps, "%s: %v", key, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, BaseContext: func(net.Listener) context.Context { return n.R }}
+	if key == "gate.address" && n.R.Props.GateWindow > 0 {
+		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			if c, ok := conn.(interface{ SetReadBuffer(int) error }); ok {
+				c.SetReadBuffer(n.R.Props.GateWindow)
+			}
+			return ctx
+		}
+	}
 	n.mu.Lock()
 	n.servers = append(n.servers, server)
 	n.mu.Unlock()
@@ -237,7 +246,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
-	return n.serve(n.R.Props.ApiAddress, "api.address", http.MaxBytesHandler(server, apiMost))
+	return n.serve(n.R.Props.ApiAddress, "api.address", http.MaxBytesHandler(n.withMetrics(server), apiMost))
 }
 
 // Stop is the planned stop: this node says that it is not ready, and, if it is a
