--- a/internal/wire/pipe.go
+++ b/internal/wire/pipe.go
@@ -27,7 +27,9 @@
 	next    uint64
 	waiting map[uint64]chan *Frame
 	isOver  bool
+	isIdle  bool
 	lastGot time.Time
+	lastUse time.Time
 }
 
 // heard notes each byte that comes. A pipe on which none came for the length of an ask
@@ -82,6 +84,9 @@
 		close(p.ready)
 		return
 	}
+	p.mu.Lock()
+	p.lastUse = time.Now()
+	p.mu.Unlock()
 	close(p.ready)
 	reader := bufio.NewReaderSize(heard{p}, 16<<10)
 	for {
@@ -94,6 +99,7 @@
 			break
 		}
 		p.mu.Lock()
+		p.lastUse = time.Now()
 		waiter := p.waiting[receipt.Id]
 		delete(p.waiting, receipt.Id)
 		p.mu.Unlock()
@@ -172,6 +178,11 @@
 func (p *pipe) ask(ctx context.Context, frame *Frame) (*Frame, error) {
 	waiter := make(chan *Frame, 1)
 	p.mu.Lock()
+	if p.isIdle {
+		p.mu.Unlock()
+		p.forget()
+		return nil, errIdle
+	}
 	if p.isOver {
 		p.mu.Unlock()
 		return nil, fault.New(fault.Unreached, "%s: pipe closed", p.address)
@@ -179,16 +190,17 @@
 	p.next++
 	frame.Id = p.next
 	p.waiting[frame.Id] = waiter
+	p.lastUse = time.Now()
 	p.mu.Unlock()
-	raw, err := json.Marshal(frame)
+	raw, err := pack(frame)
 	if err != nil {
 		return nil, fault.New(fault.Internal, "%v", err)
 	}
 	sent := time.Now()
-	p.w.count(frame.Kind, p.address, len(raw)+1)
+	p.w.count(frame.Kind, p.address, raw.size())
 	p.writing.Lock()
 	p.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
-	_, err = p.conn.Write(append(raw, '\n'))
+	err = raw.write(p.conn)
 	p.writing.Unlock()
 	if err != nil {
 		p.close()
