No timer that is due at once: it ends a race run of the simulator

Cause: the race run of the whole test command died with a segmentation fault within the runtime (maybeRunChan, called by the select of a pause of nothing, the planner's with plan.gather=0). A timer that is due when it is selected on is run by the one who selects; in a bubble of virtual time under the race detector that breaks the detector. Fifty tasks that pause for nothing show it in a second: a check of the detector fails.

Ruled out: a race of the product (the detector named none); one test alone (any timer due at once will do).

Now a pause of nothing makes no timer, nor does a sleep or a passed deadline of the simulator's network; two timers that begin a task are due after a nanosecond. Nothing else changes.

--- a/internal/dream/conn.go
+++ b/internal/dream/conn.go
@@ -103,7 +103,11 @@
 	var wakeups [2]<-chan time.Time
 	for i, at := range []time.Time{by, due} {
 		if !at.IsZero() {
-			t := time.NewTimer(time.Until(at))
+			left := time.Until(at)
+			if left <= 0 {
+				return
+			}
+			t := time.NewTimer(left)
 			defer t.Stop()
 			wakeups[i] = t.C
 		}
--- a/internal/dream/world.go
+++ b/internal/dream/world.go
@@ -267,6 +267,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	wakeup := time.NewTimer(d)
 	defer wakeup.Stop()
 	select {
--- a/internal/pact/round.go
+++ b/internal/pact/round.go
@@ -88,7 +88,7 @@
 }
 
 func (p *Pact) round(ctx context.Context, peer wire.Peer, r *rounder) {
-	wakeup := time.NewTimer(0)
+	wakeup := time.NewTimer(1)
 	defer wakeup.Stop()
 	for {
 		pause := p.r.Props.PactRound
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -64,7 +64,7 @@
 // Open starts the planner's task.
 func (l *Planner) Open() {
 	l.r.Go(func() {
-		wakeup := time.NewTimer(0)
+		wakeup := time.NewTimer(1)
 		defer wakeup.Stop()
 		for {
 			select {
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -89,6 +89,9 @@
 
 // Pause waits, and tells whether life goes on.
 func (r *Realm) Pause(d time.Duration) bool {
+	if d <= 0 {
+		return !r.IsOver()
+	}
 	wakeup := time.NewTimer(d)
 	defer wakeup.Stop()
 	select {
