--- a/internal/bond/desk.go
+++ b/internal/bond/desk.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
@@ -28,7 +28,7 @@
 type Desk struct {
 	past  [mark.Parts][]moment
 	r     *realm.Realm
-	p     *pact.Pact
+	p     *consensus.Node
 	books []*Book
 
 	mu     sync.Mutex
@@ -38,7 +38,7 @@
 	gathered map[mark.Part]*gathering
 }
 
-func NewDesk(r *realm.Realm, p *pact.Pact, books []*Book) *Desk {
+func NewDesk(r *realm.Realm, p *consensus.Node, books []*Book) *Desk {
 	return &Desk{r: r, p: p, books: books, terms: map[mark.Part]mark.Term{}, grants: map[mark.Part]map[string]*grant{}, gathered: map[mark.Part]*gathering{}}
 }
 
--- a/internal/bond/desk_test.go
+++ b/internal/bond/desk_test.go
@@ -27,7 +27,7 @@
 	d.Helper()
 	isThere := d.f.Until(30*time.Second, func() bool {
 		for _, m := range d.f.Cores() {
-			if n := m.Node(); n != nil && n.Pact.Part(mark.PartOf(name)).IsServing() {
+			if n := m.Node(); n != nil && n.Consensus.Part(mark.PartOf(name)).IsServing() {
 				owner = m
 				return true
 			}
@@ -52,7 +52,7 @@
 }
 
 func (d *desks) last(name string) mark.Stamp {
-	return d.owner(name).Node().Pact.Part(mark.PartOf(name)).Outline().Last
+	return d.owner(name).Node().Consensus.Part(mark.PartOf(name)).Status().Last
 }
 
 func (d *desks) expect(got *wire.BondReceipt, code fault.Code) *wire.BondReceipt {
--- a/internal/bond/watch.go
+++ b/internal/bond/watch.go
@@ -7,13 +7,13 @@
 	"context"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
 // watch holds the call until something under the name happens.
-func (d *Desk) watch(ctx context.Context, part *pact.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
+func (d *Desk) watch(ctx context.Context, part *consensus.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
 	if op.From == 0 {
 		keys, stamp := book.All(Key, op.Name)
 		return &wire.BondReceipt{Stamp: stamp, Keys: keys}, nil
@@ -43,7 +43,7 @@
 }
 
 // follow holds the call until something is set in the space.
-func (d *Desk) follow(ctx context.Context, part *pact.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
+func (d *Desk) follow(ctx context.Context, part *consensus.Part, book *Book, op *wire.BondOp) (*wire.BondReceipt, error) {
 	hold := time.NewTimer(time.Duration(op.Hold) * time.Millisecond)
 	defer hold.Stop()
 	for {
--- a/internal/pact/stand.go
+++ b/internal/consensus/election.go
@@ -2,7 +2,7 @@
 // order stands after the owner's silence, each later one a while after; it asks
 // all members for promises, takes over the most advanced log among a majority
 // of them, and serves once an entry of its own term is synced by a majority.
-package pact
+package consensus
 
 import (
 	"context"
@@ -17,8 +17,8 @@
 
 const promiseTime = 800 * time.Millisecond
 
-// isMyTurn tells whether the silence has lasted long enough for this member.
-func (t *Part) isMyTurn() bool {
+// isElectionDue tells whether the silence has lasted long enough for this member.
+func (t *Part) isElectionDue() bool {
 	if t.p.IsGoing() {
 		return false
 	}
@@ -85,8 +85,8 @@
 	return receipt, nil
 }
 
-// stand tries to become the owner.
-func (t *Part) stand(isInvited bool) {
+// campaign tries to become the owner.
+func (t *Part) campaign(isInvited bool) {
 	t.mu.Lock()
 	if t.isOwner || !holds(t.group, t.p.me) || t.p.IsGoing() {
 		t.mu.Unlock()
@@ -107,7 +107,7 @@
 		return
 	}
 	sent := t.p.r.Now()
-	best, granted := t.gather(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, group, mine)
+	best, granted := t.gatherPromises(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, group, mine)
 	if best == nil {
 		t.p.say(sign.StandFailed, "part", int(t.no), "term", term.String())
 		return
@@ -136,11 +136,11 @@
 			return
 		}
 	}
-	t.own(w, term, sent, granted)
+	t.becomeOwner(w, term, sent, granted)
 }
 
-// gather asks for promises and returns the most advanced log of a majority.
-func (t *Part) gather(ask *wire.PromiseAsk, group []wire.Peer, mine *wire.PromiseReceipt) (*wire.PromiseReceipt, []wire.Peer) {
+// gatherPromises asks for promises and returns the most advanced log of a majority.
+func (t *Part) gatherPromises(ask *wire.PromiseAsk, group []wire.Peer, mine *wire.PromiseReceipt) (*wire.PromiseReceipt, []wire.Peer) {
 	ctx, end := context.WithTimeout(t.p.r, promiseTime)
 	defer end()
 	receipts := make(chan *wire.PromiseReceipt, len(group))
@@ -186,18 +186,18 @@
 	return best, granted
 }
 
-// own makes this member the owner; it serves when its first entry commits.
-func (t *Part) own(w *lore.Writing, term mark.Term, sent time.Time, granted []wire.Peer) {
+// becomeOwner makes this member the owner; it serves when its first entry commits.
+func (t *Part) becomeOwner(w *lore.Writing, term mark.Term, sent time.Time, granted []wire.Peer) {
 	t.isOwner, t.isServing = true, false
 	t.ctx, t.end = context.WithCancel(t.p.r)
-	t.match, t.acks, t.feeds = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
+	t.match, t.acks, t.replicating = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
 	for _, peer := range granted {
 		t.acks[peer] = sent
 	}
 	last, _ := t.last()
 	t.began = last + 1
 	t.append(w, wire.Entry{Kind: "own"})
-	t.feedAll()
+	t.replicateToAll()
 	t.p.kickAll()
 }
 
@@ -211,7 +211,7 @@
 	t.failWaiters(0)
 	t.since = t.p.r.Now()
 	t.p.say(sign.PartLost, "part", int(t.no), "term", t.promised.String(), "cause", cause)
-	t.stir()
+	t.notify()
 }
 
 // broken is for what the rules on terms and majorities rule out: it is said, and
@@ -221,7 +221,7 @@
 	t.stepDown("copies contradict one another")
 }
 
-func (t *Part) yieldUp(cause string) {
+func (t *Part) yield(cause string) {
 	t.mu.Lock()
 	t.stepDown(cause)
 	t.mu.Unlock()
--- a/internal/pact/found.go
+++ b/internal/consensus/founding.go
@@ -3,7 +3,7 @@
 // promise, accept and sync it before it opens, so no two charters can ever
 // open; a later proposer carries on the newest charter it finds. Where an open
 // charter exists, an empty node takes it over and never founds.
-package pact
+package consensus
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 const foundTime = 2 * time.Second
 
 // seekCharter joins a fleet if there is one, or tries to found it.
-func (p *Pact) seekCharter() {
+func (p *Node) seekCharter() {
 	cores := p.k.Cores()
 	for _, m := range cores {
 		if m.Fleet == "" || m.Name == p.r.Name {
@@ -53,7 +53,7 @@
 }
 
 // propose runs one round of founding with all founders.
-func (p *Pact) propose(founders []wire.Member) {
+func (p *Node) propose(founders []wire.Member) {
 	p.mu.Lock()
 	round := mark.Term{Round: p.pledge.Round + 1, Node: p.me.Name}
 	p.mu.Unlock()
@@ -83,7 +83,7 @@
 }
 
 // askAll is true only if every one agreed.
-func (p *Pact) askAll(founders []wire.Member, ask *wire.FoundAsk) ([]*wire.FoundReceipt, bool) {
+func (p *Node) askAll(founders []wire.Member, ask *wire.FoundAsk) ([]*wire.FoundReceipt, bool) {
 	ctx, end := context.WithTimeout(p.r, foundTime)
 	defer end()
 	type result struct {
@@ -120,7 +120,7 @@
 }
 
 // found answers a step of founding.
-func (p *Pact) found(ask *wire.FoundAsk) (*wire.FoundReceipt, error) {
+func (p *Node) found(ask *wire.FoundAsk) (*wire.FoundReceipt, error) {
 	p.mu.Lock()
 	receipt := &wire.FoundReceipt{From: p.me, Promised: p.pledge, Charter: p.charter}
 	isOpen := p.charter != nil && p.charter.Open
@@ -158,7 +158,7 @@
 }
 
 // putCharter syncs a charter and, if it is open, enters the fleet.
-func (p *Pact) putCharter(charter *wire.Charter, round mark.Term) error {
+func (p *Node) putCharter(charter *wire.Charter, round mark.Term) error {
 	p.mu.Lock()
 	if p.charter != nil && p.charter.Open {
 		p.mu.Unlock()
@@ -184,12 +184,12 @@
 }
 
 // enter shows the fleet to others and gives every part its first group.
-func (p *Pact) enter(charter *wire.Charter) {
+func (p *Node) enter(charter *wire.Charter) {
 	for _, t := range p.parts {
 		t.mu.Lock()
 		if t.base.Index == 0 && len(t.base.Group) == 0 {
 			t.base.Group = Placement(t.no, charter.Members, t.p.r.Props.PactLosses)
-			t.regroup()
+			t.refreshGroup()
 		}
 		t.since = t.p.r.Now()
 		t.mu.Unlock()
--- a/internal/pact/round.go
+++ b/internal/consensus/heartbeat.go
@@ -2,7 +2,7 @@
 // holds in one message, some four times a second and whenever a read waits. A
 // receipt confirms every claim it does not refuse, as of the moment the message
 // was sent; a majority's moments make the age of the confirmation.
-package pact
+package consensus
 
 import (
 	"context"
@@ -13,19 +13,19 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-type rounder struct {
+type heartbeater struct {
 	kick  chan struct{}
 	end   context.CancelFunc
 	no    uint64
-	heard saying
+	heard claimSet
 }
 
 // Members of no part owned here have no word to give; they are told who owns what
 // this much more seldom.
 const tellSeldom = 4
 
-// keepRounds has one task for each core node there is.
-func (p *Pact) keepRounds() {
+// keepHeartbeats has one task for each core node there is.
+func (p *Node) keepHeartbeats() {
 	view := p.k.View()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -33,7 +33,7 @@
 		if m, ok := view[peer.Name]; !ok || m.Birth != peer.Birth {
 			r.end()
 			delete(p.rounds, peer)
-			delete(p.sayings, peer)
+			delete(p.claimSets, peer)
 		}
 	}
 	for name, m := range view {
@@ -42,14 +42,14 @@
 			continue
 		}
 		ctx, end := context.WithCancel(p.r)
-		r := &rounder{kick: make(chan struct{}, 1), end: end}
+		r := &heartbeater{kick: make(chan struct{}, 1), end: end}
 		p.rounds[peer] = r
 		p.r.Go(func() { p.round(ctx, peer, r) })
 	}
 }
 
-// kickRounds has the members of a group asked at once.
-func (p *Pact) kickRounds(group []wire.Peer) {
+// kickHeartbeats has the members of a group asked at once.
+func (p *Node) kickHeartbeats(group []wire.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range group {
@@ -63,7 +63,7 @@
 }
 
 // kickAll has everybody told of a new owner at once.
-func (p *Pact) kickAll() {
+func (p *Node) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.rounds {
@@ -75,7 +75,7 @@
 }
 
 // isVoter tells whether a peer has a say in a part that this node owns.
-func (p *Pact) isVoter(peer wire.Peer) bool {
+func (p *Node) isVoter(peer wire.Peer) bool {
 	for _, t := range p.parts {
 		t.mu.Lock()
 		is := t.isOwner && holds(t.group, peer)
@@ -87,7 +87,7 @@
 	return false
 }
 
-func (p *Pact) round(ctx context.Context, peer wire.Peer, r *rounder) {
+func (p *Node) round(ctx context.Context, peer wire.Peer, r *heartbeater) {
 	wakeup := time.NewTimer(1)
 	defer wakeup.Stop()
 	for {
@@ -121,7 +121,7 @@
 		}
 		r.took(ask, claims, receipt.Lost)
 		if !receipt.Lost {
-			p.credit(peer, sent, claims, &receipt)
+			p.creditHeartbeat(peer, sent, claims, &receipt)
 			continue
 		}
 		select {
@@ -131,7 +131,7 @@
 	}
 }
 
-func (p *Pact) claims() (claims []wire.Claim) {
+func (p *Node) claims() (claims []wire.Claim) {
 	for _, t := range p.parts {
 		t.mu.Lock()
 		if t.isOwner {
@@ -142,8 +142,8 @@
 	return claims
 }
 
-// credit notes a member's word on each claim it did not refuse.
-func (p *Pact) credit(peer wire.Peer, sent time.Time, claims []wire.Claim, receipt *wire.RoundReceipt) {
+// creditHeartbeat notes a member's word on each claim it did not refuse.
+func (p *Node) creditHeartbeat(peer wire.Peer, sent time.Time, claims []wire.Claim, receipt *wire.RoundReceipt) {
 	no := map[mark.Part]mark.Term{}
 	for _, refused := range receipt.Refused {
 		no[refused.Part] = refused.Term
@@ -157,15 +157,15 @@
 				t.stepDown("a member promised " + higher.String())
 			} else if t.acks[peer].Before(sent) {
 				t.acks[peer] = sent
-				t.stir()
+				t.notify()
 			}
 		}
 		t.mu.Unlock()
 	}
 }
 
-// hear answers a round.
-func (p *Pact) hear(ask *wire.RoundAsk) *wire.RoundReceipt {
+// answerHeartbeat answers a round.
+func (p *Node) answerHeartbeat(ask *wire.RoundAsk) *wire.RoundReceipt {
 	receipt := &wire.RoundReceipt{From: p.me, No: ask.No}
 	claims, ok := p.whole(ask)
 	if !ok {
@@ -189,13 +189,13 @@
 		}
 		t.mu.Unlock()
 		if claim.Serving {
-			p.heardOf(claim.Part, ask.From.Name, claim.Term)
+			p.noteOwner(claim.Part, ask.From.Name, claim.Term)
 		}
 	}
 	return receipt
 }
 
-func (p *Pact) heardOf(no mark.Part, name mark.Name, term mark.Term) {
+func (p *Node) noteOwner(no mark.Part, name mark.Name, term mark.Term) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.owners[no]; !term.Less(old.term) {
@@ -215,12 +215,12 @@
 	return now.Add(time.Duration(age))
 }
 
-// askAllAfter is how long the word of the nearest is awaited before all are asked.
+// askAllAfter is how long the word of the nearestMajority is awaited before all are asked.
 const askAllAfter = 40 * time.Millisecond
 
-// nearest is the members that make a majority with this node: own zone first, and
+// nearestMajority is the members that make a majority with this node: own zone first, and
 // those that seem live.
-func (p *Pact) nearest(group []wire.Peer) []wire.Peer {
+func (p *Node) nearestMajority(group []wire.Peer) []wire.Peer {
 	var some []wire.Peer
 	for _, m := range p.k.Cores() {
 		peer := wire.Peer{Name: m.Name, Birth: m.Birth}
@@ -231,7 +231,7 @@
 	return some
 }
 
-// Confirm waits until a majority has confirmed the term as of a moment. The nearest
+// Confirm waits until a majority has confirmed the term as of a moment. The nearestMajority
 // that make one are asked first, all if their word does not come at once.
 func (t *Part) Confirm(ctx context.Context, since time.Time) error {
 	var wakeup *time.Timer
@@ -252,13 +252,13 @@
 			wakeup = time.NewTimer(askAllAfter)
 			defer wakeup.Stop()
 			late = wakeup.C
-			t.p.kickRounds(t.p.nearest(group))
+			t.p.kickHeartbeats(t.p.nearestMajority(group))
 		}
 		select {
 		case <-change:
 		case <-late:
 			late = nil
-			t.p.kickRounds(group)
+			t.p.kickHeartbeats(group)
 		case <-ctx.Done():
 			return fault.New(fault.NoOwner, "part %d can't be confirmed: %v", t.no, ctx.Err())
 		}
--- a/internal/pact/claims.go
+++ b/internal/consensus/heartbeat_delta.go
@@ -2,7 +2,7 @@
 // names the one before it that was heard, and says only what differs. A member
 // that does not have that one, for it was started anew or the order of messages
 // broke, says so, confirms nothing, and is told all.
-package pact
+package consensus
 
 import (
 	"math/rand/v2"
@@ -11,8 +11,8 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-// saying is all that one message claims, by its number.
-type saying struct {
+// claimSet is all that one message claims, by its number.
+type claimSet struct {
 	no     uint64
 	claims map[mark.Part]wire.Claim
 }
@@ -27,7 +27,7 @@
 
 // ask makes the next message; numbers begin anywhere, so that those of an earlier
 // life of this node are not met again.
-func (r *rounder) ask(from wire.Peer, claims []wire.Claim) *wire.RoundAsk {
+func (r *heartbeater) ask(from wire.Peer, claims []wire.Claim) *wire.RoundAsk {
 	if r.no == 0 {
 		r.no = rand.Uint64() >> 2
 	}
@@ -48,18 +48,18 @@
 }
 
 // took notes that a message was heard, or that its base was lost.
-func (r *rounder) took(ask *wire.RoundAsk, claims []wire.Claim, isLost bool) {
-	r.heard = saying{}
+func (r *heartbeater) took(ask *wire.RoundAsk, claims []wire.Claim, isLost bool) {
+	r.heard = claimSet{}
 	if !isLost {
-		r.heard = saying{no: ask.No, claims: byPart(claims)}
+		r.heard = claimSet{no: ask.No, claims: byPart(claims)}
 	}
 }
 
 // whole is all that a message claims; false if its base is not the last heard.
-func (p *Pact) whole(ask *wire.RoundAsk) (map[mark.Part]wire.Claim, bool) {
+func (p *Node) whole(ask *wire.RoundAsk) (map[mark.Part]wire.Claim, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := p.sayings[ask.From]
+	last := p.claimSets[ask.From]
 	if ask.Base != 0 && last.no != ask.Base {
 		return nil, false
 	}
@@ -75,6 +75,6 @@
 	for _, c := range ask.Claims {
 		set[c.Part] = c
 	}
-	p.sayings[ask.From] = saying{no: ask.No, claims: set}
+	p.claimSets[ask.From] = claimSet{no: ask.No, claims: set}
 	return set, true
 }
--- a/internal/pact/group.go
+++ b/internal/consensus/membership.go
@@ -2,7 +2,7 @@
 // next only after the former is committed in the current term. A member that
 // came back with another birth, or is gone for long, gives way to a learner
 // that has caught up: first the old one is taken out, then the new one put in.
-package pact
+package consensus
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 const settleTime = 15 * time.Second
 
-// tendGroup is one look at the group by the part's owner.
-func (t *Part) tendGroup() {
+// superviseGroup is one look at the group by the part's owner.
+func (t *Part) superviseGroup() {
 	view := t.p.k.View()
 	t.mu.Lock()
 	group, isSettled := t.group, t.commit >= t.groupAt
@@ -64,21 +64,21 @@
 	}
 	switch {
 	case lost != nil && spare != nil:
-		if t.teach(*spare) {
-			t.regroupTo(without(group, *lost))
+		if t.catchUpLearner(*spare) {
+			t.changeGroup(without(group, *lost))
 		}
 	case lost == nil && spare != nil && len(group) < Size(t.no, len(cores), t.p.r.Props.PactLosses):
-		if t.teach(*spare) {
-			t.regroupTo(append(append([]wire.Peer(nil), group...), *spare))
+		if t.catchUpLearner(*spare) {
+			t.changeGroup(append(append([]wire.Peer(nil), group...), *spare))
 		}
 	case lost == nil:
-		t.giveBack(group)
+		t.returnOwnership(group)
 	}
 }
 
-// giveBack passes the part to the first in its order once that one is live
+// returnOwnership passes the part to the first in its order once that one is live
 // again and has shown that its disk works, so that owners stay spread.
-func (t *Part) giveBack(group []wire.Peer) {
+func (t *Part) returnOwnership(group []wire.Peer) {
 	first := Order(t.no, group)[0]
 	if first == t.p.me || !t.p.k.IsLive(first) || time.Since(t.p.k.View()[first.Name].Since) < settleTime || t.p.r.Since(t.servedAt()) < settleTime {
 		return
@@ -115,7 +115,7 @@
 	return t.served
 }
 
-func (p *Pact) fleet() string {
+func (p *Node) fleet() string {
 	if c := p.Charter(); c != nil {
 		return c.Fleet
 	}
@@ -131,14 +131,14 @@
 	return rest
 }
 
-// teach feeds a learner until it is close behind.
-func (t *Part) teach(peer wire.Peer) bool {
+// catchUpLearner replicating a learner until it is close behind.
+func (t *Part) catchUpLearner(peer wire.Peer) bool {
 	t.mu.Lock()
 	if !t.isServing {
 		t.mu.Unlock()
 		return false
 	}
-	t.startFeed(peer)
+	t.startReplicating(peer)
 	t.mu.Unlock()
 	for range 40 {
 		t.mu.Lock()
@@ -155,8 +155,8 @@
 	return false
 }
 
-// regroupTo writes a new group that differs by one member.
-func (t *Part) regroupTo(group []wire.Peer) {
+// changeGroup writes a new group that differs by one member.
+func (t *Part) changeGroup(group []wire.Peer) {
 	ctx, end := context.WithTimeout(t.p.r, 3*time.Second)
 	defer end()
 	t.propose(ctx, wire.Entry{Kind: "group", Group: group})
@@ -165,10 +165,10 @@
 	if !t.isOwner {
 		return
 	}
-	for peer := range t.feeds {
+	for peer := range t.replicating {
 		if !holds(t.group, peer) && t.commit >= t.groupAt {
-			delete(t.feeds, peer)
+			delete(t.replicating, peer)
 		}
 	}
-	t.feedAll()
+	t.replicateToAll()
 }
--- a/internal/pact/pact.go
+++ b/internal/consensus/node.go
@@ -1,9 +1,9 @@
-// Package pact keeps the replicated parts. Each part has a log, a group of
+// Package consensus keeps the replicated parts. Each part has a log, a group of
 // members and an owner of its own; nothing stands over the parts. An owner
 // stands under a term, a majority's synced promises make it owner, a majority's
 // synced entries make a write, and a majority's word that nobody stands higher
 // makes a read. Members are told apart by birth, so an empty disk has no vote.
-package pact
+package consensus
 
 import (
 	"context"
@@ -30,8 +30,8 @@
 	Load(state json.RawMessage) error
 }
 
-// Pact is all the parts of one core node.
-type Pact struct {
+// Node is all the parts of one core node.
+type Node struct {
 	r     *realm.Realm
 	w     *wire.Wire
 	k     *kin.Kin
@@ -39,15 +39,15 @@
 	me    wire.Peer
 	parts []*Part
 
-	mu      sync.Mutex
-	charter *wire.Charter
-	pledge  mark.Term
-	owners  map[mark.Part]claimed
-	rounds  map[wire.Peer]*rounder
-	sayings map[wire.Peer]saying
-	isBusy  map[mark.Part]bool
-	isGoing bool
-	Ready   chan struct{}
+	mu        sync.Mutex
+	charter   *wire.Charter
+	pledge    mark.Term
+	owners    map[mark.Part]claimed
+	rounds    map[wire.Peer]*heartbeater
+	claimSets map[wire.Peer]claimSet
+	isBusy    map[mark.Part]bool
+	isGoing   bool
+	Ready     chan struct{}
 }
 
 type claimed struct {
@@ -72,10 +72,10 @@
 	return birth, w.Wait()
 }
 
-func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Pact, error) {
+func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Node, error) {
 	me := k.Me()
-	p := &Pact{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
-		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*rounder{}, sayings: map[wire.Peer]saying{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
+	p := &Node{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
+		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
 	for no, machine := range machines {
 		p.parts = append(p.parts, newPart(p, mark.Part(no), machine))
 	}
@@ -89,7 +89,7 @@
 		}
 		return part.promise(ask)
 	})
-	handle(w, "pact.prevote", func(c *wire.Call, ask *wire.PrevoteAsk) (any, error) { return p.spoken(ask), nil })
+	handle(w, "pact.prevote", func(c *wire.Call, ask *wire.PrevoteAsk) (any, error) { return p.answerPrevote(ask), nil })
 	handle(w, "pact.append", func(c *wire.Call, ask *wire.AppendAsk) (any, error) {
 		part, err := p.part(ask.Part)
 		if err != nil {
@@ -97,13 +97,13 @@
 		}
 		return part.accept(ask)
 	})
-	handle(w, "pact.round", func(c *wire.Call, ask *wire.RoundAsk) (any, error) { return p.hear(ask), nil })
+	handle(w, "pact.round", func(c *wire.Call, ask *wire.RoundAsk) (any, error) { return p.answerHeartbeat(ask), nil })
 	handle(w, "pact.invite", func(c *wire.Call, ask *wire.InviteAsk) (any, error) {
 		part, err := p.part(ask.Part)
 		if err != nil {
 			return nil, err
 		}
-		p.r.Go(func() { part.stand(true) })
+		p.r.Go(func() { part.campaign(true) })
 		return struct{}{}, nil
 	})
 	p.openRepair()
@@ -128,7 +128,7 @@
 	})
 }
 
-func (p *Pact) part(no mark.Part) (*Part, error) {
+func (p *Node) part(no mark.Part) (*Part, error) {
 	if no < 0 || int(no) >= len(p.parts) {
 		return nil, fault.New(fault.BadMessage, "no part %d", no)
 	}
@@ -136,12 +136,12 @@
 }
 
 // Part is one of the parts; the number is known to be right.
-func (p *Pact) Part(no mark.Part) *Part { return p.parts[no] }
+func (p *Node) Part(no mark.Part) *Part { return p.parts[no] }
 
 // Parts is all of them.
-func (p *Pact) Parts() []*Part { return p.parts }
+func (p *Node) Parts() []*Part { return p.parts }
 
-func (p *Pact) load() error {
+func (p *Node) load() error {
 	raw, err := p.store.Get("charter")
 	if err != nil {
 		return err
@@ -173,14 +173,14 @@
 }
 
 // Open starts the tasks; kin and wire are open already.
-func (p *Pact) Open() {
-	p.r.Go(p.tend)
+func (p *Node) Open() {
+	p.r.Go(p.supervise)
 	p.r.Go(p.prevotes)
 	p.r.Go(p.repair)
 }
 
 // Charter is the open charter, or nil.
-func (p *Pact) Charter() *wire.Charter {
+func (p *Node) Charter() *wire.Charter {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.charter == nil || !p.charter.Open {
@@ -190,7 +190,7 @@
 }
 
 // Owner is who last claimed a part, as far as this node heard.
-func (p *Pact) Owner(no mark.Part) (mark.Name, bool) {
+func (p *Node) Owner(no mark.Part) (mark.Name, bool) {
 	if p.parts[no].IsOwner() {
 		return p.r.Name, true
 	}
@@ -200,31 +200,31 @@
 	return c.name, ok && p.r.Since(c.at) < 3*time.Second
 }
 
-// tend is the slow hand: founding, rounds to new peers, standing, membership.
-func (p *Pact) tend() {
+// supervise is the slow hand: founding, rounds to new peers, standing, membership.
+func (p *Node) supervise() {
 	isNext := 0
 	for p.r.Pause(realm.Jitter(100 * time.Millisecond)) {
 		if p.Charter() == nil {
 			p.seekCharter()
 			continue
 		}
-		p.keepRounds()
+		p.keepHeartbeats()
 		p.showKeeping()
 		isStalled := p.store.Stalled() > time.Second
 		for _, part := range p.parts {
 			if isStalled {
-				part.yieldUp("disk stalls")
+				part.yield("disk stalls")
 				continue
 			}
 			part.checkMajority()
-			if part.isMyTurn() {
-				p.once(part.no, func() { part.stand(false) })
+			if part.isElectionDue() {
+				p.once(part.no, func() { part.campaign(false) })
 			}
 		}
 		if isNext++; isNext%5 == 0 && !p.IsGoing() {
 			for _, part := range p.parts {
 				if part.IsServing() {
-					p.once(part.no, part.tendGroup)
+					p.once(part.no, part.superviseGroup)
 				}
 			}
 		}
@@ -233,7 +233,7 @@
 
 // showKeeping lets others know whether this node holds the configuration part, for
 // only such a node can tell proxies of it.
-func (p *Pact) showKeeping() {
+func (p *Node) showKeeping() {
 	t := p.parts[mark.Config]
 	t.mu.Lock()
 	keeps := holds(t.group, p.me)
@@ -244,7 +244,7 @@
 }
 
 // once runs a task for a part unless one is under way.
-func (p *Pact) once(no mark.Part, task func()) {
+func (p *Node) once(no mark.Part, task func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isBusy[no] {
@@ -259,14 +259,14 @@
 	})
 }
 
-func (p *Pact) IsGoing() bool {
+func (p *Node) IsGoing() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.isGoing
 }
 
 // HandOver passes all owned parts on, for a planned stop.
-func (p *Pact) HandOver(ctx context.Context) {
+func (p *Node) HandOver(ctx context.Context) {
 	p.mu.Lock()
 	p.isGoing = true
 	p.mu.Unlock()
@@ -340,4 +340,4 @@
 	return false
 }
 
-func (p *Pact) say(e sign.Event, pairs ...any) { p.r.Sign.Say(e, pairs...) }
+func (p *Node) say(e sign.Event, pairs ...any) { p.r.Sign.Say(e, pairs...) }
--- a/internal/pact/part.go
+++ b/internal/consensus/part.go
@@ -2,7 +2,7 @@
 // a snapshot, its commit, and, while this member owns it, how far each other
 // member has synced. Memory runs ahead of the disk only in the order in which
 // batches are handed to the store; whatever is told to others waits for that.
-package pact
+package consensus
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 
 // Part is one part on one member.
 type Part struct {
-	p       *Pact
+	p       *Node
 	no      mark.Part
 	machine Machine
 
@@ -45,19 +45,19 @@
 	heard    time.Time
 	since    time.Time
 
-	isOwner   bool
-	isServing bool
-	served    time.Time
-	began     mark.Stamp
-	ctx       context.Context
-	end       context.CancelFunc
-	match     map[wire.Peer]mark.Stamp
-	acks      map[wire.Peer]time.Time
-	feeds     map[wire.Peer]bool
-	waiters   map[mark.Stamp]waiter
+	isOwner     bool
+	isServing   bool
+	served      time.Time
+	began       mark.Stamp
+	ctx         context.Context
+	end         context.CancelFunc
+	match       map[wire.Peer]mark.Stamp
+	acks        map[wire.Peer]time.Time
+	replicating map[wire.Peer]bool
+	waiters     map[mark.Stamp]waiter
 }
 
-func newPart(p *Pact, no mark.Part, machine Machine) *Part {
+func newPart(p *Node, no mark.Part, machine Machine) *Part {
 	return &Part{p: p, no: no, machine: machine, change: make(chan struct{}), since: p.r.Now(), waiters: map[mark.Stamp]waiter{}}
 }
 
@@ -106,12 +106,12 @@
 		return err
 	}
 	t.commit, t.applied = t.base.Index, t.base.Index
-	t.regroup()
+	t.refreshGroup()
 	return nil
 }
 
-// regroup finds the newest group in the log.
-func (t *Part) regroup() {
+// refreshGroup finds the newest group in the log.
+func (t *Part) refreshGroup() {
 	before := t.groupAt
 	t.group, t.groupAt = t.base.Group, t.base.Index
 	for i := len(t.entries) - 1; i >= 0; i-- {
@@ -159,7 +159,7 @@
 	return append([]wire.Entry(nil), t.entries[index-t.base.Index:]...)
 }
 
-func (t *Part) stir() {
+func (t *Part) notify() {
 	close(t.change)
 	t.change = make(chan struct{})
 }
@@ -195,7 +195,7 @@
 	raw, _ := json.Marshal(t.base)
 	w.Put(t.key("base"), raw)
 	t.commit, t.applied = s.Index, s.Index
-	t.regroup()
+	t.refreshGroup()
 	return nil
 }
 
@@ -223,7 +223,7 @@
 		t.putEntries(w, entries[i:])
 		break
 	}
-	t.regroup()
+	t.refreshGroup()
 	return nil
 }
 
@@ -265,19 +265,19 @@
 		t.isServing, t.served = true, t.p.r.Now()
 		t.p.say(sign.PartOwned, "part", int(t.no), "term", t.promised.String(), "commit", uint64(t.commit))
 	}
-	t.stir()
+	t.notify()
 	t.fold()
 }
 
 // fold makes a snapshot when the log has grown long.
 func (t *Part) fold() {
 	if int(t.applied-t.base.Index) >= t.p.r.Props.PactSnapshot {
-		t.snap()
+		t.takeSnapshot()
 	}
 }
 
-// snap makes a snapshot of what is folded now.
-func (t *Part) snap() {
+// takeSnapshot makes a snapshot of what is folded now.
+func (t *Part) takeSnapshot() {
 	if t.groupAt > t.applied {
 		return
 	}
@@ -348,8 +348,8 @@
 	return t.change
 }
 
-// Outline is what the shell shows of a part.
-type Outline struct {
+// Status is what the shell shows of a part.
+type Status struct {
 	Part      mark.Part
 	Promised  mark.Term
 	Commit    mark.Stamp
@@ -360,11 +360,11 @@
 	Age       time.Duration
 }
 
-func (t *Part) Outline() Outline {
+func (t *Part) Status() Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last, _ := t.last()
-	o := Outline{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.group, Age: -1}
+	o := Status{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.group, Age: -1}
 	if t.isOwner {
 		o.Age = t.p.r.Since(t.confirmed())
 	}
--- a/internal/pact/prevote.go
+++ b/internal/consensus/prevote.go
@@ -4,7 +4,7 @@
 // answers knows of none, does the first of them in the agreed order stand at once;
 // else the silence is awaited as ever. So nobody takes a part from a working owner,
 // and a fleet that lost all its processes does not wait for owners that are gone.
-package pact
+package consensus
 
 import (
 	"context"
@@ -23,17 +23,17 @@
 	prevotePause = 30 * time.Millisecond
 )
 
-// isUnheard tells whether this member knows of no owner and of nobody who stands,
+// hasHeardNobody tells whether this member knows of no owner and of nobody who stands,
 // and has not waited long enough to stand without having asked.
-func (t *Part) isUnheard() bool {
+func (t *Part) hasHeardNobody() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.isOwner && holds(t.group, t.p.me) && t.heard.IsZero() && t.matchIn == mark.Term{}
 }
 
-// isSpoken tells whether this member owns the part, heard its owner of late, or
+// hasOwner tells whether this member owns the part, heard its owner of late, or
 // promised it to somebody a moment ago.
-func (t *Part) isSpoken() bool {
+func (t *Part) hasOwner() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	silence := t.p.r.Props.PactSilence
@@ -42,11 +42,11 @@
 	return t.isOwner || isHeard || isPromised
 }
 
-// spoken answers a pre-vote.
-func (p *Pact) spoken(ask *wire.PrevoteAsk) *wire.PrevoteReceipt {
+// answerPrevote answers a pre-vote.
+func (p *Node) answerPrevote(ask *wire.PrevoteAsk) *wire.PrevoteReceipt {
 	receipt := &wire.PrevoteReceipt{From: p.me}
 	for _, no := range ask.Parts {
-		if t, err := p.part(no); err != nil || t.isSpoken() {
+		if t, err := p.part(no); err != nil || t.hasOwner() {
 			receipt.Spoken = append(receipt.Spoken, no)
 		}
 	}
@@ -55,7 +55,7 @@
 
 // prevotes asks in rounds for the parts that nobody was heard of, until there is
 // none: whoever has waited for the whole silence stands without having asked.
-func (p *Pact) prevotes() {
+func (p *Node) prevotes() {
 	select {
 	case <-p.Ready:
 	case <-p.r.Done():
@@ -64,7 +64,7 @@
 	for p.r.Pause(realm.Jitter(prevotePause)) && !p.IsGoing() {
 		var parts []mark.Part
 		for _, t := range p.parts {
-			if t.isUnheard() {
+			if t.hasHeardNobody() {
 				parts = append(parts, t.no)
 			}
 		}
@@ -73,14 +73,14 @@
 		}
 		receipts := p.askPrevote(parts)
 		for _, no := range parts {
-			if t := p.parts[no]; t.isUnheard() && t.isFree(receipts) {
-				p.once(no, func() { t.stand(false) })
+			if t := p.parts[no]; t.hasHeardNobody() && t.mayCampaignEarly(receipts) {
+				p.once(no, func() { t.campaign(false) })
 			}
 		}
 	}
 }
 
-func (p *Pact) askPrevote(parts []mark.Part) map[wire.Peer]*wire.PrevoteReceipt {
+func (p *Node) askPrevote(parts []mark.Part) map[wire.Peer]*wire.PrevoteReceipt {
 	ctx, end := context.WithTimeout(p.r, prevoteTime)
 	defer end()
 	var cores []wire.Member
@@ -120,9 +120,9 @@
 	return receipts
 }
 
-// isFree tells whether a majority answered, all who did know of no owner, and this
+// mayCampaignEarly tells whether a majority answered, all who did know of no owner, and this
 // member is the first of them.
-func (t *Part) isFree(receipts map[wire.Peer]*wire.PrevoteReceipt) bool {
+func (t *Part) mayCampaignEarly(receipts map[wire.Peer]*wire.PrevoteReceipt) bool {
 	t.mu.Lock()
 	group := t.group
 	t.mu.Unlock()
--- a/internal/pact/repair.go
+++ b/internal/consensus/repair.go
@@ -2,7 +2,7 @@
 // an equal stamp, and a range that differs is mended from the owner, whose copy
 // a majority agrees with. Only committed state is compared, and nothing here
 // counts as a vote. An owner whose own copy stands alone gives the part up.
-package pact
+package consensus
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	Mend(name string, data json.RawMessage) error
 }
 
-func (p *Pact) openRepair() {
+func (p *Node) openRepair() {
 	handle(p.w, "pact.compare", func(c *wire.Call, ask *wire.CompareAsk) (any, error) {
 		t, err := p.part(ask.Part)
 		if err != nil {
@@ -44,7 +44,7 @@
 }
 
 // repair walks over the owned parts, one after another.
-func (p *Pact) repair() {
+func (p *Node) repair() {
 	for no := 0; p.r.Pause(comparePause / time.Duration(len(p.parts))); no++ {
 		if t := p.parts[no%len(p.parts)]; t.IsServing() {
 			t.compareAll()
@@ -75,7 +75,7 @@
 	t.mu.Lock()
 	group := t.group
 	t.mu.Unlock()
-	t.p.kickRounds(group)
+	t.p.kickHeartbeats(group)
 	agree, against := 1, []wire.Member{}
 	differ := map[mark.Name][]string{}
 	for _, peer := range group {
@@ -106,7 +106,7 @@
 	}
 	if agree <= len(group)/2 {
 		if agree == 1 && len(against) > len(group)/2 {
-			t.yieldUp("its copy differs from the others")
+			t.yield("its copy differs from the others")
 		}
 		return
 	}
@@ -166,7 +166,7 @@
 				return
 			}
 		}
-		t.snap()
+		t.takeSnapshot()
 		t.p.say(sign.PartMended, "part", int(t.no), "stamp", uint64(ask.Stamp), "ranges", len(ask.Ranges))
 	})
 	return err
--- a/internal/pact/feed.go
+++ b/internal/consensus/replicate.go
@@ -1,7 +1,7 @@
 // Writing: the owner appends an entry, hands it to its own disk as one vote
-// among the others, and feeds it to each member by a task of its own. A member
+// among the others, and replicating it to each member by a task of its own. A member
 // takes entries only when they follow what it has, and answers once synced.
-package pact
+package consensus
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 	t.entries = append(t.entries, e)
 	t.putEntries(w, []wire.Entry{e})
 	if e.Kind == "group" {
-		t.regroup()
+		t.refreshGroup()
 	}
 	t.p.store.Hand(w)
 	term := t.promised
@@ -42,7 +42,7 @@
 			t.count()
 		}
 	})
-	t.stir()
+	t.notify()
 	return e.Index
 }
 
@@ -87,23 +87,23 @@
 	}
 }
 
-func (t *Part) feedAll() {
+func (t *Part) replicateToAll() {
 	for _, peer := range t.group {
-		t.startFeed(peer)
+		t.startReplicating(peer)
 	}
 }
 
-func (t *Part) startFeed(peer wire.Peer) {
-	if peer == t.p.me || t.feeds[peer] {
+func (t *Part) startReplicating(peer wire.Peer) {
+	if peer == t.p.me || t.replicating[peer] {
 		return
 	}
-	t.feeds[peer] = true
+	t.replicating[peer] = true
 	ctx, term := t.ctx, t.promised
-	t.p.r.Go(func() { t.feed(ctx, term, peer) })
+	t.p.r.Go(func() { t.replicate(ctx, term, peer) })
 }
 
-// feed keeps one member up to date while the term lasts.
-func (t *Part) feed(ctx context.Context, term mark.Term, peer wire.Peer) {
+// replicate keeps one member up to date while the term lasts.
+func (t *Part) replicate(ctx context.Context, term mark.Term, peer wire.Peer) {
 	t.mu.Lock()
 	next, _ := t.last()
 	t.mu.Unlock()
@@ -119,7 +119,7 @@
 	}
 	for ctx.Err() == nil {
 		t.mu.Lock()
-		if !t.isOwner || t.promised != term || !t.feeds[peer] {
+		if !t.isOwner || t.promised != term || !t.replicating[peer] {
 			t.mu.Unlock()
 			return
 		}
@@ -174,7 +174,7 @@
 			if t.isOwner && t.promised == term && t.match[peer] < receipt.Match {
 				t.match[peer] = receipt.Match
 				t.count()
-				t.stir()
+				t.notify()
 			}
 		case term.Less(receipt.Promised):
 			t.seen = max(t.seen, receipt.Promised.Round)
@@ -242,6 +242,6 @@
 	t.matched = max(t.matched, receipt.Match)
 	t.advance(min(ask.Commit, t.matched))
 	t.mu.Unlock()
-	t.p.heardOf(t.no, ask.From.Name, ask.Term)
+	t.p.noteOwner(t.no, ask.From.Name, ask.Term)
 	return receipt, w.Wait()
 }
--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -119,12 +119,12 @@
 	for no := range mark.Parts + 1 {
 		isOwned := false
 		for _, m := range f.Cores() {
-			part := m.Node().Pact.Part(mark.Part(no))
+			part := m.Node().Consensus.Part(mark.Part(no))
 			if !part.IsServing() {
 				continue
 			}
-			o := part.Outline()
-			isOwned = o.Last == o.Commit && len(o.Group) == pact.Size(mark.Part(no), len(f.Cores()), 1)
+			o := part.Status()
+			isOwned = o.Last == o.Commit && len(o.Group) == consensus.Size(mark.Part(no), len(f.Cores()), 1)
 			for _, peer := range o.Group {
 				isOwned = isOwned && births[peer]
 			}
--- a/internal/dream/found_test.go
+++ b/internal/dream/found_test.go
@@ -17,7 +17,7 @@
 	ids = map[string]bool{}
 	for _, m := range f.Cores() {
 		if node := m.Node(); node != nil {
-			if charter := node.Pact.Charter(); charter != nil {
+			if charter := node.Consensus.Charter(); charter != nil {
 				ids[charter.Fleet] = true
 				n++
 			}
--- a/internal/dream/repair_test.go
+++ b/internal/dream/repair_test.go
@@ -22,7 +22,7 @@
 // follower is a core node that does not own a part.
 func follower(f *Fleet, no mark.Part) *Machine {
 	for _, m := range f.Cores() {
-		if !m.Node().Pact.Part(no).IsServing() {
+		if !m.Node().Consensus.Part(no).IsServing() {
 			return m
 		}
 	}
--- a/internal/dream/spare_test.go
+++ b/internal/dream/spare_test.go
@@ -31,10 +31,10 @@
 			for no := range mark.Parts + 1 {
 				isWhole := false
 				for _, m := range f.Cores() {
-					if m.Node() == nil || !m.Node().Pact.Part(mark.Part(no)).IsServing() {
+					if m.Node() == nil || !m.Node().Consensus.Part(mark.Part(no)).IsServing() {
 						continue
 					}
-					o := m.Node().Pact.Part(mark.Part(no)).Outline()
+					o := m.Node().Consensus.Part(mark.Part(no)).Status()
 					isWhole = len(o.Group) == 3 && o.Last == o.Commit
 					for _, peer := range o.Group {
 						isWhole = isWhole && peer.Name != "core1"
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -25,7 +25,7 @@
 	r       *realm.Realm
 	w       *wire.Wire
 	k       *kin.Kin
-	p       *pact.Pact
+	p       *consensus.Node
 	ledger  *plan.Ledger
 	planner *plan.Planner
 
@@ -38,7 +38,7 @@
 	relays relays
 }
 
-func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *plan.Ledger, planner *plan.Planner) *Server {
+func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *consensus.Node, ledger *plan.Ledger, planner *plan.Planner) *Server {
 	s := &Server{r: r, w: w, k: k, p: p, ledger: ledger, planner: planner}
 	s.relays.r, s.relays.ask = r, s.ask
 	w.Handle("flow.listen", func(c *wire.Call) (any, error) {
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -32,7 +32,7 @@
 	r      *realm.Realm
 	w      *wire.Wire
 	k      *kin.Kin
-	part   *pact.Part
+	part   *consensus.Part
 	ledger *Ledger
 	kick   chan struct{}
 
@@ -49,7 +49,7 @@
 	isAwaited bool // a target waits for the epoch after the one planned last
 }
 
-func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *pact.Pact, ledger *Ledger) *Planner {
+func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *consensus.Node, ledger *Ledger) *Planner {
 	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[clash]bool{}, zero: r.Now(), planning: realm.NewTurn()}
 	l.reset(mark.Term{})
 	return l
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -40,7 +40,7 @@
 // Roll is one core node's, over all parts.
 type Roll struct {
 	r      *realm.Realm
-	p      *pact.Pact
+	p      *consensus.Node
 	books  []*bond.Book
 	ledger *Ledger
 
@@ -60,7 +60,7 @@
 	digest string
 }
 
-func NewRoll(r *realm.Realm, p *pact.Pact, books []*bond.Book, ledger *Ledger) *Roll {
+func NewRoll(r *realm.Realm, p *consensus.Node, books []*bond.Book, ledger *Ledger) *Roll {
 	return &Roll{r: r, p: p, books: books, ledger: ledger, beats: map[mark.Part]map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}, told: map[mark.Part]told{}}
 }
 
@@ -175,7 +175,7 @@
 	}
 }
 
-func (l *Roll) propose(ctx context.Context, part *pact.Part, op *wire.BondOp) error {
+func (l *Roll) propose(ctx context.Context, part *consensus.Part, op *wire.BondOp) error {
 	_, _, err := part.Propose(ctx, op)
 	return err
 }
--- a/internal/seat/calls.go
+++ b/internal/seat/calls.go
@@ -33,7 +33,7 @@
 	if err := n.pass(limited, op{no, "beat", beat}, 0, &done); err != nil {
 		return "", err
 	}
-	if n.Pact == nil || !n.Pact.Part(no).IsServing() {
+	if n.Consensus == nil || !n.Consensus.Part(no).IsServing() {
 		better = n.ownerApi(no)
 	}
 	return better, nil
@@ -42,8 +42,8 @@
 // ownerApi is the API address of the node that owns a part, if it is known.
 func (n *Node) ownerApi(no mark.Part) string {
 	known := n.owners[no].Load()
-	if n.Pact != nil {
-		if name, ok := n.Pact.Owner(no); ok {
+	if n.Consensus != nil {
+		if name, ok := n.Consensus.Owner(no); ok {
 			if m, ok := n.Kin.Of(name); ok {
 				return m.Api
 			}
@@ -154,7 +154,7 @@
 	if n.Flow != nil && !n.Flow.IsFresh(n.Flow.Cache.Chart(), "") {
 		return fault.New(fault.NotFresh, "")
 	}
-	if n.Pact != nil && n.Pact.Charter() == nil {
+	if n.Consensus != nil && n.Consensus.Charter() == nil {
 		return fault.New(fault.NoOwner, "no fleet yet")
 	}
 	return nil
--- a/internal/seat/metrics.go
+++ b/internal/seat/metrics.go
@@ -91,7 +91,7 @@
 
 func (c *Collector) Collect(out chan<- prometheus.Metric) {
 	s, n := sheet{c, out}, c.n
-	s.add(gauge.Node, 1, string(n.R.Name), n.R.Props.Zone, strconv.FormatBool(n.Pact != nil), strconv.FormatBool(n.Gate != nil))
+	s.add(gauge.Node, 1, string(n.R.Name), n.R.Props.Zone, strconv.FormatBool(n.Consensus != nil), strconv.FormatBool(n.Gate != nil))
 	s.add(gauge.Ready, truth(n.Ready() == nil))
 	s.add(gauge.Beats, float64(n.beats.Load()))
 	counts := n.R.Sign.Counts()
@@ -111,7 +111,7 @@
 	if n.Gate != nil {
 		s.gate()
 	}
-	if n.Pact != nil {
+	if n.Consensus != nil {
 		s.core()
 	}
 	n.R.Times.Each(func(m gauge.Metric, labels []string, sum gauge.Sum) {
@@ -187,8 +187,8 @@
 
 func (s sheet) core() {
 	n, owned := s.n, 0
-	for _, part := range n.Pact.Parts() {
-		o := part.Outline()
+	for _, part := range n.Consensus.Parts() {
+		o := part.Status()
 		no := strconv.Itoa(int(o.Part))
 		if o.Part == mark.Config {
 			no = "config"
@@ -211,7 +211,7 @@
 	for at, count := range n.Roll.Count() {
 		s.add(gauge.Targets, float64(count), at.Service, at.State, at.Word)
 	}
-	if n.Pact.Part(mark.Config).IsServing() {
+	if n.Consensus.Part(mark.Config).IsServing() {
 		v := n.Planner.Outlook()
 		s.add(gauge.PlannerParts, float64(v.Parts))
 		s.add(gauge.PlannerOldest, v.Oldest.Seconds())
--- a/internal/seat/pass.go
+++ b/internal/seat/pass.go
@@ -36,7 +36,7 @@
 			rest.Hold = max(0, held.Hold-n.R.Since(began).Milliseconds())
 			raw, _ = json.Marshal(&rest)
 		}
-		if n.Pact != nil && n.Pact.Part(o.part).IsServing() {
+		if n.Consensus != nil && n.Consensus.Part(o.part).IsServing() {
 			got, err := n.do(ctx, o.part, o.name, raw)
 			if err == nil {
 				return recast(got, into)
@@ -104,7 +104,7 @@
 // answers nothing, and a held call is silent for so long that silence says nothing.
 func (n *Node) whileOwnedAt(ctx context.Context, no mark.Part, address string) (context.Context, context.CancelFunc) {
 	limited, end := context.WithCancelCause(ctx)
-	if n.Pact != nil {
+	if n.Consensus != nil {
 		n.R.Go(func() {
 			look := time.NewTicker(movedLook)
 			defer look.Stop()
@@ -125,12 +125,12 @@
 }
 
 func (n *Node) isOwnedElsewhere(no mark.Part, address string) bool {
-	name, ok := n.Pact.Owner(no)
+	name, ok := n.Consensus.Owner(no)
 	if !ok {
 		return false
 	}
 	if name == n.R.Name {
-		return n.Pact.Part(no).IsServing()
+		return n.Consensus.Part(no).IsServing()
 	}
 	m, ok := n.Kin.Of(name)
 	return ok && m.Wire != address
@@ -148,8 +148,8 @@
 
 // ownerOf is where to send an op: the known owner, or a core node in turn.
 func (n *Node) ownerOf(no mark.Part, try int) string {
-	if n.Pact != nil {
-		if name, ok := n.Pact.Owner(no); ok && name != n.R.Name {
+	if n.Consensus != nil {
+		if name, ok := n.Consensus.Owner(no); ok && name != n.R.Name {
 			if m, ok := n.Kin.Of(name); ok {
 				return m.Wire
 			}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -15,13 +15,13 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/pact"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
@@ -33,18 +33,18 @@
 
 // Node is one running node.
 type Node struct {
-	R       *realm.Realm
-	Wire    *wire.Wire
-	Kin     *kin.Kin
-	Store   *lore.Lore
-	Pact    *pact.Pact
-	Books   []*bond.Book
-	Desk    *bond.Desk
-	Ledger  *plan.Ledger
-	Roll    *plan.Roll
-	Planner *plan.Planner
-	Flow    *flow.Client
-	Gate    *gate.Gate
+	R         *realm.Realm
+	Wire      *wire.Wire
+	Kin       *kin.Kin
+	Store     *lore.Lore
+	Consensus *consensus.Node
+	Books     []*bond.Book
+	Desk      *bond.Desk
+	Ledger    *plan.Ledger
+	Roll      *plan.Roll
+	Planner   *plan.Planner
+	Flow      *flow.Client
+	Gate      *gate.Gate
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -77,7 +77,7 @@
 		if n.Store, err = lore.Open(r); err != nil {
 			return nil, err
 		}
-		if me.Birth, err = pact.Born(n.Store); err != nil {
+		if me.Birth, err = consensus.Born(n.Store); err != nil {
 			return nil, err
 		}
 		me.Core, me.Founders = true, p.FoundCores
@@ -108,7 +108,7 @@
 		return nil, fault.New(fault.BadProps, "wire.address: %v", err)
 	}
 	if me.Core {
-		n.Pact.Open()
+		n.Consensus.Open()
 		n.Desk.Open()
 		n.Planner.Open()
 	}
@@ -167,7 +167,7 @@
 }
 
 func (n *Node) openCore() error {
-	var machines []pact.Machine
+	var machines []consensus.Machine
 	for range mark.Parts {
 		book := bond.NewBook()
 		n.Books = append(n.Books, book)
@@ -183,13 +183,13 @@
 	}
 	machines = append(machines, n.Ledger)
 	var err error
-	if n.Pact, err = pact.New(n.R, n.Wire, n.Kin, n.Store, machines); err != nil {
+	if n.Consensus, err = consensus.New(n.R, n.Wire, n.Kin, n.Store, machines); err != nil {
 		return err
 	}
-	n.Desk = bond.NewDesk(n.R, n.Pact, n.Books)
-	n.Roll = plan.NewRoll(n.R, n.Pact, n.Books, n.Ledger)
-	n.Planner = plan.NewPlanner(n.R, n.Wire, n.Kin, n.Pact, n.Ledger)
-	flow.NewServer(n.R, n.Wire, n.Kin, n.Pact, n.Ledger, n.Planner).HandleOwner()
+	n.Desk = bond.NewDesk(n.R, n.Consensus, n.Books)
+	n.Roll = plan.NewRoll(n.R, n.Consensus, n.Books, n.Ledger)
+	n.Planner = plan.NewPlanner(n.R, n.Wire, n.Kin, n.Consensus, n.Ledger)
+	flow.NewServer(n.R, n.Wire, n.Kin, n.Consensus, n.Ledger, n.Planner).HandleOwner()
 	n.Wire.Handle("plan.whose", func(c *wire.Call) (any, error) {
 		var ask wire.WhoseAsk
 		if err := c.Read(&ask); err != nil {
@@ -258,8 +258,8 @@
 	n.isGoing.Store(true)
 	ctx, end := context.WithTimeout(n.R, n.R.Props.StopGrace)
 	defer end()
-	if n.Pact != nil {
-		n.Pact.HandOver(ctx)
+	if n.Consensus != nil {
+		n.Consensus.HandOver(ctx)
 	}
 	if n.Gate != nil {
 		n.Gate.Linger()
@@ -285,7 +285,7 @@
 
 // stir tells the owner of the configuration part that there is news of targets.
 func (n *Node) stir() {
-	if n.Pact.Part(mark.Config).IsServing() {
+	if n.Consensus.Part(mark.Config).IsServing() {
 		n.Planner.Kick()
 		return
 	}
--- a/internal/seat/show.go
+++ b/internal/seat/show.go
@@ -34,10 +34,10 @@
 		}
 	case api.ShowWhatParts:
 		columns("part", "owner", "term", "commit", "last", "serving", "age", "group")
-		if n.Pact != nil {
-			for _, part := range n.Pact.Parts() {
-				o := part.Outline()
-				owner, _ := n.Pact.Owner(o.Part)
+		if n.Consensus != nil {
+			for _, part := range n.Consensus.Parts() {
+				o := part.Status()
+				owner, _ := n.Consensus.Owner(o.Part)
 				group := ""
 				for _, peer := range o.Group {
 					group += string(peer.Name) + " "
@@ -106,7 +106,7 @@
 	case api.ShowWhatNode:
 		columns("name", "zone", "core", "gate", "ready")
 		_, err := d.Ready(ctx)
-		add(n.R.Name, n.R.Props.Zone, n.Pact != nil, n.R.Props.GateAddress, err == nil)
+		add(n.R.Name, n.R.Props.Zone, n.Consensus != nil, n.R.Props.GateAddress, err == nil)
 	}
 	sort.SliceStable(rows.Rows, func(i, j int) bool {
 		a, b := rows.Rows[i][0], rows.Rows[j][0]
