A candidate needs a majority of the group that the adopted log names

Cause: a candidate asked the members of the group that it knew, took the best log among their promises, and never asked whether these were a majority of the group which that log names. A member that had been replaced while it was cut off could so win with one other, and its entry later hid an acknowledged write. Change: a promise tells the group of the member's log; promises are asked for until more than half of the group of the most advanced log have given one, and a candidate outside that group gives up. Ruled out: refusing by terms alone (the replaced member's term is the higher one); members leaving their group by themselves (they are cut off when it happens).

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -71,6 +71,7 @@
 	t.p.store.Hand(w)
 	receipt.Granted, receipt.Promised = true, ask.Term
 	receipt.Last, receipt.LastTerm = t.last()
+	receipt.Group = t.group
 	if ask.Commit < t.base.Index {
 		snapshot := t.base
 		receipt.Snapshot = &snapshot
@@ -99,16 +100,16 @@
 	w := t.p.store.Begin()
 	t.putPromise(w)
 	t.p.store.Hand(w)
-	commit, group := t.commit, t.group
-	mine := &wire.PromiseReceipt{From: t.p.me, Granted: true}
+	commit := t.commit
+	mine := &wire.PromiseReceipt{From: t.p.me, Granted: true, Group: t.group}
 	mine.Last, mine.LastTerm = t.last()
 	t.mu.Unlock()
 	if w.Wait() != nil {
 		return
 	}
 	sent := t.p.r.Now()
-	best, granted := t.gatherPromises(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, group, mine)
-	if best == nil {
+	best, granted := t.gatherPromises(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, mine)
+	if best == nil || !holds(best.Group, t.p.me) {
 		t.p.say(sign.StandFailed, "part", int(t.no), "term", term.String())
 		return
 	}
@@ -139,51 +140,84 @@
 	t.becomeOwner(w, term, sent, granted)
 }
 
-// gatherPromises asks for promises and returns the most advanced log of a majority.
-func (t *Part) gatherPromises(ask *wire.PromiseAsk, group []wire.Peer, mine *wire.PromiseReceipt) (*wire.PromiseReceipt, []wire.Peer) {
+// gatherPromises asks for promises until a majority of the group that the most
+// advanced log among them names has given one, and returns that log. The group
+// that this member knows may be old: only the adopted log tells who has a vote.
+func (t *Part) gatherPromises(ask *wire.PromiseAsk, mine *wire.PromiseReceipt) (*wire.PromiseReceipt, []wire.Peer) {
 	ctx, end := context.WithTimeout(t.p.r, promiseTime)
 	defer end()
-	receipts := make(chan *wire.PromiseReceipt, len(group))
-	asked := 0
-	for _, peer := range group {
-		if peer == t.p.me {
-			continue
-		}
-		m, ok := t.p.k.View()[peer.Name]
-		if !ok || m.Birth != peer.Birth {
-			continue
-		}
-		asked++
-		t.p.r.Go(func() {
-			var receipt wire.PromiseReceipt
-			if err := t.p.w.Ask(ctx, m.Wire, "pact.promise", ask, &receipt); err != nil || receipt.From != peer {
-				receipts <- nil
-				return
+	receipts := make(chan *wire.PromiseReceipt)
+	asked := map[wire.Peer]bool{t.p.me: true}
+	pending := 0
+	askAll := func(group []wire.Peer) {
+		for _, peer := range group {
+			if !asked[peer] {
+				asked[peer] = true
+				pending++
+				t.p.r.Go(func() {
+					receipt := t.askPromise(ctx, ask, peer)
+					select {
+					case receipts <- receipt:
+					case <-ctx.Done():
+					}
+				})
 			}
-			receipts <- &receipt
-		})
+		}
 	}
 	best, granted := mine, []wire.Peer{t.p.me}
-	for ; asked > 0 && len(granted) <= len(group)/2; asked-- {
-		receipt := <-receipts
-		if receipt == nil {
-			continue
+	askAll(best.Group)
+	for {
+		if isMajority(best.Group, granted) {
+			return best, granted
 		}
-		if !receipt.Granted {
-			t.mu.Lock()
-			t.seen = max(t.seen, receipt.Promised.Round)
-			t.mu.Unlock()
-			continue
+		if pending == 0 {
+			return nil, nil
 		}
-		granted = append(granted, receipt.From)
-		if best.LastTerm.Less(receipt.LastTerm) || best.LastTerm == receipt.LastTerm && best.Last < receipt.Last {
-			best = receipt
+		select {
+		case receipt := <-receipts:
+			pending--
+			if receipt == nil {
+				continue
+			}
+			granted = append(granted, receipt.From)
+			if best.LastTerm.Less(receipt.LastTerm) || best.LastTerm == receipt.LastTerm && best.Last < receipt.Last {
+				best = receipt
+				askAll(best.Group)
+			}
+		case <-ctx.Done():
+			return nil, nil
 		}
 	}
-	if len(granted) <= len(group)/2 {
-		return nil, nil
+}
+
+// askPromise asks one member; nil if it can't be asked or refuses.
+func (t *Part) askPromise(ctx context.Context, ask *wire.PromiseAsk, peer wire.Peer) *wire.PromiseReceipt {
+	m, ok := t.p.k.View()[peer.Name]
+	if !ok || m.Birth != peer.Birth {
+		return nil
+	}
+	receipt := &wire.PromiseReceipt{}
+	if err := t.p.w.Ask(ctx, m.Wire, "pact.promise", ask, receipt); err != nil || receipt.From != peer {
+		return nil
+	}
+	if !receipt.Granted {
+		t.mu.Lock()
+		t.seen = max(t.seen, receipt.Promised.Round)
+		t.mu.Unlock()
+		return nil
+	}
+	return receipt
+}
+
+// isMajority tells whether more than half of a group are among some members.
+func isMajority(group, some []wire.Peer) bool {
+	n := 0
+	for _, peer := range group {
+		if holds(some, peer) {
+			n++
+		}
 	}
-	return best, granted
+	return n > len(group)/2
 }
 
 // becomeOwner makes this member the owner; it serves when its first entry commits.
--- /dev/null
+++ b/internal/dream/replaced_test.go
@@ -0,0 +1,130 @@
+// A member that was replaced while it was cut off must not take part in the
+// choice of an owner: its old group is no majority of the group in force.
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// owner is the core node that serves a part, or nil.
+func (f *Fleet) owner(no mark.Part) *Machine {
+	for _, m := range f.Cores() {
+		if m.Node() != nil && m.Node().Consensus.Part(no).IsServing() {
+			return m
+		}
+	}
+	return nil
+}
+
+// groupOf is a part's group as one member has it.
+func (f *Fleet) groupOf(m *Machine, no mark.Part) (group []*Machine) {
+	for _, peer := range m.Node().Consensus.Part(no).Status().Group {
+		group = append(group, f.Of(string(peer.Name)))
+	}
+	return group
+}
+
+// cutFrom cuts a machine off from others, both ways.
+func (f *Fleet) cutFrom(m *Machine, others ...*Machine) {
+	for _, other := range others {
+		if other != m {
+			f.W.Cut(m.IP, other.IP)
+			f.W.Cut(other.IP, m.IP)
+		}
+	}
+}
+
+func isIn(m *Machine, group []*Machine) bool {
+	for _, other := range group {
+		if other == m {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceOne cuts one member of a part off until a spare has its place, and
+// returns the owner, the member replaced, the one that stayed and the spare.
+func (f *Fleet) replaceOne(t *testing.T, no mark.Part) (owner, replaced, stayed, spare *Machine) {
+	t.Helper()
+	owner = f.owner(no)
+	before := f.groupOf(owner, no)
+	for _, m := range before {
+		if m != owner && replaced == nil {
+			replaced = m
+		} else if m != owner {
+			stayed = m
+		}
+	}
+	f.cutFrom(replaced, f.Machines...)
+	if !f.Until(40*time.Second, func() bool {
+		group := f.groupOf(owner, no)
+		return f.owner(no) == owner && len(group) == 3 && !isIn(replaced, group)
+	}) {
+		t.Fatal("the member that was cut off is not replaced")
+	}
+	for _, m := range f.groupOf(owner, no) {
+		if !isIn(m, before) {
+			spare = m
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	return owner, replaced, stayed, spare
+}
+
+func fiveCores() Shape {
+	shape := one()
+	shape.Cores = 5
+	shape.Settings["pact.gone"] = "1s"
+	return shape
+}
+
+func TestAReplacedMemberHidesNoAcknowledgedWrite(t *testing.T) {
+	inFleet(t, fiveCores(), func(t *testing.T, f *Fleet) {
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		put := func(value string) {
+			if _, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(value)}); err != nil {
+				t.Fatal(value, err)
+			}
+		}
+		put(`"old"`)
+		time.Sleep(3 * time.Second)
+		no := mark.PartOf("app/a")
+		owner, replaced, stayed, spare := f.replaceOne(t, no)
+		f.cutFrom(stayed, owner, spare)
+		time.Sleep(700 * time.Millisecond)
+		put(`"new"`)
+		owner.Kill(true)
+		f.W.Heal()
+		f.cutFrom(spare, f.Machines...)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if m := f.owner(no); m == replaced || m == stayed {
+				t.Fatalf("%s owns the part without the member that has the last write", m.Name)
+			}
+		}
+		f.W.Heal()
+		if !f.Until(15*time.Second, func() bool {
+			got, err := client.GetKey(f.ctx, api.GetKeyParams{Name: "app/a"})
+			if err == nil && string(got.Value) != `"new"` {
+				t.Fatalf("read %s: an acknowledged write is lost", got.Value)
+			}
+			return err == nil
+		}) {
+			t.Error("the part is not served again")
+		}
+	})
+}
+
+// status is a part as a machine has it.
+func (m *Machine) status(no mark.Part) consensus.Status {
+	return m.Node().Consensus.Part(no).Status()
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -88,13 +88,14 @@
 	Invited bool       `json:"invited,omitempty"`
 }
 
-// PromiseReceipt is a synced promise with the member's log after the asker's commit.
+// PromiseReceipt is a synced promise with the member's log after the asker's commit, and the group that this log names.
 type PromiseReceipt struct {
 	Granted  bool       `json:"granted"`
 	Promised mark.Term  `json:"promised"`
 	From     Peer       `json:"from"`
 	LastTerm mark.Term  `json:"last_term"`
 	Last     mark.Stamp `json:"last"`
+	Group    []Peer     `json:"group,omitempty"`
 	Snapshot *Snapshot  `json:"snapshot,omitempty"`
 	Entries  []Entry    `json:"entries,omitempty"`
 }
