--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -24,7 +24,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isOwner || !holds(t.group, t.p.me) {
+	if t.isOwner || t.isOutside || !t.voters.Holds(t.p.me) {
 		return false
 	}
 	silence := t.p.r.Props.PactSilence
@@ -41,7 +41,7 @@
 		return false
 	}
 	rank := 0
-	for _, peer := range Order(t.no, t.group) {
+	for _, peer := range Order(t.no, t.voters.All()) {
 		if peer == t.p.me {
 			break
 		}
@@ -55,8 +55,16 @@
 // promise answers a member that stands.
 func (t *Part) promise(ask *wire.PromiseAsk) (*wire.PromiseReceipt, error) {
 	t.mu.Lock()
+	if err := t.checkTerm(ask.Term, ask.From); err != nil {
+		t.mu.Unlock()
+		return nil, err
+	}
 	receipt := &wire.PromiseReceipt{From: t.p.me, Promised: t.promised}
 	isHeard := !ask.Invited && t.p.r.Since(t.heard) < t.p.r.Props.PactSilence*3/4 && !t.heard.IsZero()
+	if receipt.Outside = t.isRemoved(ask); receipt.Outside {
+		t.mu.Unlock()
+		return receipt, nil
+	}
 	isConfirmed := t.isOwner && !ask.Invited && t.p.r.Since(t.confirmed()) < t.p.r.Props.PactSilence*3/4
 	if !t.promised.Less(ask.Term) || isHeard || isConfirmed {
 		t.mu.Unlock()
@@ -71,7 +79,7 @@
 	t.p.store.Hand(w)
 	receipt.Granted, receipt.Promised = true, ask.Term
 	receipt.Last, receipt.LastTerm = t.last()
-	receipt.Group = t.group
+	receipt.Group, receipt.Former = t.voters.Current, t.voters.Former
 	if ask.Commit < t.base.Index {
 		snapshot := t.base
 		receipt.Snapshot = &snapshot
@@ -83,13 +91,55 @@
 	if err := w.Wait(); err != nil {
 		return nil, err
 	}
+	t.trace(Trace{Kind: TracePromised, Term: ask.Term})
 	return receipt, nil
 }
 
+// isRemoved tells whether a candidate has no vote in a group that is known to be
+// committed, and lacks what says so. Its promises would count for nothing, and its
+// term would only end the work of an owner.
+func (t *Part) isRemoved(ask *wire.PromiseAsk) bool {
+	last, lastTerm := t.last()
+	isBehind := ask.LastTerm.Less(lastTerm) || ask.LastTerm == lastTerm && ask.Last <= last
+	return isBehind && t.commit >= t.votersAt && !t.voters.Holds(ask.From)
+}
+
+// noteOutside has this member rest until an owner sends it entries again: it was
+// told that it is no member any more. Its copy stays as it is.
+func (t *Part) noteOutside(isOutside bool) {
+	if isOutside && !t.isOutside {
+		t.isOutside = true
+		t.p.say(sign.MemberRemoved, "part", int(t.no), "last_members", t.voters.String())
+	}
+}
+
+// mostRounds is how far a term may be above the one known here. Rounds rise by one
+// with each election, so a term beyond that is damaged; taken over, it would leave
+// no room for later ones.
+const mostRounds = 1 << 32
+
+// checkTerm refuses a term that no election can have come to.
+func (t *Part) checkTerm(term mark.Term, from wire.Peer) error {
+	if term.Round > t.promised.Round && term.Round-t.promised.Round > mostRounds {
+		err := fault.New(fault.BadMessage, "part %d: term %s is out of all order after %s", t.no, term, t.promised)
+		t.p.say(sign.MessageRefused, "code", fault.BadMessage.No, "part", int(t.no), "from", string(from.Name), "cause", err.Error())
+		return err
+	}
+	return nil
+}
+
+// isInvitedBy tells whether an invitation comes from the owner that this member
+// knows; one that is late must not end the work of the next owner.
+func (t *Part) isInvitedBy(ask *wire.InviteAsk) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.promised == ask.Term
+}
+
 // campaign tries to become the owner.
 func (t *Part) campaign(isInvited bool) {
 	t.mu.Lock()
-	if t.isOwner || !holds(t.group, t.p.me) || t.p.IsGoing() {
+	if t.isOwner || t.isOutside || !t.voters.Holds(t.p.me) || t.p.IsGoing() {
 		t.mu.Unlock()
 		return
 	}
@@ -101,15 +151,16 @@
 	t.putPromise(w)
 	t.p.store.Hand(w)
 	commit := t.commit
-	mine := &wire.PromiseReceipt{From: t.p.me, Granted: true, Group: t.group}
+	mine := &wire.PromiseReceipt{From: t.p.me, Granted: true, Group: t.voters.Current, Former: t.voters.Former}
 	mine.Last, mine.LastTerm = t.last()
 	t.mu.Unlock()
 	if w.Wait() != nil {
 		return
 	}
+	t.trace(Trace{Kind: TracePromised, Term: term})
 	sent := t.p.r.Now()
-	best, granted := t.gatherPromises(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Invited: isInvited}, mine)
-	if best == nil || !holds(best.Group, t.p.me) {
+	best, granted := t.gatherPromises(&wire.PromiseAsk{Part: t.no, Term: term, From: t.p.me, Commit: commit, Last: mine.Last, LastTerm: mine.LastTerm, Invited: isInvited}, mine)
+	if best == nil || !votersOf(best).Holds(t.p.me) {
 		t.p.say(sign.StandFailed, "part", int(t.no), "term", term.String())
 		return
 	}
@@ -137,7 +188,9 @@
 			return
 		}
 	}
-	t.becomeOwner(w, term, sent, granted)
+	last, _ := t.last()
+	t.trace(Trace{Kind: TraceElected, Term: term, Index: last, Voters: t.voters, Granted: granted, TermAt: t.at})
+	t.becomeOwner(w, sent, granted)
 }
 
 // gatherPromises asks for promises until a majority of the group that the most
@@ -165,9 +218,9 @@
 		}
 	}
 	best, granted := mine, []wire.Peer{t.p.me}
-	askAll(best.Group)
+	askAll(votersOf(best).All())
 	for {
-		if isMajority(best.Group, granted) {
+		if votersOf(best).IsDecidedBy(granted) {
 			return best, granted
 		}
 		if pending == 0 {
@@ -182,7 +235,7 @@
 			granted = append(granted, receipt.From)
 			if best.LastTerm.Less(receipt.LastTerm) || best.LastTerm == receipt.LastTerm && best.Last < receipt.Last {
 				best = receipt
-				askAll(best.Group)
+				askAll(votersOf(best).All())
 			}
 		case <-ctx.Done():
 			return nil, nil
@@ -190,6 +243,11 @@
 	}
 }
 
+// votersOf is the voters that the log behind a promise names.
+func votersOf(receipt *wire.PromiseReceipt) Voters {
+	return Voters{Current: receipt.Group, Former: receipt.Former}
+}
+
 // askPromise asks one member; nil if it can't be asked or refuses.
 func (t *Part) askPromise(ctx context.Context, ask *wire.PromiseAsk, peer wire.Peer) *wire.PromiseReceipt {
 	m, ok := t.p.k.View()[peer.Name]
@@ -202,6 +260,7 @@
 	}
 	if !receipt.Granted {
 		t.mu.Lock()
+		t.noteOutside(receipt.Outside)
 		t.seen = max(t.seen, receipt.Promised.Round)
 		t.mu.Unlock()
 		return nil
@@ -209,19 +268,8 @@
 	return receipt
 }
 
-// isMajority tells whether more than half of a group are among some members.
-func isMajority(group, some []wire.Peer) bool {
-	n := 0
-	for _, peer := range group {
-		if holds(some, peer) {
-			n++
-		}
-	}
-	return n > len(group)/2
-}
-
 // becomeOwner makes this member the owner; it serves when its first entry commits.
-func (t *Part) becomeOwner(w *lore.Writing, term mark.Term, sent time.Time, granted []wire.Peer) {
+func (t *Part) becomeOwner(w *lore.Writing, sent time.Time, granted []wire.Peer) {
 	t.isOwner, t.isServing = true, false
 	t.ctx, t.end = context.WithCancel(t.p.r)
 	t.match, t.acks, t.replicating = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
@@ -230,7 +278,7 @@
 	}
 	last, _ := t.last()
 	t.began = last + 1
-	t.append(w, wire.Entry{Kind: "own"})
+	t.append(w, wire.Entry{Kind: ownEntry})
 	t.replicateToAll()
 	t.p.kickAll()
 }
@@ -280,7 +328,7 @@
 	last, _ := t.last()
 	term := t.promised
 	var next *wire.Member
-	for _, peer := range Order(t.no, t.group) {
+	for _, peer := range Order(t.no, t.voters.All()) {
 		m, ok := t.p.k.Of(peer.Name)
 		if peer != t.p.me && ok && m.Birth == peer.Birth && t.match[peer] == last {
 			next = &m
--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -189,7 +189,7 @@
 		t.mu.Lock()
 		if t.base.Index == 0 && len(t.base.Group) == 0 {
 			t.base.Group = Placement(t.no, charter.Members, t.p.r.Props.PactLosses)
-			t.refreshGroup()
+			t.refreshVoters()
 		}
 		t.since = t.p.r.Now()
 		t.mu.Unlock()
--- a/internal/consensus/heartbeat.go
+++ b/internal/consensus/heartbeat.go
@@ -78,7 +78,7 @@
 func (p *Node) isVoter(peer wire.Peer) bool {
 	for _, t := range p.parts {
 		t.mu.Lock()
-		is := t.isOwner && holds(t.group, peer)
+		is := t.isOwner && t.voters.Holds(peer)
 		t.mu.Unlock()
 		if is {
 			return true
@@ -206,7 +206,7 @@
 // confirmed is the moment as of which a majority confirms the owner's term.
 func (t *Part) confirmed() time.Time {
 	now := t.p.r.Now()
-	age := majorityOf(t.group, func(peer wire.Peer) int64 {
+	age := t.voters.Reached(func(peer wire.Peer) int64 {
 		if peer == t.p.me {
 			return 0
 		}
@@ -220,7 +220,11 @@
 
 // nearestMajority is the members that make a majority with this node: own zone first, and
 // those that seem live.
-func (p *Node) nearestMajority(group []wire.Peer) []wire.Peer {
+func (p *Node) nearestMajority(voters Voters) []wire.Peer {
+	group := voters.Current
+	if voters.IsJoint() {
+		return voters.All()
+	}
 	var some []wire.Peer
 	for _, m := range p.k.Cores() {
 		peer := wire.Peer{Name: m.Name, Birth: m.Birth}
@@ -243,22 +247,23 @@
 			return fault.New(fault.NotOwner, "part %d", t.no)
 		}
 		if !t.confirmed().Before(since) {
+			t.trace(Trace{Kind: TraceRead, Term: t.promised, Index: t.applied, Since: time.Now().Add(-t.p.r.Since(since))})
 			t.mu.Unlock()
 			return nil
 		}
-		change, group := t.change, t.group
+		change, voters := t.change, t.voters
 		t.mu.Unlock()
 		if wakeup == nil {
 			wakeup = time.NewTimer(askAllAfter)
 			defer wakeup.Stop()
 			late = wakeup.C
-			t.p.kickHeartbeats(t.p.nearestMajority(group))
+			t.p.kickHeartbeats(t.p.nearestMajority(voters))
 		}
 		select {
 		case <-change:
 		case <-late:
 			late = nil
-			t.p.kickHeartbeats(group)
+			t.p.kickHeartbeats(voters.All())
 		case <-ctx.Done():
 			return fault.New(fault.NoOwner, "part %d can't be confirmed: %v", t.no, ctx.Err())
 		}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -1,11 +1,16 @@
-// Membership of a part changes through its own log, one member at a time, the
-// next only after the former is committed in the current term. A member that
-// came back with another birth, or is gone for long, gives way to a learner
-// that has caught up: first the old one is taken out, then the new one put in.
+// The voters of a part change through its own log, by joint consensus: the first
+// entry of a change names the new members beside the former ones, and from it on
+// every decision needs a majority of both; once it is committed, the second one
+// drops the former. Whoever owns the part after the first entry finishes the change,
+// so a replacement is one decision that the death of an owner does not leave half
+// done. A member that came back under another birth, or is gone for long, gives way
+// to a learner that has caught up.
 package consensus
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/kin"
@@ -13,66 +18,138 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
-const settleTime = 15 * time.Second
+const (
+	settleTime = 15 * time.Second
 
-// superviseGroup is one look at the group by the part's owner.
+	// A learner is waited for as long as it comes closer, and given up after a pause
+	// without progress.
+	learnerPause  = 50 * time.Millisecond
+	learnerRest   = 2 * time.Second
+	learnerBehind = 16 // entries that a learner may lack when it becomes a member
+
+	changeTime = 3 * time.Second
+)
+
+// superviseGroup is one look at the voters by the part's owner.
 func (t *Part) superviseGroup() {
-	view := t.p.k.View()
 	t.mu.Lock()
-	group, isSettled := t.group, t.commit >= t.groupAt
+	voters, isSettled := t.voters, t.commit >= t.votersAt
 	t.mu.Unlock()
 	if !isSettled {
 		return
 	}
-	var lost *wire.Peer
-	named := map[mark.Name]bool{}
-	zones := map[string]int{}
+	if voters.IsJoint() {
+		t.changeVoters(Voters{Current: voters.Current})
+		return
+	}
+	lost := t.lostMembers(voters.Current)
+	wanted := t.replacements(voters.Current, lost)
+	if len(wanted) > 0 {
+		t.replace(voters.Current, wanted)
+	} else if len(lost) == 0 {
+		t.returnOwnership(voters.Current)
+	}
+}
+
+// lostMembers is the members that came back under another birth, or are gone for
+// long.
+func (t *Part) lostMembers(group []wire.Peer) (lost []wire.Peer) {
+	view, long := t.p.k.View(), t.p.r.Props.PactGone
 	for _, peer := range group {
-		m, ok := view[peer.Name]
-		isReborn := ok && m.Birth != peer.Birth
-		isGone := peer != t.p.me && (!ok && t.p.r.Since(t.servedAt()) > t.p.r.Props.PactGone || ok && !t.p.k.IsLive(peer) && time.Since(m.Since) > t.p.r.Props.PactGone)
-		if isReborn || isGone {
-			lost = &peer
-			continue
+		m, isKnown := view[peer.Name]
+		isReborn := isKnown && m.Birth != peer.Birth
+		isNeverSeen := !isKnown && t.p.r.Since(t.servedAt()) > long
+		isGone := isKnown && !t.p.k.IsLive(peer) && time.Since(m.Since) > long
+		if peer != t.p.me && (isReborn || isNeverSeen || isGone) {
+			lost = append(lost, peer)
 		}
-		named[peer.Name] = true
-		zones[m.Zone]++
 	}
-	var cores []wire.Member
-	for _, m := range t.p.k.Cores() {
-		if m.Fleet == t.p.fleet() {
-			cores = append(cores, m)
+	return lost
+}
+
+// replacement is one member that comes in, for one that goes out if there is one.
+type replacement struct {
+	in, out wire.Peer
+}
+
+// replacements pairs each lost member with the core node that takes its place: the
+// one of its own name, or a spare of the zone with the fewest members; and it fills
+// a group that is smaller than the fleet allows.
+func (t *Part) replacements(group, lost []wire.Peer) (wanted []replacement) {
+	view := t.p.k.View()
+	isTaken, zones := map[mark.Name]bool{}, map[string]int{}
+	for _, peer := range group {
+		if !holds(lost, peer) {
+			isTaken[peer.Name] = true
+			zones[view[peer.Name].Zone]++
 		}
 	}
-	var spare *wire.Peer
-	fewest := 0
-	for _, m := range cores {
-		peer := wire.Peer{Name: m.Name, Birth: m.Birth}
-		if named[m.Name] {
-			continue
+	cores := t.fleetCores()
+	take := func(out wire.Peer, isFit func(wire.Member) bool) bool {
+		var best *wire.Member
+		for _, m := range cores {
+			if !isTaken[m.Name] && isFit(m) && (best == nil || zones[m.Zone] < zones[best.Zone]) {
+				best = &m
+			}
 		}
-		isBack := lost != nil && lost.Name == m.Name
-		if lost != nil && !isBack && !isGone(view, *lost, t.p.r.Props.PactGone) {
-			continue
-		}
-		if spare == nil || isBack || zones[m.Zone] < fewest {
-			spare, fewest = &peer, zones[m.Zone]
+		if best == nil {
+			return false
 		}
-		if isBack {
-			break
+		isTaken[best.Name] = true
+		zones[best.Zone]++
+		wanted = append(wanted, replacement{in: wire.Peer{Name: best.Name, Birth: best.Birth}, out: out})
+		return true
+	}
+	isLost := map[mark.Name]bool{}
+	for _, out := range lost {
+		isLost[out.Name] = true
+	}
+	for _, out := range lost {
+		isBack := take(out, func(m wire.Member) bool { return m.Name == out.Name })
+		if !isBack && isGone(view, out, t.p.r.Props.PactGone) {
+			take(out, func(m wire.Member) bool { return !isLost[m.Name] })
 		}
 	}
-	switch {
-	case lost != nil && spare != nil:
-		if t.catchUpLearner(*spare) {
-			t.changeGroup(without(group, *lost))
+	if size := Size(t.no, len(cores), t.p.r.Props.PactLosses); len(lost) == 0 && len(group) < size {
+		take(wire.Peer{}, func(wire.Member) bool { return true })
+	}
+	return wanted
+}
+
+// fleetCores is the core nodes of this fleet that seem live.
+func (t *Part) fleetCores() (cores []wire.Member) {
+	for _, m := range t.p.k.Cores() {
+		if m.Fleet == t.p.fleet() {
+			cores = append(cores, m)
 		}
-	case lost == nil && spare != nil && len(group) < Size(t.no, len(cores), t.p.r.Props.PactLosses):
-		if t.catchUpLearner(*spare) {
-			t.changeGroup(append(append([]wire.Peer(nil), group...), *spare))
+	}
+	return cores
+}
+
+// replace has the newcomers catch up side by side, and puts those that did into
+// the group in one change.
+func (t *Part) replace(group []wire.Peer, wanted []replacement) {
+	caughtUp := make([]bool, len(wanted))
+	var all sync.WaitGroup
+	for i, r := range wanted {
+		all.Add(1)
+		t.p.r.Go(func() {
+			defer all.Done()
+			caughtUp[i] = t.catchUpLearner(r.in)
+		})
+	}
+	all.Wait()
+	next := slices.Clone(group)
+	for i, r := range wanted {
+		if caughtUp[i] {
+			next = append(without(next, r.out), r.in)
 		}
-	case lost == nil:
-		t.returnOwnership(group)
+	}
+	if slices.Equal(next, group) {
+		return
+	}
+	if t.changeVoters(Voters{Current: next, Former: group}) {
+		t.changeVoters(Voters{Current: next})
 	}
 }
 
@@ -85,7 +162,7 @@
 	}
 	ctx, end := context.WithTimeout(t.p.r, time.Second)
 	defer end()
-	index, _, err := t.propose(ctx, wire.Entry{Kind: "own"})
+	index, _, err := t.propose(ctx, wire.Entry{Kind: ownEntry})
 	if err != nil {
 		return
 	}
@@ -131,7 +208,8 @@
 	return rest
 }
 
-// catchUpLearner replicating a learner until it is close behind.
+// catchUpLearner feeds a learner until it is close behind, as long as it comes
+// closer.
 func (t *Part) catchUpLearner(peer wire.Peer) bool {
 	t.mu.Lock()
 	if !t.isServing {
@@ -139,36 +217,43 @@
 		return false
 	}
 	t.startReplicating(peer)
+	reached, since := t.match[peer], t.p.r.Now()
 	t.mu.Unlock()
-	for range 40 {
+	for t.p.r.Since(since) < learnerRest {
 		t.mu.Lock()
 		last, _ := t.last()
-		isClose := t.isServing && t.match[peer] > 0 && t.match[peer]+16 >= last
+		now, isServing := t.match[peer], t.isServing
 		t.mu.Unlock()
-		if isClose {
+		switch {
+		case !isServing:
+			return false
+		case now > 0 && now+learnerBehind >= last:
 			return true
+		case now > reached:
+			reached, since = now, t.p.r.Now()
 		}
-		if !t.p.r.Pause(50 * time.Millisecond) {
+		if !t.p.r.Pause(learnerPause) {
 			return false
 		}
 	}
 	return false
 }
 
-// changeGroup writes a new group that differs by one member.
-func (t *Part) changeGroup(group []wire.Peer) {
-	ctx, end := context.WithTimeout(t.p.r, 3*time.Second)
+// changeVoters writes one step of a change, and tells whether it is committed.
+func (t *Part) changeVoters(next Voters) bool {
+	ctx, end := context.WithTimeout(t.p.r, changeTime)
 	defer end()
-	t.propose(ctx, wire.Entry{Kind: "group", Group: group})
+	_, _, err := t.propose(ctx, wire.Entry{Kind: groupEntry, Group: next.Current, Former: next.Former})
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.isOwner {
-		return
+		return false
 	}
 	for peer := range t.replicating {
-		if !holds(t.group, peer) && t.commit >= t.groupAt {
+		if !t.voters.Holds(peer) && t.commit >= t.votersAt {
 			delete(t.replicating, peer)
 		}
 	}
 	t.replicateToAll()
+	return err == nil
 }
--- /dev/null
+++ b/internal/consensus/model/conformance.go
@@ -0,0 +1,147 @@
+package model
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// Invariants that only running code can break, beside those of the walk.
+const (
+	VoteWithoutPromise = "a vote counts that was not promised under this term"
+	NoMajority         = "an owner was chosen by no majority of its voters"
+	PromiseWentDown    = "a disk promised a lower term than before"
+)
+
+// Conformance holds the steps of running nodes against the invariants of the
+// model, as they happen.
+type Conformance struct {
+	// Breached is called with every broken invariant.
+	Breached func(invariant, detail string)
+
+	mu    sync.Mutex
+	parts map[mark.Part]*observed
+	Steps int
+}
+
+// observed is what the steps of one part have shown so far.
+type observed struct {
+	promised  map[wire.Peer]mark.Term
+	owners    map[mark.Term]wire.Peer
+	committed map[mark.Stamp]committedEntry
+	newest    mark.Stamp // the highest index that an owner has committed
+	voters    consensus.Voters
+	votersAt  mark.Stamp
+}
+
+type committedEntry struct {
+	term mark.Term // of the entry
+	by   mark.Term // of the first owner that committed it; none if a member told first
+	at   time.Time
+}
+
+func newObserved() *observed {
+	return &observed{promised: map[wire.Peer]mark.Term{}, owners: map[mark.Term]wire.Peer{}, committed: map[mark.Stamp]committedEntry{}}
+}
+
+// Observe takes one step of a node; steps that are no Trace are passed over.
+func (c *Conformance) Observe(step any) {
+	trace, ok := step.(consensus.Trace)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Steps++
+	if c.parts == nil {
+		c.parts = map[mark.Part]*observed{}
+	}
+	o := c.parts[trace.Part]
+	if o == nil {
+		o = newObserved()
+		c.parts[trace.Part] = o
+	}
+	breach := func(invariant, format string, args ...any) {
+		c.Breached(invariant, fmt.Sprintf("part %d, %s, term %s: ", trace.Part, trace.Member.Name, trace.Term)+fmt.Sprintf(format, args...))
+	}
+	switch trace.Kind {
+	case consensus.TracePromised:
+		o.promise(trace, breach)
+	case consensus.TraceElected:
+		o.elect(trace, breach)
+	case consensus.TraceCommitted:
+		o.commit(trace, breach)
+	case consensus.TraceRead:
+		o.read(trace, breach)
+	}
+}
+
+type breachFunc func(invariant, format string, args ...any)
+
+func (o *observed) promise(step consensus.Trace, breach breachFunc) {
+	if step.Term.Less(o.promised[step.Member]) {
+		breach(PromiseWentDown, "it had promised %s", o.promised[step.Member])
+	}
+	o.promised[step.Member] = step.Term
+}
+
+func (o *observed) elect(step consensus.Trace, breach breachFunc) {
+	if other, isKnown := o.owners[step.Term]; isKnown {
+		breach(OwnersOfOneTerm, "it was %s's", other.Name)
+	}
+	o.owners[step.Term] = step.Member
+	if !step.Voters.IsDecidedBy(step.Granted) {
+		breach(NoMajority, "%v of %s", step.Granted, step.Voters)
+	}
+	for _, peer := range step.Granted {
+		if o.promised[peer].Less(step.Term) {
+			breach(VoteWithoutPromise, "%s had promised %s", peer.Name, o.promised[peer])
+		}
+	}
+	for index, entry := range o.committed {
+		if !entry.by.Less(step.Term) || entry.by == (mark.Term{}) {
+			continue
+		}
+		if index > step.Index {
+			breach(AckedLost, "entry %d of %s, its log ends at %d", index, entry.term, step.Index)
+		} else if has, isThere := step.TermAt(index); isThere && has != entry.term {
+			breach(AckedLost, "entry %d is of %s, not of %s", index, has, entry.term)
+		}
+	}
+}
+
+func (o *observed) commit(step consensus.Trace, breach breachFunc) {
+	entry, isKnown := o.committed[step.Index]
+	if isKnown && entry.term != step.EntryTerm {
+		breach(CommittedDiffer, "entry %d is of %s, and of %s elsewhere", step.Index, step.EntryTerm, entry.term)
+		return
+	}
+	if !isKnown {
+		entry = committedEntry{term: step.EntryTerm, at: time.Now()}
+	}
+	if step.IsOwner && entry.by == (mark.Term{}) {
+		entry.by, entry.at = step.Term, time.Now()
+		o.newest = max(o.newest, step.Index)
+	}
+	o.committed[step.Index] = entry
+	if step.IsChange && step.Index > o.votersAt {
+		if o.votersAt > 0 && !consensus.Meet(o.voters, step.Voters) {
+			breach(GroupsDontMeet, "entry %d: %s after %s", step.Index, step.Voters, o.voters)
+		}
+		o.voters, o.votersAt = step.Voters, step.Index
+	}
+}
+
+// read demands that what was committed before a read began is answered from.
+func (o *observed) read(step consensus.Trace, breach breachFunc) {
+	for index := o.newest; index > step.Index; index-- {
+		if entry := o.committed[index]; entry.by != (mark.Term{}) && entry.at.Before(step.Since) {
+			breach(ReadIsOld, "answered up to %d, entry %d was committed under %s %s before", step.Index, index, entry.by, step.Since.Sub(entry.at))
+			return
+		}
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -103,6 +103,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !part.isInvitedBy(ask) {
+			return nil, fault.New(fault.NotOwner, "part %d: the invitation is of an old term", ask.Part)
+		}
 		p.r.Go(func() { part.campaign(true) })
 		return struct{}{}, nil
 	})
@@ -236,7 +239,7 @@
 func (p *Node) showKeeping() {
 	t := p.parts[mark.Config]
 	t.mu.Lock()
-	keeps := holds(t.group, p.me)
+	keeps := t.voters.Holds(p.me)
 	t.mu.Unlock()
 	if p.k.Me().Keeps != keeps {
 		p.k.Amend(func(m *wire.Member) { m.Keeps = keeps })
@@ -331,13 +334,4 @@
 	return min(size, cores)
 }
 
-func holds(group []wire.Peer, peer wire.Peer) bool {
-	for _, p := range group {
-		if p == peer {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Node) say(e sign.Event, pairs ...any) { p.r.Sign.Say(e, pairs...) }
--- a/internal/consensus/part.go
+++ b/internal/consensus/part.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -19,6 +18,12 @@
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
+// Kinds of entries that are the part's own; all others are the machine's.
+const (
+	ownEntry   = "own"   // the first entry of an owner, and barriers
+	groupEntry = "group" // the voters from here on
+)
+
 type waiter struct {
 	term mark.Term
 	done chan any
@@ -38,13 +43,14 @@
 	entries  []wire.Entry
 	commit   mark.Stamp
 	applied  mark.Stamp
-	group    []wire.Peer
-	groupAt  mark.Stamp
+	voters   Voters
+	votersAt mark.Stamp
 	matched  mark.Stamp
 	matchIn  mark.Term
 	heard    time.Time
 	since    time.Time
 
+	isOutside   bool // was told to be no member any more
 	isOwner     bool
 	isServing   bool
 	served      time.Time
@@ -106,31 +112,48 @@
 		return err
 	}
 	t.commit, t.applied = t.base.Index, t.base.Index
-	t.refreshGroup()
+	t.refreshVoters()
 	return nil
 }
 
-// refreshGroup finds the newest group in the log.
-func (t *Part) refreshGroup() {
-	before := t.groupAt
-	t.group, t.groupAt = t.base.Group, t.base.Index
-	for i := len(t.entries) - 1; i >= 0; i-- {
-		if t.entries[i].Kind == "group" {
-			t.group, t.groupAt = t.entries[i].Group, t.entries[i].Index
-			break
-		}
+// refreshVoters finds the newest voters in the log.
+func (t *Part) refreshVoters() {
+	before := t.votersAt
+	last, _ := t.last()
+	t.voters, t.votersAt = t.votersAsOf(last)
+	if before != t.votersAt {
+		t.p.say(sign.GroupChanged, "part", int(t.no), "members", t.voters.String(), "index", uint64(t.votersAt))
 	}
-	if before != t.groupAt {
-		t.p.say(sign.GroupChanged, "part", int(t.no), "members", names(t.group), "index", uint64(t.groupAt))
+}
+
+// votersAsOf is the voters that the log names at an index, and where it does.
+func (t *Part) votersAsOf(index mark.Stamp) (Voters, mark.Stamp) {
+	for i := int(index - t.base.Index); i > 0; i-- {
+		if e := t.entries[i-1]; e.Kind == groupEntry {
+			return Voters{Current: e.Group, Former: e.Former}, e.Index
+		}
 	}
+	return Voters{Current: t.base.Group, Former: t.base.Former}, t.base.Index
 }
 
-func names(group []wire.Peer) string {
-	text := ""
-	for _, peer := range group {
-		text += fmt.Sprintf("%s/%.4s ", peer.Name, peer.Birth)
+// checkSteps refuses entries that don't follow one another, or of which one changes
+// the voters by more than a step.
+func (t *Part) checkSteps(after mark.Stamp, entries []wire.Entry) error {
+	voters, _ := t.votersAsOf(after)
+	for i, e := range entries {
+		if e.Index != after+1+mark.Stamp(i) {
+			return fault.New(fault.BadMessage, "part %d: entry %d stands where %d should", t.no, e.Index, after+1+mark.Stamp(i))
+		}
+		next := Voters{Current: e.Group, Former: e.Former}
+		if e.Kind != groupEntry {
+			continue
+		}
+		if !voters.mayBecome(next) {
+			return fault.New(fault.BadMessage, "part %d: entry %d skips a step from %s to %s", t.no, e.Index, voters, next)
+		}
+		voters = next
 	}
-	return text
+	return nil
 }
 
 func (t *Part) last() (mark.Stamp, mark.Term) {
@@ -195,7 +218,7 @@
 	raw, _ := json.Marshal(t.base)
 	w.Put(t.key("base"), raw)
 	t.commit, t.applied = s.Index, s.Index
-	t.refreshGroup()
+	t.refreshVoters()
 	return nil
 }
 
@@ -206,24 +229,28 @@
 		if e.Index <= t.base.Index {
 			continue
 		}
-		if term, ok := t.at(e.Index); ok {
-			if term == e.Term {
-				continue
-			}
+		term, isThere := t.at(e.Index)
+		if isThere && term == e.Term {
+			continue
+		}
+		if last, _ := t.last(); e.Index > last+1 {
+			return fault.New(fault.BadMessage, "part %d: entry %d does not follow %d", t.no, e.Index, last)
+		}
+		if err := t.checkSteps(e.Index-1, entries[i:]); err != nil {
+			return err
+		}
+		if isThere {
 			if e.Index <= t.commit {
 				return fault.New(fault.Internal, "part %d: entry %d is committed and differs", t.no, e.Index)
 			}
 			t.cut(w, e.Index-1)
 			t.failWaiters(e.Index)
 		}
-		if last, _ := t.last(); e.Index != last+1 {
-			return fault.New(fault.BadMessage, "part %d: entry %d does not follow %d", t.no, e.Index, last)
-		}
 		t.entries = append(t.entries, entries[i:]...)
 		t.putEntries(w, entries[i:])
 		break
 	}
-	t.refreshGroup()
+	t.refreshVoters()
 	return nil
 }
 
@@ -248,6 +275,7 @@
 	for t.applied < t.commit {
 		e := t.entries[t.applied-t.base.Index]
 		t.applied++
+		t.trace(Trace{Kind: TraceCommitted, Term: t.promised, Index: e.Index, EntryTerm: e.Term, IsOwner: t.isOwner, IsChange: e.Kind == groupEntry, Voters: Voters{Current: e.Group, Former: e.Former}})
 		var receipt any
 		if e.Kind == "" {
 			receipt = t.machine.Apply(e.Index, e.Body)
@@ -278,7 +306,7 @@
 
 // takeSnapshot makes a snapshot of what is folded now.
 func (t *Part) takeSnapshot() {
-	if t.groupAt > t.applied {
+	if t.votersAt > t.applied {
 		return
 	}
 	state, err := t.machine.Dump()
@@ -291,32 +319,19 @@
 		w.Delete(t.entryKey(e.Index))
 	}
 	t.entries = t.after(t.applied)
-	t.base = wire.Snapshot{Index: t.applied, Term: term, Group: t.group, State: state}
+	t.base = wire.Snapshot{Index: t.applied, Term: term, Group: t.voters.Current, Former: t.voters.Former, State: state}
 	raw, _ := json.Marshal(t.base)
 	w.Put(t.key("base"), raw)
-	t.groupAt = t.applied
+	t.votersAt = t.applied
 	t.p.store.Hand(w)
 }
 
-// majorityOf is the value that more than half of the group reach.
-func majorityOf(group []wire.Peer, values func(wire.Peer) int64) int64 {
-	if len(group) == 0 {
-		return -1
-	}
-	var all []int64
-	for _, peer := range group {
-		all = append(all, values(peer))
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i] > all[j] })
-	return all[len(group)/2]
-}
-
 // count commits what a majority has synced under the owner's own term.
 func (t *Part) count() {
 	if !t.isOwner {
 		return
 	}
-	index := mark.Stamp(majorityOf(t.group, func(peer wire.Peer) int64 { return int64(t.match[peer]) }))
+	index := mark.Stamp(t.voters.Reached(func(peer wire.Peer) int64 { return int64(t.match[peer]) }))
 	if term, ok := t.at(index); ok && term == t.promised && index > t.commit {
 		t.advance(index)
 	}
@@ -357,6 +372,7 @@
 	IsOwner   bool
 	IsServing bool
 	Group     []wire.Peer
+	Former    []wire.Peer // not empty while a change of members is under way
 	Age       time.Duration
 }
 
@@ -364,7 +380,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last, _ := t.last()
-	o := Status{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.group, Age: -1}
+	o := Status{Part: t.no, Promised: t.promised, Commit: t.commit, Last: last, IsOwner: t.isOwner, IsServing: t.isServing, Group: t.voters.Current, Former: t.voters.Former, Age: -1}
 	if t.isOwner {
 		o.Age = t.p.r.Since(t.confirmed())
 	}
--- /dev/null
+++ b/internal/consensus/part_test.go
@@ -0,0 +1,216 @@
+// One part on one member, driven by messages as they come over the wire: what is
+// damaged, late or skips a step is refused by a numbered event and changes nothing.
+package consensus
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+
+	"github.com/sumactrestle/sumactrestle/internal/lore"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/props"
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// notes is a machine that keeps the bodies of its entries.
+type notes struct{ all []string }
+
+func (n *notes) Apply(_ mark.Stamp, body json.RawMessage) any {
+	n.all = append(n.all, string(body))
+	return nil
+}
+func (n *notes) Dump() (json.RawMessage, error) { return json.Marshal(n.all) }
+func (n *notes) Load(state json.RawMessage) error {
+	var all []string
+	if err := json.Unmarshal(state, &all); err != nil {
+		return err
+	}
+	n.all = all
+	return nil
+}
+
+// onMember runs a test on member A of a part whose first group is A, B and C.
+func onMember(t *testing.T, play func(t *testing.T, part *Part, machine *notes)) {
+	synctest.Test(t, func(t *testing.T) {
+		p, err := props.Load("", map[string]string{"name": "core-A", "zone": "z", "wire.address": "10.0.0.1:7000", "api.address": "10.0.0.1:7001", "data.folder": "/part", "seeds": "10.0.0.2:7000"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk := storage.NewMemStorage()
+		r := realm.New(context.Background(), p, sign.New(io.Discard, "debug", "core-A"), realm.Net{Store: func(string) (storage.Storage, error) { return disk, nil }})
+		defer time.Sleep(time.Minute) // of virtual time: the store closes behind its last task
+		defer r.End()
+		store, err := lore.Open(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		machine := &notes{}
+		node := &Node{r: r, store: store, me: peers("A")[0], owners: map[mark.Part]claimed{}}
+		part := newPart(node, 0, machine)
+		node.parts = []*Part{part}
+		part.base.Group = peers("ABC")
+		part.refreshVoters()
+		play(t, part, machine)
+	})
+}
+
+func term(round uint64) mark.Term { return mark.Term{Round: round, Node: "core-B"} }
+
+func appendOf(round uint64, prev mark.Stamp, entries ...wire.Entry) *wire.AppendAsk {
+	ask := &wire.AppendAsk{Term: term(round), From: peers("B")[0], Prev: prev}
+	if prev > 0 {
+		ask.PrevTerm = term(round)
+	}
+	for i := range entries {
+		entries[i].Index, entries[i].Term = prev+1+mark.Stamp(i), term(round)
+	}
+	ask.Entries = entries
+	return ask
+}
+
+func write(body string) wire.Entry { return wire.Entry{Body: json.RawMessage(body)} }
+
+func group(current, former string) wire.Entry {
+	return wire.Entry{Kind: groupEntry, Group: peers(current), Former: peers(former)}
+}
+
+// refused demands that a message is refused by an event, and changes nothing.
+func refused(t *testing.T, part *Part, machine *notes, what string, send func() error) {
+	t.Helper()
+	before, had := part.Status(), len(machine.all)
+	counted := part.p.r.Sign.Counts()["MessageRefused"]
+	if err := send(); err == nil {
+		t.Errorf("%s: taken", what)
+	}
+	if part.p.r.Sign.Counts()["MessageRefused"] != counted+1 {
+		t.Errorf("%s: no event tells of it", what)
+	}
+	if after := part.Status(); !cmp.Equal(before, after) || len(machine.all) != had {
+		t.Errorf("%s changed the part: %s", what, cmp.Diff(before, after))
+	}
+}
+
+func TestEntriesThatSkipAStepChangeNothing(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		if _, err := part.accept(appendOf(3, 0, wire.Entry{Kind: ownEntry}, write(`1`))); err != nil {
+			t.Fatal(err)
+		}
+		late := write(`2`)
+		gap := appendOf(3, 2, write(`2`), write(`3`))
+		gap.Entries[1].Index = 9
+		for what, ask := range map[string]*wire.AppendAsk{
+			"two members at once without the joint step": appendOf(3, 2, group("ABD", "")),
+			"a joint step from another group":            appendOf(3, 2, group("ABD", "ABE")),
+			"a joint step that is followed by another":   appendOf(3, 2, group("ABD", "ABC"), group("ABE", "ABD")),
+			"a change that ends in another group":        appendOf(3, 2, group("ABD", "ABC"), late, group("ABE", "")),
+			"nobody":                                     appendOf(3, 2, group("", "")),
+			"a gap":                                      gap,
+		} {
+			refused(t, part, machine, what, func() error { _, err := part.accept(ask); return err })
+		}
+		if _, err := part.accept(appendOf(3, 2, group("ABD", "ABC"), write(`2`), group("ABD", ""))); err != nil {
+			t.Errorf("a whole change is refused: %v", err)
+		}
+	})
+}
+
+func TestSnapshotsThatCantBeReadChangeNothing(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		if _, err := part.accept(appendOf(3, 0, wire.Entry{Kind: ownEntry}, write(`1`))); err != nil {
+			t.Fatal(err)
+		}
+		ask := appendOf(3, 9)
+		ask.Snapshot = &wire.Snapshot{Index: 9, Term: term(3), Group: peers("ABC"), State: json.RawMessage(`{"foreign":true}`)}
+		refused(t, part, machine, "a foreign snapshot", func() error { _, err := part.accept(ask); return err })
+		part.mu.Lock()
+		defer part.mu.Unlock()
+		if len(part.entries) != 2 {
+			t.Errorf("%d entries are left of 2", len(part.entries))
+		}
+	})
+}
+
+func TestMessagesOutOfOrderChangeNothing(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		if _, err := part.accept(appendOf(3, 0, wire.Entry{Kind: ownEntry})); err != nil {
+			t.Fatal(err)
+		}
+		future := appendOf(1<<60, 1, write(`1`))
+		refused(t, part, machine, "an entry from the future", func() error { _, err := part.accept(future); return err })
+		refused(t, part, machine, "a candidate from the future", func() error {
+			_, err := part.promise(&wire.PromiseAsk{Term: term(1 << 60), From: peers("B")[0]})
+			return err
+		})
+		if part.isInvitedBy(&wire.InviteAsk{Term: term(2)}) || !part.isInvitedBy(&wire.InviteAsk{Term: term(3)}) {
+			t.Error("an invitation counts that is not of the term in force")
+		}
+		receipt, err := part.accept(appendOf(2, 1, write(`1`)))
+		if err != nil || receipt.Ok || receipt.Promised != term(3) {
+			t.Errorf("an entry of an old term: %+v, %v", receipt, err)
+		}
+	})
+}
+
+// TestARefusedSnapshotLosesNoPromise: the promise that comes with it must be on disk,
+// or the entries of that term would stand above what a restart finds.
+func TestARefusedSnapshotLosesNoPromise(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		ask := appendOf(4, 9)
+		ask.Snapshot = &wire.Snapshot{Index: 9, Term: term(4), Group: peers("ABC"), State: json.RawMessage(`7`)}
+		if _, err := part.accept(ask); err == nil {
+			t.Fatal("a foreign snapshot is taken")
+		}
+		if _, err := part.accept(appendOf(4, 0, wire.Entry{Kind: ownEntry})); err != nil {
+			t.Fatal(err)
+		}
+		again := newPart(part.p, 0, &notes{})
+		if err := again.load(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestARemovedMemberIsToldAndRests(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		ask := appendOf(3, 0, wire.Entry{Kind: ownEntry}, group("ABD", "ABC"), group("ABD", ""))
+		if _, err := part.accept(ask); err != nil {
+			t.Fatal(err)
+		}
+		part.heard = time.Time{}
+		stale := &wire.PromiseAsk{Term: term(9), From: peers("C")[0], Last: 1, LastTerm: term(3)}
+		if receipt, err := part.promise(stale); err != nil || receipt.Outside || !receipt.Granted {
+			t.Fatalf("a change that is not known to be committed shut a member out: %+v, %v", receipt, err)
+		}
+		again := appendOf(10, 3)
+		again.PrevTerm, again.Commit = term(3), 3
+		if _, err := part.accept(again); err != nil {
+			t.Fatal(err)
+		}
+		before := part.Status().Promised
+		stale.Term = term(20)
+		if receipt, err := part.promise(stale); err != nil || receipt.Granted || !receipt.Outside {
+			t.Errorf("a removed member is promised to: %+v, %v", receipt, err)
+		}
+		if part.Status().Promised != before {
+			t.Error("its term ends the owner's")
+		}
+		ahead := &wire.PromiseAsk{Term: term(21), From: peers("C")[0], Last: 9, LastTerm: term(12)}
+		part.heard = time.Time{}
+		if receipt, err := part.promise(ahead); err != nil || !receipt.Granted {
+			t.Errorf("one that may have been put back since is shut out: %+v, %v", receipt, err)
+		}
+		part.noteOutside(true)
+		if !part.isOutside || part.p.r.Sign.Counts()["MemberRemoved"] != 1 {
+			t.Error("a member that was told does not rest")
+		}
+	})
+}
--- a/internal/consensus/prevote.go
+++ b/internal/consensus/prevote.go
@@ -28,7 +28,7 @@
 func (t *Part) hasHeardNobody() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.isOwner && holds(t.group, t.p.me) && t.heard.IsZero() && t.matchIn == mark.Term{}
+	return !t.isOwner && !t.isOutside && t.voters.Holds(t.p.me) && t.heard.IsZero() && t.matchIn == mark.Term{}
 }
 
 // hasOwner tells whether this member owns the part, heard its owner of late, or
@@ -124,10 +124,10 @@
 // member is the first of them.
 func (t *Part) mayCampaignEarly(receipts map[wire.Peer]*wire.PrevoteReceipt) bool {
 	t.mu.Lock()
-	group := t.group
+	voters := t.voters
 	t.mu.Unlock()
 	var there []wire.Peer
-	for _, peer := range group {
+	for _, peer := range voters.All() {
 		receipt := receipts[peer]
 		if peer != t.p.me && receipt == nil {
 			continue
@@ -141,5 +141,5 @@
 		}
 		there = append(there, peer)
 	}
-	return len(there) > len(group)/2 && Order(t.no, there)[0] == t.p.me
+	return voters.IsDecidedBy(there) && Order(t.no, there)[0] == t.p.me
 }
--- a/internal/consensus/repair.go
+++ b/internal/consensus/repair.go
@@ -73,7 +73,7 @@
 	ask := &wire.CompareAsk{Part: t.no, Term: term}
 	t.still(0, term, func(stamp mark.Stamp) { ask.Stamp, ask.Digests = stamp, ranged.Digests() })
 	t.mu.Lock()
-	group := t.group
+	group := t.voters.Current
 	t.mu.Unlock()
 	t.p.kickHeartbeats(group)
 	agree, against := 1, []wire.Member{}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -1,5 +1,5 @@
 // Writing: the owner appends an entry, hands it to its own disk as one vote
-// among the others, and replicating it to each member by a task of its own. A member
+// among the others, and feeds it to each member by a task of its own. A member
 // takes entries only when they follow what it has, and answers once synced.
 package consensus
 
@@ -11,6 +11,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -26,8 +27,8 @@
 	e.Index, e.Term = last+1, t.promised
 	t.entries = append(t.entries, e)
 	t.putEntries(w, []wire.Entry{e})
-	if e.Kind == "group" {
-		t.refreshGroup()
+	if e.Kind == groupEntry {
+		t.refreshVoters()
 	}
 	t.p.store.Hand(w)
 	term := t.promised
@@ -58,7 +59,7 @@
 
 // Barrier returns once everything that is in the log now is committed.
 func (t *Part) Barrier(ctx context.Context) error {
-	_, _, err := t.propose(ctx, wire.Entry{Kind: "own"})
+	_, _, err := t.propose(ctx, wire.Entry{Kind: ownEntry})
 	return err
 }
 
@@ -68,6 +69,10 @@
 		t.mu.Unlock()
 		return 0, nil, fault.New(fault.NotOwner, "part %d", t.no)
 	}
+	if e.Kind == groupEntry && (t.commit < t.votersAt || !t.voters.mayBecome(Voters{Current: e.Group, Former: e.Former})) {
+		t.mu.Unlock()
+		return 0, nil, fault.New(fault.NotOwner, "part %d: the members have changed meanwhile", t.no)
+	}
 	w := t.p.store.Begin()
 	wait := waiter{term: t.promised, done: make(chan any, 1)}
 	last, _ := t.last()
@@ -88,7 +93,7 @@
 }
 
 func (t *Part) replicateToAll() {
-	for _, peer := range t.group {
+	for _, peer := range t.voters.All() {
 		t.startReplicating(peer)
 	}
 }
@@ -199,6 +204,10 @@
 func (t *Part) accept(ask *wire.AppendAsk) (*wire.AppendReceipt, error) {
 	t.mu.Lock()
 	receipt := &wire.AppendReceipt{From: t.p.me, Promised: t.promised}
+	if err := t.checkTerm(ask.Term, ask.From); err != nil {
+		t.mu.Unlock()
+		return nil, err
+	}
 	if ask.Term.Less(t.promised) {
 		t.mu.Unlock()
 		return receipt, nil
@@ -212,10 +221,13 @@
 	if t.matchIn != ask.Term {
 		t.matchIn, t.matched = ask.Term, 0
 	}
-	receipt.Promised = ask.Term
+	receipt.Promised, t.isOutside = ask.Term, false
 	t.heard = t.p.r.Now()
 	if ask.Snapshot != nil && ask.Snapshot.Index > t.commit && !t.contains(ask.Snapshot) {
 		if err := t.install(w, ask.Snapshot); err != nil {
+			// The promise that the batch may bear is in memory already.
+			t.p.store.Hand(w)
+			t.p.say(sign.MessageRefused, "kind", "pact.append", "part", int(t.no), "from", string(ask.From.Name), "cause", err.Error())
 			t.mu.Unlock()
 			return nil, err
 		}
@@ -233,6 +245,8 @@
 		t.p.store.Hand(w)
 		if fault.Is(err, fault.Internal) {
 			t.broken(err.Error(), "from", string(ask.From.Name))
+		} else {
+			t.p.say(sign.MessageRefused, "kind", "pact.append", "part", int(t.no), "from", string(ask.From.Name), "cause", err.Error())
 		}
 		t.mu.Unlock()
 		return nil, err
--- /dev/null
+++ b/internal/consensus/trace.go
@@ -0,0 +1,47 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// TraceKind is what a Trace tells of.
+type TraceKind string
+
+// The steps of a part that a checker can follow.
+const (
+	TracePromised  TraceKind = "promised"  // Term is promised, and synced
+	TraceElected   TraceKind = "elected"   // Granted made the member the owner under Term
+	TraceCommitted TraceKind = "committed" // the entry at Index, of EntryTerm, is committed here
+	TraceRead      TraceKind = "read"      // a read that began at Since may be answered up to Index
+)
+
+// Trace is one step of one part on one member. The simulator holds these steps
+// against the invariants of the protocol; in a running node nobody listens.
+type Trace struct {
+	Kind      TraceKind
+	Part      mark.Part
+	Member    wire.Peer
+	Term      mark.Term
+	Index     mark.Stamp
+	EntryTerm mark.Term
+	IsOwner   bool
+	IsChange  bool // the entry names voters
+	Voters    Voters
+	Granted   []wire.Peer
+	Since     time.Time
+	// TermAt is the term of the entry at an index of the new owner's log; false if
+	// the entry lies below its snapshot. It is called at once only.
+	TermAt func(mark.Stamp) (mark.Term, bool)
+}
+
+// trace tells a listener of a step; the part is locked or its step is over.
+func (t *Part) trace(step Trace) {
+	if t.p.r.Trace == nil {
+		return
+	}
+	step.Part, step.Member = t.no, t.p.me
+	t.p.r.Trace(step)
+}
--- /dev/null
+++ b/internal/consensus/voters_test.go
@@ -0,0 +1,57 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+func peers(names string) (list []wire.Peer) {
+	for _, name := range names {
+		list = append(list, wire.Peer{Name: mark.Name("core-" + string(name)), Birth: "b"})
+	}
+	return list
+}
+
+func TestAJointChangeNeedsBothMajorities(t *testing.T) {
+	joint := Voters{Current: peers("ABD"), Former: peers("ABC")}
+	for some, want := range map[string]bool{"AB": true, "AD": false, "AC": false, "ACD": true, "BCD": true, "CD": false, "ABCD": true, "": false} {
+		if got := joint.IsDecidedBy(peers(some)); got != want {
+			t.Errorf("%q decides: %v", some, got)
+		}
+	}
+	value := map[string]int64{"A": 9, "B": 5, "C": 1, "D": 7}
+	if got := joint.Reached(func(p wire.Peer) int64 { return value[string(p.Name[len(p.Name)-1:])] }); got != 5 {
+		t.Errorf("reached %d, want 5: the former majority is A and B", got)
+	}
+	reborn := wire.Peer{Name: peers("A")[0].Name, Birth: "other"}
+	if joint.IsDecidedBy([]wire.Peer{reborn, peers("B")[0]}) {
+		t.Error("another birth of a member has its vote")
+	}
+}
+
+func TestVotersChangeByOneStep(t *testing.T) {
+	plain := func(names string) Voters { return Voters{Current: peers(names)} }
+	joint := func(names, former string) Voters { return Voters{Current: peers(names), Former: peers(former)} }
+	for _, step := range []struct {
+		from, to Voters
+		want     bool
+	}{
+		{plain("ABC"), joint("ABD", "ABC"), true},
+		{plain("ABC"), joint("DEF", "ABC"), true},
+		{joint("ABD", "ABC"), plain("ABD"), true},
+		{plain("ABC"), plain("AB"), true},
+		{plain("AB"), plain("ABD"), true},
+		{plain("ABC"), plain("ABD"), false},
+		{plain("ABC"), joint("ABD", "ABE"), false},
+		{joint("ABD", "ABC"), plain("ABE"), false},
+		{joint("ABD", "ABC"), plain("ABC"), false},
+		{joint("ABD", "ABC"), joint("ABE", "ABD"), false},
+		{plain("ABC"), plain(""), false},
+	} {
+		if got := step.from.mayBecome(step.to); got != step.want {
+			t.Errorf("%s to %s: %v", step.from, step.to, got)
+		}
+	}
+}
--- a/internal/dream/fleet.go
+++ b/internal/dream/fleet.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/consensus/model"
 	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
@@ -67,13 +68,19 @@
 	hosts   int
 	Faults  []string
 	isLoad  atomic.Bool
-	changes atomic.Int64
+
+	conformance model.Conformance
+	watch       func(m *Machine, step any) // of a test; set before what it waits for
+	changes     atomic.Int64
 }
 
 func NewFleet(seed uint64, shape Shape, log io.Writer) *Fleet {
 	ctx, end := context.WithCancel(context.Background())
 	f := &Fleet{W: NewWorld(seed), H: judge.New(nil), Shape: shape, Log: log, Rand: rand.New(&chance{pcg: rand.NewPCG(seed, 7)}), ctx: ctx, end: end}
 	f.isLoad.Store(true)
+	f.conformance.Breached = func(invariant, detail string) {
+		f.H.Add(judge.Record{Kind: judge.Differ, Note: invariant + ": " + detail})
+	}
 	f.H.Add(judge.Record{Kind: judge.Began, Note: fmt.Sprint("seed ", seed)})
 	for i := range shape.Cores {
 		f.Add(fmt.Sprintf("core%d", i+1), i%shape.Zones, true, false)
@@ -153,6 +160,12 @@
 	journal.Told = m.f.hear
 	here := &atomic.Pointer[seat.Node]{}
 	r := realm.New(m.f.ctx, p, journal, m.network(here))
+	r.Trace = func(step any) {
+		m.f.conformance.Observe(step)
+		if m.f.watch != nil {
+			m.f.watch(m, step)
+		}
+	}
 	node, err := seat.Start(r)
 	if err != nil {
 		m.f.W.Kill(m.IP, false)
--- a/internal/dream/gate_test.go
+++ b/internal/dream/gate_test.go
@@ -28,6 +28,7 @@
 			t.Fatal(err)
 		}
 		play(t, f)
+		f.checkConformance(t)
 	})
 }
 
--- a/internal/dream/replaced_test.go
+++ b/internal/dream/replaced_test.go
@@ -3,6 +3,8 @@
 package dream
 
 import (
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,8 +12,10 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/sign"
 )
 
 // owner is the core node that serves a part, or nil.
@@ -80,6 +84,10 @@
 	return owner, replaced, stayed, spare
 }
 
+// catchUp is the shortest time within which the users count a core node that is back
+// as lost.
+const catchUp = 4 * time.Second
+
 func fiveCores() Shape {
 	shape := one()
 	shape.Cores = 5
@@ -87,6 +95,74 @@
 	return shape
 }
 
+// killAtJointStep takes the power of the owner at the moment at which the first step
+// of a change of a part's voters is committed there.
+func (f *Fleet) killAtJointStep(no mark.Part) <-chan *Machine {
+	killed := make(chan *Machine, 1)
+	var once sync.Once
+	f.watch = func(m *Machine, step any) {
+		trace, ok := step.(consensus.Trace)
+		if !ok || trace.Part != no || !trace.IsOwner || !trace.IsChange || !trace.Voters.IsJoint() {
+			return
+		}
+		once.Do(func() {
+			go func() {
+				m.Kill(true)
+				killed <- m
+			}()
+		})
+	}
+	return killed
+}
+
+func TestAnOwnersDeathLeavesNoReplacementHalfDone(t *testing.T) {
+	inFleet(t, fiveCores(), func(t *testing.T, f *Fleet) {
+		no := mark.PartOf("app/a")
+		time.Sleep(3 * time.Second)
+		owner := f.owner(no)
+		var lost *Machine
+		for _, m := range f.groupOf(owner, no) {
+			if m != owner {
+				lost = m
+			}
+		}
+		killed := f.killAtJointStep(no)
+		f.cutFrom(lost, f.Machines...)
+		select {
+		case m := <-killed:
+			if m != owner {
+				t.Fatalf("%s was the owner, not %s", m.Name, owner.Name)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("no change of voters was begun")
+		}
+		// The owner stays away; the member that was to be replaced is back. One of the
+		// former and one of the new members are left with it.
+		f.W.Heal()
+		if !f.Until(10*time.Second, func() bool {
+			m := f.owner(no)
+			return m != nil && len(m.status(no).Group) == 3 && len(m.status(no).Former) == 0
+		}) {
+			t.Error("the change is not finished by the next owner")
+		}
+	})
+}
+
+func TestTheCopiesOfALostDiskAreMendedSideBySide(t *testing.T) {
+	inFleet(t, five(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		m := f.Of("core2")
+		m.Kill(true)
+		f.W.Disk(m.IP).Wipe()
+		f.up(m)
+		began := time.Now()
+		if !f.Until(catchUp, f.isMended) {
+			t.Fatalf("not mended within %s", catchUp)
+		}
+		t.Logf("all copies mended after %s", time.Since(began))
+	})
+}
+
 func TestAReplacedMemberHidesNoAcknowledgedWrite(t *testing.T) {
 	inFleet(t, fiveCores(), func(t *testing.T, f *Fleet) {
 		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
@@ -128,3 +204,16 @@
 func (m *Machine) status(no mark.Part) consensus.Status {
 	return m.Node().Consensus.Part(no).Status()
 }
+
+// checkConformance fails where a step of a replicated part broke an invariant.
+func (f *Fleet) checkConformance(t *testing.T) {
+	t.Helper()
+	if f.conformance.Steps == 0 {
+		t.Error("no step of a replicated part was seen")
+	}
+	for _, r := range f.H.Records() {
+		if r.Kind == judge.Differ && !strings.HasPrefix(r.Note, sign.PartMended.Text) {
+			t.Error(r.Note)
+		}
+	}
+}
--- a/internal/dream/wire_test.go
+++ b/internal/dream/wire_test.go
@@ -31,12 +31,12 @@
 		before := m.Node().R.Sign.Counts()["MessageRefused"]
 		for line, says := range map[string]string{
 			"what is this":                         "",
-			`{"v":2,"id":1,"kind":"pact.nothing"}`: fmt.Sprint(fault.UnknownKind.No),
-			`{"v":2,"id":2,"kind":"pact.promise","body":{"part":"x"}}`:  fmt.Sprint(fault.BadMessage.No),
-			`{"v":2,"id":3,"kind":"pact.promise","body":{"part":99}}`:   fmt.Sprint(fault.BadMessage.No),
-			`{"v":2,"id":4,"kind":"pact.append","body":{"part":-1}}`:    fmt.Sprint(fault.BadMessage.No),
-			`{"v":2,"id":5,"kind":"seat.pass","body":{"part":400}}`:     fmt.Sprint(fault.BadMessage.No),
-			`{"v":2,"id":6,"kind":"pact.found","body":{"step":"open"}}`: fmt.Sprint(fault.BadMessage.No),
+			`{"v":3,"id":1,"kind":"pact.nothing"}`: fmt.Sprint(fault.UnknownKind.No),
+			`{"v":3,"id":2,"kind":"pact.promise","body":{"part":"x"}}`:  fmt.Sprint(fault.BadMessage.No),
+			`{"v":3,"id":3,"kind":"pact.promise","body":{"part":99}}`:   fmt.Sprint(fault.BadMessage.No),
+			`{"v":3,"id":4,"kind":"pact.append","body":{"part":-1}}`:    fmt.Sprint(fault.BadMessage.No),
+			`{"v":3,"id":5,"kind":"seat.pass","body":{"part":400}}`:     fmt.Sprint(fault.BadMessage.No),
+			`{"v":3,"id":6,"kind":"pact.found","body":{"step":"open"}}`: fmt.Sprint(fault.BadMessage.No),
 			`{"id":7,"kind":"pact.charter"}`:                            fmt.Sprint(fault.WrongVersion.No),
 			`{"v":99,"id":8,"kind":"pact.charter"}`:                     fmt.Sprint(fault.WrongVersion.No),
 			strings.Repeat("x", 100000):                                 "",
--- a/internal/realm/realm.go
+++ b/internal/realm/realm.go
@@ -41,6 +41,9 @@
 	Net   Net
 	Name  mark.Name
 	Times *gauge.Times
+	// Trace is called with the steps of the replicated parts, if it is set; the
+	// simulator holds them against the model.
+	Trace func(step any)
 
 	end context.CancelFunc
 
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -20,6 +20,7 @@
 	StandFailed    = Event{No: 308, Name: "StandFailed", Level: "debug", Text: "standing for a part failed"}
 	PartMended     = Event{No: 309, Name: "PartMended", Level: "warn", Text: "a part's copy differed and was mended"}
 	PartBroken     = Event{No: 310, Name: "PartBroken", Level: "error", Text: "copies of a part contradict one another; the part is given up"}
+	MemberRemoved  = Event{No: 311, Name: "MemberRemoved", Level: "info", Text: "this node is no member of a part any more and rests; its copy is kept"}
 	EpochCommitted = Event{No: 401, Name: "EpochCommitted", Level: "info", Text: "epoch committed"}
 	ChangeAccepted = Event{No: 402, Name: "ChangeAccepted", Level: "info", Text: "change set accepted"}
 	ChangeRefused  = Event{No: 403, Name: "ChangeRefused", Level: "warn", Text: "change set refused"}
@@ -60,6 +61,7 @@
 	StandFailed,
 	PartMended,
 	PartBroken,
+	MemberRemoved,
 	EpochCommitted,
 	ChangeAccepted,
 	ChangeRefused,
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -70,25 +70,28 @@
 	Members []Member `json:"members,omitempty"`
 }
 
-// Entry is one entry of a part's log.
+// Entry is one entry of a part's log; a group entry with former members is the joint step of a change, under which a decision needs a majority of both.
 type Entry struct {
-	Index mark.Stamp      `json:"index"`
-	Term  mark.Term       `json:"term"`
-	Kind  string          `json:"kind,omitempty"`
-	Group []Peer          `json:"group,omitempty"`
-	Body  json.RawMessage `json:"body,omitempty"`
+	Index  mark.Stamp      `json:"index"`
+	Term   mark.Term       `json:"term"`
+	Kind   string          `json:"kind,omitempty"`
+	Group  []Peer          `json:"group,omitempty"`
+	Former []Peer          `json:"former,omitempty"`
+	Body   json.RawMessage `json:"body,omitempty"`
 }
 
-// PromiseAsk asks a member to refuse terms below this one.
+// PromiseAsk asks a member to refuse terms below this one; last tells how far the candidate's log goes.
 type PromiseAsk struct {
-	Part    mark.Part  `json:"part"`
-	Term    mark.Term  `json:"term"`
-	From    Peer       `json:"from"`
-	Commit  mark.Stamp `json:"commit"`
-	Invited bool       `json:"invited,omitempty"`
+	Part     mark.Part  `json:"part"`
+	Term     mark.Term  `json:"term"`
+	From     Peer       `json:"from"`
+	Commit   mark.Stamp `json:"commit"`
+	Last     mark.Stamp `json:"last"`
+	LastTerm mark.Term  `json:"last_term"`
+	Invited  bool       `json:"invited,omitempty"`
 }
 
-// PromiseReceipt is a synced promise with the member's log after the asker's commit, and the group that this log names.
+// PromiseReceipt is a synced promise with the member's log after the asker's commit, and the voters that this log names; outside refuses a candidate that is no member any more.
 type PromiseReceipt struct {
 	Granted  bool       `json:"granted"`
 	Promised mark.Term  `json:"promised"`
@@ -96,6 +99,8 @@
 	LastTerm mark.Term  `json:"last_term"`
 	Last     mark.Stamp `json:"last"`
 	Group    []Peer     `json:"group,omitempty"`
+	Former   []Peer     `json:"former,omitempty"`
+	Outside  bool       `json:"outside,omitempty"`
 	Snapshot *Snapshot  `json:"snapshot,omitempty"`
 	Entries  []Entry    `json:"entries,omitempty"`
 }
@@ -113,10 +118,11 @@
 
 // Snapshot is a part's whole state at an index.
 type Snapshot struct {
-	Index mark.Stamp      `json:"index"`
-	Term  mark.Term       `json:"term"`
-	Group []Peer          `json:"group"`
-	State json.RawMessage `json:"state"`
+	Index  mark.Stamp      `json:"index"`
+	Term   mark.Term       `json:"term"`
+	Group  []Peer          `json:"group"`
+	Former []Peer          `json:"former,omitempty"`
+	State  json.RawMessage `json:"state"`
 }
 
 // AppendAsk carries entries from an owner to a member.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,7 +22,7 @@
 
 // Version is what the messages mean. It grows when a message no longer means to an
 // older build what it means to this one; peers of another version are refused.
-const Version = 2
+const Version = 3
 
 // Call is an ask as its handler sees it.
 type Call struct {
