A core node without word of a majority hands nothing out and says so at once

Cause: listener and fetch of named groups answered from the member's own copy whoever led; an owner counted as known for a fixed 3 s; calls at a node that knew of no owner were held until they timed out (0.5 s and more). Change: setting pact.contact (2 s): past it without word of an owner that has a majority, listener, named groups and full fetch give nothing, and calls are answered 'ask another node' (3001, 503; a change set, which may be a repeat, stays unknown) at once. A listener that has nothing to give is held as before, so running proxies see no errors by it. Ruled out: ages in every claim (they differ each time, which the short form of heartbeats lives on not happening); ending held listeners at the loss of contact (no answer is given out there, and a return of the whole core would meet proxies in their long pause). Test: owner and follower cut off inward, outward, both ways and with a third of the callers, each kind of call and of message; a proxy that starts there is not ready. Seen failing: listener and named groups were given out, calls took 0.5 s.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -72,6 +72,7 @@
 	}
 	t.stepDown("a higher term stands")
 	t.promised = ask.Term
+	t.trace(Trace{Kind: TraceRaised, Term: ask.Term})
 	t.matchIn, t.matched = ask.Term, 0
 	t.since = t.p.r.Now()
 	w := t.p.store.Begin()
@@ -146,6 +147,7 @@
 	round := max(t.promised.Round, t.seen) + 1
 	term := mark.Term{Round: round, Node: t.p.me.Name}
 	t.promised, t.matchIn, t.matched = term, term, 0
+	t.trace(Trace{Kind: TraceRaised, Term: term})
 	t.since = t.p.r.Now()
 	w := t.p.store.Begin()
 	t.putPromise(w)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -47,6 +47,7 @@
 	claimSets map[wire.Peer]claimSet
 	isBusy    map[mark.Part]bool
 	isGoing   bool
+	started   time.Time
 	Ready     chan struct{}
 }
 
@@ -75,7 +76,7 @@
 func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Node, error) {
 	me := k.Me()
 	p := &Node{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
-		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, Ready: make(chan struct{})}
+		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, started: r.Now(), Ready: make(chan struct{})}
 	for no, machine := range machines {
 		p.parts = append(p.parts, newPart(p, mark.Part(no), machine))
 	}
@@ -200,7 +201,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.owners[no]
-	return c.name, ok && p.r.Since(c.at) < 3*time.Second
+	return c.name, ok && p.r.Since(c.at) < p.r.Props.PactContact
+}
+
+// HasContact tells whether this node knows of late that a majority follows a part's
+// owner: as the owner by the word of the others, else by the word of the owner, which
+// gives the part up when it has none of a majority. A node without contact may hold
+// old state and not know it, so it gives nothing out.
+func (p *Node) HasContact(no mark.Part) bool {
+	if age, isServing := p.parts[no].Age(); isServing {
+		return age < p.r.Props.PactContact
+	}
+	name, isKnown := p.Owner(no)
+	return isKnown && name != p.r.Name
+}
+
+// HasLostContact tells whether contact is lost for so long that a call is better
+// taken to another node than held until it is back.
+func (p *Node) HasLostContact(no mark.Part) bool {
+	if p.HasContact(no) {
+		return false
+	}
+	p.mu.Lock()
+	last := p.owners[no].at
+	p.mu.Unlock()
+	if last.Before(p.started) {
+		last = p.started
+	}
+	return p.r.Since(last) > p.r.Props.PactContact
 }
 
 // supervise is the slow hand: founding, rounds to new peers, standing, membership.
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -216,6 +216,7 @@
 	if t.promised.Less(ask.Term) {
 		t.stepDown("a higher term owns")
 		t.promised = ask.Term
+		t.trace(Trace{Kind: TraceRaised, Term: ask.Term})
 		t.putPromise(w)
 	}
 	if t.matchIn != ask.Term {
--- a/internal/consensus/trace.go
+++ b/internal/consensus/trace.go
@@ -12,6 +12,7 @@
 
 // The steps of a part that a checker can follow.
 const (
+	TraceRaised    TraceKind = "raised"    // the member takes nothing below Term any more; not synced yet
 	TracePromised  TraceKind = "promised"  // Term is promised, and synced
 	TraceElected   TraceKind = "elected"   // Granted made the member the owner under Term
 	TraceCommitted TraceKind = "committed" // the entry at Index, of EntryTerm, is committed here
--- /dev/null
+++ b/internal/dream/contact_test.go
@@ -0,0 +1,195 @@
+// A core node that has no word of a majority hands out nothing that may be old: each
+// kind of call is told at once to ask another node, and nothing is confirmed.
+package dream
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// atOnce is how long a node without contact may take to say so.
+const atOnce = 200 * time.Millisecond
+
+// askWire sends one message to a machine, as a node would.
+func (f *Fleet) askWire(t *testing.T, m *Machine, kind string, ask any) *wire.Frame {
+	t.Helper()
+	conn, err := f.W.Net(f.outside(6)).Dial(f.ctx, m.Wire())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(3 * time.Second))
+	body, _ := json.Marshal(ask)
+	line, _ := json.Marshal(&wire.Frame{V: wire.Version, Id: 1, Kind: kind, Body: body})
+	fmt.Fprintf(conn, "%s\n", line)
+	answer, err := bufio.NewReader(conn).ReadBytes('\n')
+	receipt := &wire.Frame{}
+	if err != nil || json.Unmarshal(answer, receipt) != nil {
+		t.Fatalf("%s is answered %q, %v", kind, answer, err)
+	}
+	return receipt
+}
+
+// givesOut names the messages by which a proxy would get something from a machine.
+func (f *Fleet) givesOut(t *testing.T, m *Machine) (kinds []string) {
+	t.Helper()
+	var some []string
+	for name := range m.Node().Ledger.Sheet().Manifest() {
+		some = append(some, name)
+	}
+	for kind, ask := range map[string]any{
+		"flow.listen": &wire.ListenAsk{Have: map[string]wire.Held{}},
+		"flow.fetch":  &wire.FetchAsk{Groups: some},
+		"flow.pulse":  &wire.PulseAsk{},
+	} {
+		if f.askWire(t, m, kind, ask).Code == 0 {
+			kinds = append(kinds, kind)
+		}
+	}
+	whole := wire.FetchReceipt{}
+	if frame := f.askWire(t, m, "flow.fetch", &wire.FetchAsk{}); frame.Code == 0 && json.Unmarshal(frame.Body, &whole) == nil && whole.Epoch > 0 {
+		kinds = append(kinds, "full fetch")
+	}
+	return kinds
+}
+
+// calls is one of each kind that callers make at a node's own API.
+func (f *Fleet) calls(client *api.Client, beat *api.Beat, change *api.Change) map[string]func() error {
+	return map[string]func() error{
+		"read the configuration": func() error { _, err := client.Epoch(f.ctx); return err },
+		"submit a change":        func() error { _, err := client.Submit(f.ctx, change); return err },
+		"beat":                   func() error { _, err := client.Beat(f.ctx, beat); return err },
+		"put": func() error {
+			_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"x"`)})
+			return err
+		},
+		"get":   func() error { _, err := client.GetKey(f.ctx, api.GetKeyParams{Name: "app/a"}); return err },
+		"count": func() error { _, err := client.AddCounter(f.ctx, &api.Call{Name: "n"}); return err },
+		"lock": func() error {
+			_, err := client.Lock(f.ctx, &api.Call{Name: "l", Holder: api.NewOptString("h"), TTL: api.NewOptInt64(1000)}, api.LockParams{Verb: api.LockVerbAcquire})
+			return err
+		},
+	}
+}
+
+func TestANodeWithoutContactHandsOutNothing(t *testing.T) {
+	for _, manner := range []string{"both ways", "inward", "outward", "with a third of the callers"} {
+		for _, isOwner := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, owner %v", manner, isOwner), func(t *testing.T) {
+				shape := Small()
+				shape.Cores = 5
+				inFleet(t, shape, func(t *testing.T, f *Fleet) { playContact(t, f, manner, isOwner) })
+			})
+		}
+	}
+}
+
+func playContact(t *testing.T, f *Fleet, manner string, isOwner bool) {
+	time.Sleep(3 * time.Second)
+	m := f.owner(mark.Config)
+	if !isOwner {
+		m = follower(f, mark.Config)
+	}
+	if got := f.givesOut(t, m); len(got) != 4 {
+		t.Fatalf("in contact it gives out only %v", got)
+	}
+	f.cutContact(m, manner)
+	time.Sleep(shapeContact)
+	other := f.Of("proxy2")
+	operator := sham.NewOperator(f.W.Net(f.outside(2)), f.H, other.Api())
+	view, err := operator.Epoch(f.ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := operator.Submit(f.ctx, f.setChange(f.Rand, "meanwhile", view)); err != nil {
+		t.Fatal("the others take no change:", err)
+	}
+	if got := f.givesOut(t, m); len(got) > 0 {
+		t.Errorf("without contact it gives out %v", got)
+	}
+	client := sham.Client(f.W.Net(f.outside(1)), m.Api())
+	server := f.Servers("rates")[0]
+	beat := &api.Beat{Service: server.Service, Instance: server.Instance, Seq: 1 << 40, Address: server.Address, Zone: api.NewOptString(server.Zone), Weight: api.NewOptInt(1), State: "serving"}
+	for name, call := range f.calls(client, beat, f.setChange(f.Rand, "cut off", view)) {
+		began := time.Now()
+		err := call()
+		if took := time.Since(began); took > atOnce {
+			t.Errorf("%s: answered after %s", name, took)
+		}
+		// A change may be the repeat of one that was taken, so nothing is said of it.
+		want, outcome := fault.NoOwner.No, "not run"
+		if name == "submit a change" {
+			want, outcome = fault.ChangeUnknown.No, "unknown"
+		}
+		if code := sham.CodeOf(err); code != want || outcomeOf(err) != outcome {
+			t.Errorf("%s: code %d, outcome %q: %v", name, code, outcomeOf(err), err)
+		}
+	}
+	f.W.Heal()
+	if !f.Until(5*time.Second, func() bool { return len(f.givesOut(t, m)) == 4 }) {
+		t.Error("in contact again it gives nothing out")
+	}
+}
+
+// shapeContact is after how long a node must have noticed that it has no contact.
+const shapeContact = 4 * time.Second
+
+// cutContact cuts a core node off from the other core nodes.
+func (f *Fleet) cutContact(m *Machine, manner string) {
+	for _, other := range f.Cores() {
+		if other == m {
+			continue
+		}
+		if manner != "inward" {
+			f.W.Cut(m.IP, other.IP)
+		}
+		if manner != "outward" {
+			f.W.Cut(other.IP, m.IP)
+		}
+	}
+	if manner == "with a third of the callers" {
+		f.cutFrom(m, f.Of("proxy2"))
+		f.cutFrom(f.Of("proxy1"), f.some(func(o *Machine) bool { return o != m })...)
+	}
+}
+
+func TestAProxyThatReachesOnlyANodeWithoutContactIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shape := stays(Small())
+		shape.Cores = 5
+		f := NewFleet(1, shape, io.Discard)
+		defer f.Close()
+		if err := f.Boot(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		m, proxy := follower(f, mark.Config), f.Of("proxy1")
+		proxy.Kill(false)
+		f.cutContact(m, "with a third of the callers")
+		time.Sleep(shapeContact)
+		f.up(proxy)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if err := proxy.Node().Ready(); err == nil {
+				t.Fatal("ready without a plan that a majority stands behind")
+			}
+		}
+		f.W.Heal()
+		if !f.Until(10*time.Second, func() bool { return proxy.Node().Ready() == nil }) {
+			t.Error("not ready after the cut")
+		}
+	})
+}
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -76,6 +76,9 @@
 		change := s.p.Part(mark.Config).Watch()
 		sheet := s.ledger.Sheet()
 		if sheet.Epoch > ask.Epoch {
+			if err := s.checkContact(); err != nil {
+				return nil, err
+			}
 			receipt := differ(sheet, have)
 			receipt.Age = sheet.Age().Milliseconds()
 			if ask.Small {
@@ -95,6 +98,14 @@
 	}
 }
 
+// checkContact refuses to give out what may be old: the asker takes another node.
+func (s *Server) checkContact() error {
+	if s.p.HasContact(mark.Config) {
+		return nil
+	}
+	return fault.New(fault.NoOwner, "no word of a majority of the configuration part")
+}
+
 // along sends differences with the receipt if all of them are small.
 func (s *Server) along(sheet *plan.Sheet, have map[string]wire.Held, receipt *wire.ListenReceipt) {
 	groups := map[string]wire.Group{}
--- a/internal/flow/whole.go
+++ b/internal/flow/whole.go
@@ -177,6 +177,9 @@
 	if len(ask.Groups) == 0 {
 		return s.fetchAll(c, ask.Packs)
 	}
+	if err := s.checkContact(); err != nil {
+		return nil, err
+	}
 	sheet := s.ledger.Sheet()
 	receipt := &wire.FetchReceipt{Epoch: sheet.Epoch, Groups: map[string]wire.Group{}}
 	for _, name := range ask.Groups {
@@ -216,7 +219,7 @@
 func (s *Server) fetchAll(c *wire.Call, isPacked bool) (any, error) {
 	// A member that was just started holds what its last snapshot holds, until an
 	// owner has told it how far the log is committed.
-	if _, isOwned := s.p.Owner(mark.Config); !isOwned {
+	if s.checkContact() != nil {
 		return &wire.FetchReceipt{}, nil
 	}
 	return s.hand(c, s.ledger.Sheet(), isPacked)
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -26,6 +26,7 @@
 	PactSilence     time.Duration // silence of an owner after which the next in order stands
 	PactLosses      int           // how many core nodes may be lost at once; a data part has twice as many members and one
 	PactGone        time.Duration // how long a core node may be gone before a spare replaces it
+	PactContact     time.Duration // how long a core node that has no word of a part's owner, or an owner that has none of a majority, still takes calls for it and gives out what it holds
 	PactSnapshot    int           // entries between two snapshots of a part
 	PlanSilence     time.Duration // silence after which a target is taken out; about three beats
 	PlanSettle      time.Duration // how long a new owner of a part listens to beats before its word counts
@@ -103,6 +104,7 @@
 	{key: "pact.silence", kind: "duration", fallback: "700ms", low: "100ms", high: "10s", doc: "silence of an owner after which the next in order stands", set: func(p *Props, v any) { p.PactSilence = v.(time.Duration) }},
 	{key: "pact.losses", kind: "int", fallback: "1", low: "1", high: "4", doc: "how many core nodes may be lost at once; a data part has twice as many members and one", set: func(p *Props, v any) { p.PactLosses = v.(int) }},
 	{key: "pact.gone", kind: "duration", fallback: "30s", low: "1s", high: "24h", doc: "how long a core node may be gone before a spare replaces it", set: func(p *Props, v any) { p.PactGone = v.(time.Duration) }},
+	{key: "pact.contact", kind: "duration", fallback: "2s", low: "500ms", high: "1h", doc: "how long a core node that has no word of a part's owner, or an owner that has none of a majority, still takes calls for it and gives out what it holds", set: func(p *Props, v any) { p.PactContact = v.(time.Duration) }},
 	{key: "pact.snapshot", kind: "int", fallback: "2000", low: "10", high: "1000000", doc: "entries between two snapshots of a part", set: func(p *Props, v any) { p.PactSnapshot = v.(int) }},
 	{key: "plan.silence", kind: "duration", fallback: "900ms", low: "200ms", high: "5m", doc: "silence after which a target is taken out; about three beats", set: func(p *Props, v any) { p.PlanSilence = v.(time.Duration) }},
 	{key: "plan.settle", kind: "duration", fallback: "450ms", low: "50ms", high: "5m", doc: "how long a new owner of a part listens to beats before its word counts", set: func(p *Props, v any) { p.PlanSettle = v.(time.Duration) }},
--- a/internal/seat/pass.go
+++ b/internal/seat/pass.go
@@ -31,6 +31,9 @@
 	held, began := heldCall(o), n.R.Now()
 	var problem error
 	for try := 0; ctx.Err() == nil; try++ {
+		if n.Consensus != nil && n.Consensus.HasLostContact(o.part) {
+			return fault.New(fault.NoOwner, "part %d: no word of a majority here; ask another node", o.part)
+		}
 		if held != nil && try > 0 {
 			rest := *held
 			rest.Hold = max(0, held.Hold-n.R.Since(began).Milliseconds())
