Founding outlives a founder's lost disk; a member that is needed stays for a while

Cause: a founder that lost its disk between accepting a charter and its opening left a charter that names a birth which is gone; nobody could open it, and no fleet was ever founded. And a member told to go ended at once, also while another was down and its vote made the majority. Change: a charter whose members are the founders under other births is given up for a fresh one, once all founders have promised and none has one open; until a charter is open a node has no vote and takes no entries, so nothing can have been written under the one given up. A node that goes hands its ownerships on and keeps its vote while some part has no majority of members beside it that are not even suspected, for six tenths of its time to stop at most. Ruled out: carrying on the old charter with the new birth put in (the promises were for its round, and the birth would differ from what others accepted); counting suspected members as there (a member lost power 1.2 s before was).

--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -73,6 +73,12 @@
 	if !ok {
 		return
 	}
+	if isReborn(charter.Members, founders) {
+		// A founder lost its disk before the charter opened. All founders have promised
+		// now, none of them has it open, and none takes part in anything while it is not:
+		// nothing can have been written under it.
+		charter = &wire.Charter{Fleet: mark.NewID(), Members: founders, Parts: mark.Parts}
+	}
 	charter.Round = round
 	if _, ok := p.askAll(charter.Members, &wire.FoundAsk{Step: "accept", Round: round, Charter: charter, From: p.me}); !ok {
 		return
@@ -82,6 +88,24 @@
 	p.askAll(charter.Members, &wire.FoundAsk{Step: "open", Round: round, Charter: &opened, From: p.me})
 }
 
+// isReborn tells whether two lists name the same nodes, of which one at least has
+// another birth now.
+func isReborn(members, founders []wire.Member) bool {
+	births := map[mark.Name]mark.Birth{}
+	for _, m := range members {
+		births[m.Name] = m.Birth
+	}
+	isOther := false
+	for _, m := range founders {
+		birth, isThere := births[m.Name]
+		if !isThere {
+			return false
+		}
+		isOther = isOther || birth != m.Birth
+	}
+	return isOther && len(members) == len(founders)
+}
+
 // askAll is true only if every one agreed.
 func (p *Node) askAll(founders []wire.Member, ask *wire.FoundAsk) ([]*wire.FoundReceipt, bool) {
 	ctx, end := context.WithTimeout(p.r, foundTime)
@@ -177,6 +201,9 @@
 	if err := w.Wait(); err != nil {
 		return err
 	}
+	if p.r.Trace != nil {
+		p.r.Trace(CharterTrace{IsOpen: charter.Open})
+	}
 	if charter.Open {
 		p.enter(charter)
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	handle(w, "pact.promise", func(c *wire.Call, ask *wire.PromiseAsk) (any, error) {
-		part, err := p.part(ask.Part)
+		part, err := p.openPart(ask.Part)
 		if err != nil {
 			return nil, err
 		}
@@ -92,7 +92,7 @@
 	})
 	handle(w, "pact.prevote", func(c *wire.Call, ask *wire.PrevoteAsk) (any, error) { return p.answerPrevote(ask), nil })
 	handle(w, "pact.append", func(c *wire.Call, ask *wire.AppendAsk) (any, error) {
-		part, err := p.part(ask.Part)
+		part, err := p.openPart(ask.Part)
 		if err != nil {
 			return nil, err
 		}
@@ -139,6 +139,16 @@
 	return p.parts[no], nil
 }
 
+// openPart is a part of a fleet whose charter is open here. Before that this node has
+// no vote: the charter may yet be given up for another.
+func (p *Node) openPart(no mark.Part) (*Part, error) {
+	part, err := p.part(no)
+	if err == nil && p.Charter() == nil {
+		err = fault.New(fault.NotOwner, "part %d: no charter is open here", no)
+	}
+	return part, err
+}
+
 // Part is one of the parts; the number is known to be right.
 func (p *Node) Part(no mark.Part) *Part { return p.parts[no] }
 
@@ -312,6 +322,44 @@
 		}
 	}
 	all.Wait()
+	p.awaitOthers(ctx)
+}
+
+// A node that goes stays a voter for this share of its time to stop, as long as the
+// others would be no majority without it.
+const awaitShare = 0.6
+
+// awaitOthers waits until the other live members decide in every part without this
+// one, or until the time for it is over.
+func (p *Node) awaitOthers(ctx context.Context) {
+	began, longest := p.r.Now(), time.Duration(awaitShare*float64(p.r.Props.StopGrace))
+	for ctx.Err() == nil && p.r.Since(began) < longest && p.isNeeded() {
+		if !p.r.Pause(50 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// isNeeded tells whether some part has no majority of members beside this node that
+// are live and not even suspected.
+func (p *Node) isNeeded() bool {
+	view := p.k.View()
+	for _, t := range p.parts {
+		t.mu.Lock()
+		voters := t.voters
+		t.mu.Unlock()
+		var others []wire.Peer
+		for _, peer := range voters.All() {
+			m := view[peer.Name]
+			if peer != p.me && m.Birth == peer.Birth && m.State == kin.Alive {
+				others = append(others, peer)
+			}
+		}
+		if voters.Holds(p.me) && !voters.IsDecidedBy(others) {
+			return true
+		}
+	}
+	return false
 }
 
 // Order is the agreed order of a part's group.
--- a/internal/consensus/trace.go
+++ b/internal/consensus/trace.go
@@ -38,6 +38,9 @@
 	TermAt func(mark.Stamp) (mark.Term, bool)
 }
 
+// CharterTrace is a charter that a node has synced, accepted or open.
+type CharterTrace struct{ IsOpen bool }
+
 // trace tells a listener of a step; the part is locked or its step is over.
 func (t *Part) trace(step Trace) {
 	if t.p.r.Trace == nil {
--- a/internal/dream/found_test.go
+++ b/internal/dream/found_test.go
@@ -7,9 +7,16 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
 )
 
 // fleets is the charters in force, and how many core nodes have one.
@@ -85,3 +92,70 @@
 		}
 	})
 }
+
+// TestAFounderThatLosesItsDiskBeforeTheOpening: the others have accepted a charter
+// that names a birth which is gone; the fleet is founded all the same, once.
+func TestAFounderThatLosesItsDiskBeforeTheOpening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(1, Small(), io.Discard)
+		defer f.Close()
+		victim := f.Of("core2")
+		accepted := make(chan struct{})
+		var once sync.Once
+		f.watch = func(m *Machine, step any) {
+			if charter, ok := step.(consensus.CharterTrace); ok && m == victim && !charter.IsOpen {
+				for _, other := range f.Cores() {
+					f.W.Cut(victim.IP, other.IP)
+				}
+				once.Do(func() { close(accepted) })
+			}
+		}
+		for _, m := range f.Cores() {
+			f.up(m)
+		}
+		<-accepted
+		victim.Kill(true)
+		f.W.Disk(victim.IP).Wipe()
+		f.watch = nil
+		time.Sleep(3 * time.Second) // of virtual time, in which the answer is given up
+		f.W.Heal()
+		f.up(victim)
+		if !f.Until(15*time.Second, func() bool { _, n := fleets(f); return n == 3 }) {
+			t.Fatal("the fleet is not founded")
+		}
+		if ids, _ := fleets(f); len(ids) > 1 {
+			t.Errorf("there are %d fleets", len(ids))
+		}
+		if !f.Until(15*time.Second, f.isMended) {
+			t.Error("not every part has an owner")
+		}
+	})
+}
+
+// TestAMemberThatIsNeededStaysForAWhile: while another member is down, one that is
+// told to go keeps its vote until that one is back.
+func TestAMemberThatIsNeededStaysForAWhile(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		f.Of("core1").Kill(true)
+		time.Sleep(2 * time.Second)
+		stopped := make(chan time.Time, 1)
+		go func() {
+			f.Of("core2").Stop()
+			stopped <- time.Now()
+		}()
+		time.Sleep(time.Second)
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("core3").Api())
+		if !f.Until(1500*time.Millisecond, func() bool {
+			_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"x"`)})
+			return err == nil
+		}) {
+			t.Error("no write while two of three run, one of them on its way out")
+		}
+		back := time.Now()
+		f.up(f.Of("core1"))
+		if went := (<-stopped).Sub(back); went > 2*time.Second {
+			t.Errorf("it goes %s after it is not needed any more", went)
+		}
+	})
+}
