--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -36,6 +36,7 @@
 	{Name: "laggard", Shape: Small, Length: 25 * time.Second, Faults: laggard},
 	{Name: "storm", Shape: twice, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(12) }, Faults: storm},
 	{Name: "once", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Stormers(8) }, Faults: func(f *Fleet) { storm(f); kills(f) }},
+	{Name: "rivals", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Rivals(500 * time.Millisecond) }, Faults: takeovers},
 	{Name: "replacements", Shape: replacing, Length: 30 * time.Second, Faults: replacements},
 	{Name: "march", Shape: five, Length: 30 * time.Second, Faults: march},
 	{Name: "acked", Shape: Small, Length: 30 * time.Second, Faults: acked},
--- /dev/null
+++ b/internal/dream/rivals.go
@@ -0,0 +1,95 @@
+// Operators on their worst days: several send different texts under one number at
+// once, their answers are lost, and they send the same again, to other nodes, at once
+// or long after.
+package dream
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// rivals is how many orders are under way at once.
+const rivals = 8
+
+// Rivals starts such operators; what they are told is judged with the versions.
+func (f *Fleet) Rivals(mean time.Duration) {
+	var taken []*wire.Change
+	f.task(func(r *rand.Rand) {
+		pause(r, mean)
+		node := f.anyNode(r)
+		if node == nil {
+			return
+		}
+		view := f.readBackAll(node)
+		if view == nil {
+			return
+		}
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		number := view.Version + 1
+		for range rivals {
+			change, own := numberedChange(r, view.Version), rand.New(rand.NewPCG(r.Uint64(), 1))
+			change.Version = number
+			all.Go(func() {
+				if f.insist(own, change) {
+					mu.Lock()
+					taken = append(taken, change)
+					mu.Unlock()
+				}
+			})
+		}
+		all.Wait()
+		if len(taken) > 0 {
+			f.insist(r, taken[r.IntN(len(taken))])
+		}
+	})
+}
+
+// insist sends an order up to four times, of which the first answers may be lost, and
+// tells whether it was taken.
+func (f *Fleet) insist(r *rand.Rand, change *wire.Change) bool {
+	for try := range 4 {
+		node := f.anyNode(r)
+		if node == nil {
+			return false
+		}
+		limit := 8 * time.Second
+		if try < 2 && r.IntN(2) == 0 {
+			limit = time.Duration(r.Int64N(int64(300 * time.Millisecond)))
+		}
+		switch f.submitWithin(limit, node, change) {
+		case "accepted":
+			return true
+		case "refused":
+			return false
+		}
+		pause(r, 300*time.Millisecond)
+	}
+	return false
+}
+
+// takeovers takes the power of the configuration part's owner, or cuts it off, again
+// and again.
+func takeovers(f *Fleet) {
+	f.nap(300*time.Millisecond, 2*time.Second)
+	owner := ownerOf(f, mark.Config, nil)
+	if owner == nil {
+		return
+	}
+	if f.Rand.IntN(3) == 0 {
+		f.Say("cut %s off", owner.Name)
+		f.isolate([]*Machine{owner})
+		f.nap(200*time.Millisecond, 3*time.Second)
+		f.Say("heal")
+		f.W.Heal()
+		return
+	}
+	f.Say("%s loses power", owner.Name)
+	owner.Kill(true)
+	f.nap(0, 2*time.Second)
+	f.up(owner)
+}
--- /dev/null
+++ b/internal/dream/rivals_test.go
@@ -0,0 +1,69 @@
+package dream
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/fault"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// TestAnOrderSentAgainAfterHundredsOfChanges: it is answered as the first time, through
+// snapshots, takeovers and a lost disk, wherever it comes in.
+func TestAnOrderSentAgainAfterHundredsOfChanges(t *testing.T) {
+	shape := one()
+	shape.Settings["pact.snapshot"] = "60"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		order := func(n int) *wire.Change {
+			over := mark.Version(n)
+			name := fmt.Sprint("numbered-order", n%7)
+			return &wire.Change{Id: fmt.Sprint("order", n), Version: over + 1, Over: &over, Put: wire.Config{Mappings: []wire.Mapping{{Name: name, Path: "/" + name, To: []wire.Split{{Service: "rates", Weight: 1 + n}}, Source: []byte(`{}`)}}}}
+		}
+		submit := func(m *Machine, change *wire.Change) (*wire.ChangeReceipt, error) {
+			var receipt *wire.ChangeReceipt
+			var err error
+			f.Until(10*time.Second, func() bool {
+				ctx, end := context.WithTimeout(f.ctx, time.Second)
+				defer end()
+				receipt, err = m.Node().Submit(ctx, change)
+				return err == nil || fault.Of(err).Code.Outcome == ""
+			})
+			return receipt, err
+		}
+		var first *wire.ChangeReceipt
+		const orders = 300
+		for n := range orders {
+			receipt, err := submit(f.Cores()[n%3], order(n))
+			if err != nil {
+				t.Fatal(n, err)
+			}
+			if n == 0 {
+				first = receipt
+			}
+			if n%70 == 50 {
+				m := f.owner(mark.Config)
+				m.Kill(true)
+				if n%140 == 50 {
+					f.W.Disk(m.IP).Wipe()
+				}
+				f.up(m)
+				f.Until(10*time.Second, f.isMended)
+			}
+		}
+		for _, m := range f.Cores() {
+			again, err := submit(m, order(0))
+			if err != nil || again.Epoch != first.Epoch {
+				t.Errorf("%s: %+v, %v; it was epoch %d", m.Name, again, err, first.Epoch)
+			}
+			other := order(0)
+			other.Put.Mappings[0].To[0].Weight = 999
+			other.Id = "another text"
+			if _, err := submit(m, other); !fault.Is(err, fault.ChangeConflict) {
+				t.Errorf("another text under an old number: %v", err)
+			}
+		}
+	})
+}
--- a/internal/dream/versions.go
+++ b/internal/dream/versions.go
@@ -70,8 +70,14 @@
 }
 
 func (f *Fleet) submitVersion(node *seat.Node, change *wire.Change) string {
+	return f.submitWithin(8*time.Second, node, change)
+}
+
+// submitWithin sends a change and gives it up after a time; it may then be taken, or be
+// on its way.
+func (f *Fleet) submitWithin(limit time.Duration, node *seat.Node, change *wire.Change) string {
 	rec := judge.Record{Kind: judge.Version, Start: f.H.Now(), Name: change.Id, Stamp: uint64(change.Version), From: uint64(*change.Over), Digest: string(change.Put.Mappings[0].Source), Outcome: "accepted", Invalid: change.Put.Mappings[0].To[0].Service == sham.Nowhere}
-	ctx, end := context.WithTimeout(f.ctx, 8*time.Second)
+	ctx, end := context.WithTimeout(f.ctx, limit)
 	defer end()
 	receipt, err := node.Submit(ctx, change)
 	switch {
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,7 @@
 	Targets  = "targets/"
 
 	routeBuckets = 16
-	changesKept  = 4096
+	memoryOfOld  = 4096 // change sets remembered by entries of earlier builds
 )
 
 // bucket is the group that a mapping lies in. Routes are cut into a few groups
@@ -100,11 +101,7 @@
 		if planned.Change.Version > 0 {
 			sheet.Version = planned.Change.Version
 		}
-		changes := append([]wire.ChangeReceipt(nil), old.Changes...)
-		if len(changes) >= changesKept {
-			changes = changes[1:]
-		}
-		sheet.Changes = append(changes, *planned.Change)
+		sheet.Changes = remember(old.Changes, planned.Change, planned.Memory)
 	}
 	l.sheet = sheet
 	if l.past = append(l.past, old); len(l.past) > pastKept {
@@ -117,6 +114,18 @@
 	return true
 }
 
+// remember adds a change set to those that are remembered. How many they may be
+// stands in the entry, so that all members fold the same whatever their settings say.
+func remember(old []wire.ChangeReceipt, change *wire.ChangeReceipt, most int) []wire.ChangeReceipt {
+	if most == 0 {
+		most = memoryOfOld
+	}
+	if len(old) >= most {
+		old = old[len(old)-most+1:]
+	}
+	return append(slices.Clone(old), *change)
+}
+
 // Past is an epoch that was in force lately, or is; nil if it is not kept.
 func (l *Ledger) Past(epoch mark.Epoch) *Sheet {
 	l.mu.RLock()
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -191,7 +191,7 @@
 	}
 	l.mu.Unlock()
 	if change != nil {
-		change.Epoch = planned.Epoch
+		change.Epoch, planned.Memory = planned.Epoch, l.r.Props.PlanMemory
 	}
 	if len(planned.Put)+len(planned.Drop) > 0 || change != nil {
 		_, taken, err := l.part.Propose(ctx, planned)
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -36,6 +36,7 @@
 	PlanGather      time.Duration // how long news of targets is gathered before an epoch is made of it
 	PlanHold        time.Duration // how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard
 	PlanLinger      time.Duration // how long a proxy that went keeps its share
+	PlanMemory      int           // how many change sets are remembered with what became of them; one that is sent again within them is answered as the first time. Each takes some 150 bytes of the configuration's state
 	PlanPoll        time.Duration // pause between two collections of the parts' news
 	FlowHold        time.Duration // how long a listener request is held
 	FlowBehind      time.Duration // with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays
@@ -114,6 +115,7 @@
 	{key: "plan.gather", kind: "duration", fallback: "0s", low: "0s", high: "1s", doc: "how long news of targets is gathered before an epoch is made of it", set: func(p *Props, v any) { p.PlanGather = v.(time.Duration) }},
 	{key: "plan.hold", kind: "duration", fallback: "0s", low: "0s", high: "1s", doc: "how long the word of a drain, a sign-off or a change set waits after it is in force, so that proxies on full links have heard", set: func(p *Props, v any) { p.PlanHold = v.(time.Duration) }},
 	{key: "plan.linger", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "how long a proxy that went keeps its share", set: func(p *Props, v any) { p.PlanLinger = v.(time.Duration) }},
+	{key: "plan.memory", kind: "int", fallback: "4096", low: "256", high: "65536", doc: "how many change sets are remembered with what became of them; one that is sent again within them is answered as the first time. Each takes some 150 bytes of the configuration's state", set: func(p *Props, v any) { p.PlanMemory = v.(int) }},
 	{key: "plan.poll", kind: "duration", fallback: "250ms", low: "20ms", high: "5s", doc: "pause between two collections of the parts' news", set: func(p *Props, v any) { p.PlanPoll = v.(time.Duration) }},
 	{key: "flow.hold", kind: "duration", fallback: "60s", low: "1s", high: "10m", doc: "how long a listener request is held", set: func(p *Props, v any) { p.FlowHold = v.(time.Duration) }},
 	{key: "flow.behind", kind: "duration", fallback: "0s", low: "0s", high: "1h", doc: "with flow.stay: how long a proxy goes on once it can't tell that its epoch is still the newest; 0 is as long as it stays", set: func(p *Props, v any) { p.FlowBehind = v.(time.Duration) }},
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -488,10 +488,11 @@
 	Version mark.Version `json:"version,omitempty"`
 }
 
-// Planned is one entry of the configuration part: a whole epoch, as what differs from the one before.
+// Planned is one entry of the configuration part: a whole epoch, as what differs from the one before; memory is how many change sets all members remember from it on, 0 is an older build's.
 type Planned struct {
 	Epoch  mark.Epoch                 `json:"epoch"`
 	Change *ChangeReceipt             `json:"change,omitempty"`
+	Memory int                        `json:"memory,omitempty"`
 	Put    map[string]json.RawMessage `json:"put,omitempty"`
 	Drop   []string                   `json:"drop,omitempty"`
 }
