--- a/internal/bond/book.go
+++ b/internal/bond/book.go
@@ -7,6 +7,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -270,22 +272,29 @@
 	return list, max(b.applied, from), true
 }
 
-// Dump is the whole state.
-func (b *Book) Dump() (json.RawMessage, error) {
+// Capture takes a copy of the state, to be written out later; values are shared, for
+// they are never written to.
+func (b *Book) Capture() func() (json.RawMessage, error) {
+	state := b.copy()
+	return func() (json.RawMessage, error) {
+		sort.Slice(state.Records, func(i, j int) bool { return less(state.Records[i], state.Records[j]) })
+		return json.Marshal(state)
+	}
+}
+
+func (b *Book) copy() *wire.BondState {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	state := wire.BondState{Events: b.events, Start: b.start, Applied: b.applied}
-	state.Starts = b.starts
+	state := &wire.BondState{Events: slices.Clone(b.events), Start: b.start, Applied: b.applied, Starts: maps.Clone(b.starts)}
 	for _, kind := range b.records {
 		for _, record := range kind {
 			state.Records = append(state.Records, record)
 		}
 	}
-	sort.Slice(state.Records, func(i, j int) bool { return less(state.Records[i], state.Records[j]) })
 	for _, id := range b.order {
 		state.Seen = append(state.Seen, wire.BondSeen{Id: id, Receipt: b.seen[id]})
 	}
-	return json.Marshal(state)
+	return state
 }
 
 // Load replaces the whole state.
--- a/internal/bond/book_test.go
+++ b/internal/bond/book_test.go
@@ -41,7 +41,7 @@
 	if first.Count != 2 || again.Count != 2 || again.Stamp != 1 {
 		t.Fatal(first, again)
 	}
-	raw, err := book.Dump()
+	raw, err := book.Capture()()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/bond/space_test.go
+++ b/internal/bond/space_test.go
@@ -138,7 +138,7 @@
 			}
 		}
 		check(b)
-		raw, err := b.Dump()
+		raw, err := b.Capture()()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -65,6 +65,13 @@
 		t.mu.Unlock()
 		return receipt, nil
 	}
+	if t.isAheadOf(ask) {
+		// The candidate has promised its own term already; only a higher one passes there.
+		t.seen = max(t.seen, ask.Term.Round)
+		t.mu.Unlock()
+		t.p.once(t.no, func() { t.campaign(false) })
+		return receipt, nil
+	}
 	isConfirmed := t.isOwner && !ask.Invited && t.p.r.Since(t.confirmed()) < t.p.r.Props.PactSilence*3/4
 	if !t.promised.Less(ask.Term) || isHeard || isConfirmed {
 		t.mu.Unlock()
@@ -85,8 +92,8 @@
 		snapshot := t.base
 		receipt.Snapshot = &snapshot
 	}
-	if ask.Commit < receipt.Last {
-		receipt.Entries = t.after(ask.Commit)
+	if from := t.sharedWith(ask); from < receipt.Last {
+		receipt.Entries = t.after(from)
 	}
 	t.mu.Unlock()
 	if err := w.Wait(); err != nil {
@@ -105,6 +112,39 @@
 	return isBehind && t.commit >= t.votersAt && !t.voters.Holds(ask.From)
 }
 
+// promiseBytes is how much of a log comes with a promise at most.
+const promiseBytes = 64 << 10
+
+// isAheadOf tells whether a candidate lacks so much of this member's log that it can't
+// come with a promise: a snapshot, or many entries. So this member stands itself, if it
+// can lead.
+func (t *Part) isAheadOf(ask *wire.PromiseAsk) bool {
+	if !t.voters.Holds(t.p.me) || t.isOutside || t.p.IsGoing() {
+		return false
+	}
+	last, lastTerm := t.last()
+	if !ask.LastTerm.Less(lastTerm) && (ask.LastTerm != lastTerm || last <= ask.Last) {
+		return false
+	}
+	if ask.Last < t.base.Index {
+		return true
+	}
+	size := 0
+	for _, e := range t.after(t.sharedWith(ask)) {
+		size += len(e.Body)
+	}
+	return size > promiseBytes
+}
+
+// sharedWith is up to where a candidate surely has the entries of this log: all of its
+// own if this log runs through its last one, else what it knows to be committed.
+func (t *Part) sharedWith(ask *wire.PromiseAsk) mark.Stamp {
+	if term, isThere := t.at(ask.Last); isThere && term == ask.LastTerm {
+		return ask.Last
+	}
+	return ask.Commit
+}
+
 // noteOutside has this member rest until an owner sends it entries again: it was
 // told that it is no member any more. Its copy stays as it is.
 func (t *Part) noteOutside(isOutside bool) {
@@ -275,6 +315,7 @@
 	t.isOwner, t.isServing = true, false
 	t.ctx, t.end = context.WithCancel(t.p.r)
 	t.match, t.acks, t.replicating = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
+	t.progress = map[wire.Peer]time.Time{}
 	for _, peer := range granted {
 		t.acks[peer] = sent
 	}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -217,20 +217,20 @@
 		return false
 	}
 	t.startReplicating(peer)
-	reached, since := t.match[peer], t.p.r.Now()
 	t.mu.Unlock()
-	for t.p.r.Since(since) < learnerRest {
+	for since := t.p.r.Now(); t.p.r.Since(since) < learnerRest; {
 		t.mu.Lock()
 		last, _ := t.last()
-		now, isServing := t.match[peer], t.isServing
+		reached, isServing := t.match[peer], t.isServing
+		if t.progress[peer].After(since) {
+			since = t.progress[peer]
+		}
 		t.mu.Unlock()
 		switch {
 		case !isServing:
 			return false
-		case now > 0 && now+learnerBehind >= last:
+		case reached > 0 && reached+learnerBehind >= last:
 			return true
-		case now > reached:
-			reached, since = now, t.p.r.Now()
 		}
 		if !t.p.r.Pause(learnerPause) {
 			return false
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -26,7 +27,9 @@
 // same on every member; the receipt goes to whoever proposed the entry.
 type Machine interface {
 	Apply(index mark.Stamp, body json.RawMessage) any
-	Dump() (json.RawMessage, error)
+	// Capture takes hold of the state as it is now; what it returns writes it out, while
+	// further entries are applied.
+	Capture() func() (json.RawMessage, error)
 	Load(state json.RawMessage) error
 }
 
@@ -48,6 +51,8 @@
 	isBusy    map[mark.Part]bool
 	isGoing   bool
 	started   time.Time
+	isAsking  atomic.Bool                 // whether to stand
+	transfers map[wire.Peer]chan struct{} // of snapshots, one at a time to each member
 	Ready     chan struct{}
 }
 
@@ -76,7 +81,7 @@
 func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Node, error) {
 	me := k.Me()
 	p := &Node{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
-		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, started: r.Now(), Ready: make(chan struct{})}
+		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, transfers: map[wire.Peer]chan struct{}{}, started: r.Now(), Ready: make(chan struct{})}
 	for no, machine := range machines {
 		p.parts = append(p.parts, newPart(p, mark.Part(no), machine))
 	}
@@ -98,6 +103,13 @@
 		}
 		return part.accept(ask)
 	})
+	handle(w, "pact.chunk", func(c *wire.Call, ask *wire.ChunkAsk) (any, error) {
+		part, err := p.openPart(ask.Part)
+		if err != nil {
+			return nil, err
+		}
+		return part.acceptChunk(ask)
+	})
 	handle(w, "pact.round", func(c *wire.Call, ask *wire.RoundAsk) (any, error) { return p.answerHeartbeat(ask), nil })
 	handle(w, "pact.invite", func(c *wire.Call, ask *wire.InviteAsk) (any, error) {
 		part, err := p.part(ask.Part)
@@ -252,6 +264,7 @@
 		p.keepHeartbeats()
 		p.showKeeping()
 		isStalled := p.store.Stalled() > time.Second
+		var due []*Part
 		for _, part := range p.parts {
 			if isStalled {
 				part.yield("disk stalls")
@@ -259,9 +272,10 @@
 			}
 			part.checkMajority()
 			if part.isElectionDue() {
-				p.once(part.no, func() { part.campaign(false) })
+				due = append(due, part)
 			}
 		}
+		p.campaignFor(due)
 		if isNext++; isNext%5 == 0 && !p.IsGoing() {
 			for _, part := range p.parts {
 				if part.IsServing() {
--- a/internal/consensus/part.go
+++ b/internal/consensus/part.go
@@ -60,6 +60,12 @@
 	match       map[wire.Peer]mark.Stamp
 	acks        map[wire.Peer]time.Time
 	replicating map[wire.Peer]bool
+	progress    map[wire.Peer]time.Time // when each member last got something new
+	sending     int                     // snapshots on their way to members
+	sent        *packedSnapshot
+	isFolding   bool
+	tail        []wire.Entry // the newest entries that the snapshot holds
+	incoming    *incoming
 	waiters     map[mark.Stamp]waiter
 }
 
@@ -214,7 +220,7 @@
 		return fault.New(fault.BadMessage, "part %d: snapshot: %v", t.no, err)
 	}
 	t.cut(w, t.base.Index)
-	t.base = *s
+	t.base, t.tail = *s, nil
 	raw, _ := json.Marshal(t.base)
 	w.Put(t.key("base"), raw)
 	t.commit, t.applied = s.Index, s.Index
@@ -297,35 +303,6 @@
 	t.fold()
 }
 
-// fold makes a snapshot when the log has grown long.
-func (t *Part) fold() {
-	if int(t.applied-t.base.Index) >= t.p.r.Props.PactSnapshot {
-		t.takeSnapshot()
-	}
-}
-
-// takeSnapshot makes a snapshot of what is folded now.
-func (t *Part) takeSnapshot() {
-	if t.votersAt > t.applied {
-		return
-	}
-	state, err := t.machine.Dump()
-	if err != nil {
-		return
-	}
-	term, _ := t.at(t.applied)
-	w := t.p.store.Begin()
-	for _, e := range t.entries[:t.applied-t.base.Index] {
-		w.Delete(t.entryKey(e.Index))
-	}
-	t.entries = t.after(t.applied)
-	t.base = wire.Snapshot{Index: t.applied, Term: term, Group: t.voters.Current, Former: t.voters.Former, State: state}
-	raw, _ := json.Marshal(t.base)
-	w.Put(t.key("base"), raw)
-	t.votersAt = t.applied
-	t.p.store.Hand(w)
-}
-
 // count commits what a majority has synced under the owner's own term.
 func (t *Part) count() {
 	if !t.isOwner {
--- a/internal/consensus/part_test.go
+++ b/internal/consensus/part_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,10 @@
 	n.all = append(n.all, string(body))
 	return nil
 }
-func (n *notes) Dump() (json.RawMessage, error) { return json.Marshal(n.all) }
+func (n *notes) Capture() func() (json.RawMessage, error) {
+	all := slices.Clone(n.all)
+	return func() (json.RawMessage, error) { return json.Marshal(all) }
+}
 func (n *notes) Load(state json.RawMessage) error {
 	var all []string
 	if err := json.Unmarshal(state, &all); err != nil {
@@ -128,9 +132,25 @@
 		if _, err := part.accept(appendOf(3, 0, wire.Entry{Kind: ownEntry}, write(`1`))); err != nil {
 			t.Fatal(err)
 		}
-		ask := appendOf(3, 9)
-		ask.Snapshot = &wire.Snapshot{Index: 9, Term: term(3), Group: peers("ABC"), State: json.RawMessage(`{"foreign":true}`)}
-		refused(t, part, machine, "a foreign snapshot", func() error { _, err := part.accept(ask); return err })
+		good := wire.Snapshot{Index: 9, Term: term(3), Group: peers("ABC"), State: json.RawMessage(`["1","2"]`)}
+		for what, change := range map[string]func(s *wire.Snapshot, ask *wire.ChunkAsk){
+			"a foreign state":        func(s *wire.Snapshot, _ *wire.ChunkAsk) { s.State = json.RawMessage(`{"foreign":true}`) },
+			"a snapshot of nobody":   func(s *wire.Snapshot, _ *wire.ChunkAsk) { s.Group = nil },
+			"another's index":        func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Index = 8 },
+			"a wrong digest":         func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Digest = "00" },
+			"a byte turned":          func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Data[len(ask.Data)/2] ^= 1 },
+			"more than was said":     func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Size-- },
+			"a size out of bounds":   func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Size = snapshotMost + 1 },
+			"an offset below zero":   func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Offset = -1 },
+			"a term from the future": func(_ *wire.Snapshot, ask *wire.ChunkAsk) { ask.Term = term(1 << 60) },
+		} {
+			snapshot := good
+			ask := &wire.ChunkAsk{Data: make([]byte, 3)}
+			change(&snapshot, ask)
+			chunk := chunksOf(&snapshot, 1<<20)[0]
+			change(&snapshot, chunk)
+			refused(t, part, machine, what, func() error { _, err := part.acceptChunk(chunk); return err })
+		}
 		part.mu.Lock()
 		defer part.mu.Unlock()
 		if len(part.entries) != 2 {
@@ -139,6 +159,53 @@
 	})
 }
 
+// chunksOf cuts a snapshot as an owner under its term would send it.
+func chunksOf(snapshot *wire.Snapshot, size int) (asks []*wire.ChunkAsk) {
+	raw, _ := json.Marshal(snapshot)
+	packed := packSnapshot(snapshot.Index, snapshot.Term, raw)
+	for offset := 0; offset < len(packed.data); offset += size {
+		data := slices.Clone(packed.data[offset:min(len(packed.data), offset+size)])
+		asks = append(asks, &wire.ChunkAsk{Term: snapshot.Term, From: peers("B")[0], Index: packed.index, Of: packed.term, Digest: packed.digest, Size: int64(len(packed.data)), Offset: int64(offset), Data: data})
+	}
+	return asks
+}
+
+func TestChunksOutOfOrderAreTakenOnce(t *testing.T) {
+	onMember(t, func(t *testing.T, part *Part, machine *notes) {
+		chunks := chunksOf(&wire.Snapshot{Index: 9, Term: term(3), Group: peers("ABC"), State: json.RawMessage(`["1","2","3"]`)}, 20)
+		send := func(i int) *wire.ChunkReceipt {
+			receipt, err := part.acceptChunk(chunks[i])
+			if err != nil {
+				t.Fatal(i, err)
+			}
+			return receipt
+		}
+		last := len(chunks) - 1
+		if got := send(last); got.Have != 0 || got.Match != 0 {
+			t.Errorf("the last chunk alone: %+v", got)
+		}
+		for _, i := range []int{0, 2, 0, 1, 1} {
+			send(i)
+		}
+		if got := send(0); got.Have != 40 {
+			t.Errorf("%d bytes are there of 40", got.Have)
+		}
+		// Another owner with the same snapshot goes on where the first one was.
+		for _, chunk := range chunks[2:] {
+			chunk.Term = term(5)
+		}
+		for i := 2; i < last; i++ {
+			send(i)
+		}
+		if got := send(last); got.Match != 9 || len(machine.all) != 3 {
+			t.Errorf("%+v, state %q", got, machine.all)
+		}
+		if got := send(last); got.Match != 9 {
+			t.Errorf("what is there already: %+v", got)
+		}
+	})
+}
+
 func TestMessagesOutOfOrderChangeNothing(t *testing.T) {
 	onMember(t, func(t *testing.T, part *Part, machine *notes) {
 		if _, err := part.accept(appendOf(3, 0, wire.Entry{Kind: ownEntry})); err != nil {
@@ -164,9 +231,8 @@
 // or the entries of that term would stand above what a restart finds.
 func TestARefusedSnapshotLosesNoPromise(t *testing.T) {
 	onMember(t, func(t *testing.T, part *Part, machine *notes) {
-		ask := appendOf(4, 9)
-		ask.Snapshot = &wire.Snapshot{Index: 9, Term: term(4), Group: peers("ABC"), State: json.RawMessage(`7`)}
-		if _, err := part.accept(ask); err == nil {
+		ask := chunksOf(&wire.Snapshot{Index: 9, Term: term(4), Group: peers("ABC"), State: json.RawMessage(`7`)}, 1<<20)[0]
+		if _, err := part.acceptChunk(ask); err == nil {
 			t.Fatal("a foreign snapshot is taken")
 		}
 		if _, err := part.accept(appendOf(4, 0, wire.Entry{Kind: ownEntry})); err != nil {
--- a/internal/consensus/prevote.go
+++ b/internal/consensus/prevote.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
@@ -80,6 +81,42 @@
 	}
 }
 
+// campaignFor stands for parts whose owner is silent, where a majority has not heard
+// one either: who is cut off, or on a slow link, must not end the work of an owner
+// that the others hear.
+func (p *Node) campaignFor(due []*Part) {
+	if len(due) == 0 || !p.isAsking.CompareAndSwap(false, true) {
+		return
+	}
+	p.r.Go(func() {
+		defer p.isAsking.Store(false)
+		var parts []mark.Part
+		for _, t := range due {
+			parts = append(parts, t.no)
+		}
+		receipts := p.askPrevote(parts)
+		for _, t := range due {
+			if t.isElectionDue() && t.mayCampaign(receipts) {
+				p.once(t.no, func() { t.campaign(false) })
+			}
+		}
+	})
+}
+
+// mayCampaign tells whether enough members to decide know of no owner.
+func (t *Part) mayCampaign(receipts map[wire.Peer]*wire.PrevoteReceipt) bool {
+	t.mu.Lock()
+	voters := t.voters
+	t.mu.Unlock()
+	free := []wire.Peer{t.p.me}
+	for peer, receipt := range receipts {
+		if !slices.Contains(receipt.Spoken, t.no) {
+			free = append(free, peer)
+		}
+	}
+	return voters.IsDecidedBy(free)
+}
+
 func (p *Node) askPrevote(parts []mark.Part) map[wire.Peer]*wire.PrevoteReceipt {
 	ctx, end := context.WithTimeout(p.r, prevoteTime)
 	defer end()
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -18,7 +18,9 @@
 const (
 	feedTime  = 3 * time.Second
 	feedMost  = 256
-	feedBytes = 2 << 20
+	feedBytes = 64 << 10
+	// A message that is large all the same, for one entry is, has longer to arrive.
+	slowestLink = 64 << 10 // bytes a second
 )
 
 // append adds an entry of the owner's own term.
@@ -140,20 +142,25 @@
 			continue
 		}
 		ask := &wire.AppendAsk{Part: t.no, Term: term, From: t.p.me, Commit: t.commit}
-		if next <= t.base.Index {
-			snapshot := t.base
-			ask.Snapshot, ask.Prev, ask.PrevTerm = &snapshot, t.base.Index, t.base.Term
-		} else {
-			ask.Prev = next - 1
-			ask.PrevTerm, _ = t.at(ask.Prev)
-			size := 0
-			for _, e := range t.entries[ask.Prev-t.base.Index:] {
-				if len(ask.Entries) >= feedMost || size > feedBytes {
-					break
-				}
-				ask.Entries = append(ask.Entries, e)
-				size += len(e.Body)
+		prevTerm, entries, isThere := t.entriesFrom(next)
+		if !isThere {
+			t.mu.Unlock()
+			match, err := t.sendSnapshot(ctx, term, peer)
+			if err != nil {
+				pause(100 * time.Millisecond)
+				continue
+			}
+			next = match + 1
+			continue
+		}
+		ask.Prev, ask.PrevTerm = next-1, prevTerm
+		size := 0
+		for _, e := range entries {
+			if len(ask.Entries) >= feedMost || size > feedBytes {
+				break
 			}
+			ask.Entries = append(ask.Entries, e)
+			size += len(e.Body)
 		}
 		t.mu.Unlock()
 		m, ok := t.p.k.View()[peer.Name]
@@ -161,7 +168,7 @@
 			pause(200 * time.Millisecond)
 			continue
 		}
-		limited, end := context.WithTimeout(ctx, feedTime)
+		limited, end := context.WithTimeout(ctx, feedTime+time.Duration(size)*time.Second/slowestLink)
 		var receipt wire.AppendReceipt
 		err := t.p.w.Ask(limited, m.Wire, "pact.append", ask, &receipt)
 		end()
@@ -177,7 +184,7 @@
 		case receipt.Ok:
 			isKnown, told, next = true, ask.Commit, receipt.Match+1
 			if t.isOwner && t.promised == term && t.match[peer] < receipt.Match {
-				t.match[peer] = receipt.Match
+				t.match[peer], t.progress[peer] = receipt.Match, t.p.r.Now()
 				t.count()
 				t.notify()
 			}
@@ -200,6 +207,20 @@
 	return ok && term == s.Term
 }
 
+// follow takes an owner's term for the one in force.
+func (t *Part) follow(w *lore.Writing, term mark.Term) {
+	if t.promised.Less(term) {
+		t.stepDown("a higher term owns")
+		t.promised = term
+		t.trace(Trace{Kind: TraceRaised, Term: term})
+		t.putPromise(w)
+	}
+	if t.matchIn != term {
+		t.matchIn, t.matched = term, 0
+	}
+	t.heard, t.isOutside = t.p.r.Now(), false
+}
+
 // accept is a member's answer to what it is fed.
 func (t *Part) accept(ask *wire.AppendAsk) (*wire.AppendReceipt, error) {
 	t.mu.Lock()
@@ -213,26 +234,8 @@
 		return receipt, nil
 	}
 	w := t.p.store.Begin()
-	if t.promised.Less(ask.Term) {
-		t.stepDown("a higher term owns")
-		t.promised = ask.Term
-		t.trace(Trace{Kind: TraceRaised, Term: ask.Term})
-		t.putPromise(w)
-	}
-	if t.matchIn != ask.Term {
-		t.matchIn, t.matched = ask.Term, 0
-	}
-	receipt.Promised, t.isOutside = ask.Term, false
-	t.heard = t.p.r.Now()
-	if ask.Snapshot != nil && ask.Snapshot.Index > t.commit && !t.contains(ask.Snapshot) {
-		if err := t.install(w, ask.Snapshot); err != nil {
-			// The promise that the batch may bear is in memory already.
-			t.p.store.Hand(w)
-			t.p.say(sign.MessageRefused, "kind", "pact.append", "part", int(t.no), "from", string(ask.From.Name), "cause", err.Error())
-			t.mu.Unlock()
-			return nil, err
-		}
-	}
+	t.follow(w, ask.Term)
+	receipt.Promised = ask.Term
 	last, _ := t.last()
 	prevTerm, ok := t.at(ask.Prev)
 	isBelow := ask.Prev < t.base.Index
--- a/internal/dream/prevote_test.go
+++ b/internal/dream/prevote_test.go
@@ -107,3 +107,21 @@
 		}
 	})
 }
+
+// TestAMemberThatHearsNothingEndsNoOwnership: it would stand under ever higher terms,
+// and once it is heard again the owner's would be below them.
+func TestAMemberThatHearsNothingEndsNoOwnership(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		owner := f.owner(mark.Config)
+		deaf := follower(f, mark.Config)
+		before := owner.status(mark.Config).Promised
+		f.W.Cut(owner.IP, deaf.IP)
+		time.Sleep(5 * time.Second)
+		f.W.Heal()
+		time.Sleep(3 * time.Second)
+		if after := owner.status(mark.Config); !after.IsServing || after.Promised != before {
+			t.Errorf("the owner under %s was ended by one that did not hear it: %s", before, after.Promised)
+		}
+	})
+}
--- /dev/null
+++ b/internal/dream/snapshot_test.go
@@ -0,0 +1,160 @@
+// A large state reaches a member that lacks it, over a slow link, through takeovers
+// and restarts on the way; and a member behind leads with nothing old.
+package dream
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/wire"
+)
+
+// fillPart writes about so many megabytes, which can't be packed, into one part.
+func (f *Fleet) fillPart(t *testing.T, megabytes int) mark.Part {
+	t.Helper()
+	client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+	r := rand.New(rand.NewPCG(1, 2))
+	const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789+-"
+	for i := range megabytes * 64 {
+		value := make([]byte, 16<<10)
+		for j := range value {
+			value[j] = letters[r.IntN(len(letters))]
+		}
+		if _, err := client.PutKey(f.ctx, &api.Call{Name: fmt.Sprint("app/", i), Value: jx.Raw(fmt.Sprintf("%q", value))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return mark.PartOf("app/0")
+}
+
+func TestALargeStateReachesAMemberOverASlowLink(t *testing.T) {
+	shape := one()
+	shape.Settings["pact.snapshot"] = "50"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		f.fillPart(t, 3)
+		m := f.Of("core2")
+		m.Kill(true)
+		f.W.Disk(m.IP).Wipe()
+		f.W.Narrow(m.IP, 300<<10)
+		began := time.Now()
+		f.up(m)
+		if !f.Until(40*time.Second, f.isMended) {
+			t.Fatal("a state of 3 MB does not arrive at 300 KB/s")
+		}
+		t.Logf("all copies mended after %s", time.Since(began))
+	})
+}
+
+var (
+	routes  = flag.Int("routes", 400, "routes of the configuration that members catch up with")
+	changes = flag.Int("changes", 90, "changes made meanwhile")
+)
+
+// TestCatchingUpDoesNotGrowWithTheChanges makes changes over a large configuration
+// while members are restarted, wiped and moved, and measures how large the state is and
+// how long a member takes that lost its disk. The whole size by command:
+//
+//	go test ./internal/dream -run CatchingUp -routes 5200 -changes 600 -v
+func TestCatchingUpDoesNotGrowWithTheChanges(t *testing.T) {
+	shape := one()
+	shape.Settings["pact.snapshot"] = "40"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		version := mark.Version(0)
+		submit := func(put []wire.Mapping) {
+			over := version
+			change := &wire.Change{Id: fmt.Sprint("c", version), Version: version + 1, Over: &over, Put: wire.Config{Mappings: put}}
+			var err error
+			if !f.Until(20*time.Second, func() bool {
+				ctx, end := context.WithTimeout(f.ctx, 3*time.Second)
+				defer end()
+				_, err = f.Of("proxy1").Node().Submit(ctx, change)
+				return err == nil
+			}) {
+				t.Fatalf("change %d is not taken: %v", version, err)
+			}
+			version++
+		}
+		route := func(n int) wire.Mapping {
+			return wire.Mapping{Name: fmt.Sprint("route", n), Host: fmt.Sprintf("host%d.example", n%50), Path: fmt.Sprintf("/path%d/", n), Deadline: 800 + int64(version)%100, Aim: 300, Tries: 2, To: []wire.Split{{Service: "rates", Weight: 1}}, Source: []byte(fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":"route%d"},"version":%d}`, n, version))}
+		}
+		var all []wire.Mapping
+		for n := range *routes {
+			all = append(all, route(n))
+		}
+		submit(all)
+		var sizes []int
+		var times []time.Duration
+		for n := range *changes {
+			submit([]wire.Mapping{route(n % *routes), route((n*7 + 1) % *routes)})
+			m := f.Cores()[n%3]
+			switch n % 30 {
+			case 10:
+				m.Kill(true)
+				f.up(m)
+			case 29:
+				m.Kill(true)
+				f.W.Disk(m.IP).Wipe()
+				if n%60 == 29 {
+					m.Move()
+				}
+				began := time.Now()
+				f.up(m)
+				if !f.Until(20*time.Second, f.isMended) {
+					t.Fatalf("not mended after %d changes", n+1)
+				}
+				state, _ := f.owner(mark.Config).Node().Ledger.Capture()()
+				sizes, times = append(sizes, len(state)), append(times, time.Since(began))
+			}
+		}
+		t.Logf("%d routes: bytes of state %v, time to catch up %v", *routes, sizes, times)
+		first, last := 0, len(sizes)-1
+		if grown := sizes[last] - sizes[first]; grown > 400*(*changes) {
+			t.Errorf("the state grew by %d bytes over %d changes", grown, *changes)
+		}
+		if times[last] > catchUp {
+			t.Errorf("catching up took %s", times[last])
+		}
+	})
+}
+
+// TestAMemberBehindLeadsWithNothingOld: a member that was away while the others folded
+// their logs stands when they are alone with it; who has the rest must lead.
+func TestAMemberBehindLeadsWithNothingOld(t *testing.T) {
+	shape := one()
+	shape.Settings["pact.snapshot"] = "20"
+	shape.Settings["pact.tail"] = "5"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		no := mark.PartOf("app/a")
+		behind := follower(f, no)
+		behind.Kill(true)
+		time.Sleep(2 * time.Second)
+		for i := range 60 {
+			f.Until(5*time.Second, func() bool {
+				_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(fmt.Sprint(i))})
+				return err == nil
+			})
+		}
+		owner := f.owner(no)
+		owner.Kill(true)
+		f.up(behind)
+		if !f.Until(10*time.Second, func() bool {
+			got, err := client.GetKey(f.ctx, api.GetKeyParams{Name: "app/a"})
+			if err == nil && string(got.Value) != "59" {
+				t.Fatalf("read %s of 59", got.Value)
+			}
+			return err == nil
+		}) {
+			t.Error("nobody serves the part")
+		}
+	})
+}
--- a/internal/plan/binding_test.go
+++ b/internal/plan/binding_test.go
@@ -49,7 +49,7 @@
 			t.Errorf("step %d: the last epoch that binds is %d, not %d", i+1, got, one.want)
 		}
 	}
-	raw, _ := l.Dump()
+	raw, _ := l.Capture()()
 	other := NewLedger()
 	if other.Load(raw); other.Sheet().Binding != other.Sheet().Epoch {
 		t.Error("a member that was loaded takes an epoch for one that does not bind, though it can't know")
--- a/internal/plan/ledger.go
+++ b/internal/plan/ledger.go
@@ -160,8 +160,13 @@
 	return l.sheet
 }
 
-func (l *Ledger) Dump() (json.RawMessage, error) {
+// Capture takes hold of the epoch in force, which is never written to.
+func (l *Ledger) Capture() func() (json.RawMessage, error) {
 	s := l.Sheet()
+	return func() (json.RawMessage, error) { return s.write() }
+}
+
+func (s *Sheet) write() (json.RawMessage, error) {
 	return json.Marshal(wire.LedgerState{Epoch: s.Epoch, Changed: s.Changed, Version: s.Version, Groups: s.Groups, Changes: s.Changes})
 }
 
--- a/internal/plan/ledger_test.go
+++ b/internal/plan/ledger_test.go
@@ -98,7 +98,7 @@
 	delete(want, "mappings/b")
 	wantSources(t, sheet, want)
 	other := NewLedger()
-	raw, err := l.Dump()
+	raw, err := l.Capture()()
 	if err != nil || other.Load(raw) != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 			t.Errorf("%d: version %d, want %d", i, got, c.want)
 		}
 	}
-	raw, _ := l.Dump()
+	raw, _ := l.Capture()()
 	head, _ := l.Range(headRange)
 	loaded, mended := NewLedger(), NewLedger()
 	if loaded.Load(raw) != nil || mended.Mend(headRange, head) != nil {
--- a/internal/props/props_gen.go
+++ b/internal/props/props_gen.go
@@ -26,6 +26,9 @@
 	PactSilence     time.Duration // silence of an owner after which the next in order stands
 	PactLosses      int           // how many core nodes may be lost at once; a data part has twice as many members and one
 	PactGone        time.Duration // how long a core node may be gone before a spare replaces it
+	PactChunk       int           // bytes of a snapshot, packed, in one message to a member that lacks it; each has three seconds to arrive
+	PactTail        int           // entries before a snapshot that are kept in memory for members a little behind
+	PactTailBytes   int           // how many bytes these entries may take, for each part
 	PactContact     time.Duration // how long a core node that has no word of a part's owner, or an owner that has none of a majority, still takes calls for it and gives out what it holds
 	PactSnapshot    int           // entries between two snapshots of a part
 	PlanSilence     time.Duration // silence after which a target is taken out; about three beats
@@ -105,6 +108,9 @@
 	{key: "pact.silence", kind: "duration", fallback: "700ms", low: "100ms", high: "10s", doc: "silence of an owner after which the next in order stands", set: func(p *Props, v any) { p.PactSilence = v.(time.Duration) }},
 	{key: "pact.losses", kind: "int", fallback: "1", low: "1", high: "4", doc: "how many core nodes may be lost at once; a data part has twice as many members and one", set: func(p *Props, v any) { p.PactLosses = v.(int) }},
 	{key: "pact.gone", kind: "duration", fallback: "30s", low: "1s", high: "24h", doc: "how long a core node may be gone before a spare replaces it", set: func(p *Props, v any) { p.PactGone = v.(time.Duration) }},
+	{key: "pact.chunk", kind: "int", fallback: "16384", low: "1024", high: "4194304", doc: "bytes of a snapshot, packed, in one message to a member that lacks it; each has three seconds to arrive", set: func(p *Props, v any) { p.PactChunk = v.(int) }},
+	{key: "pact.tail", kind: "int", fallback: "500", low: "0", high: "100000", doc: "entries before a snapshot that are kept in memory for members a little behind", set: func(p *Props, v any) { p.PactTail = v.(int) }},
+	{key: "pact.tail_bytes", kind: "int", fallback: "131072", low: "0", high: "67108864", doc: "how many bytes these entries may take, for each part", set: func(p *Props, v any) { p.PactTailBytes = v.(int) }},
 	{key: "pact.contact", kind: "duration", fallback: "2s", low: "500ms", high: "1h", doc: "how long a core node that has no word of a part's owner, or an owner that has none of a majority, still takes calls for it and gives out what it holds", set: func(p *Props, v any) { p.PactContact = v.(time.Duration) }},
 	{key: "pact.snapshot", kind: "int", fallback: "2000", low: "10", high: "1000000", doc: "entries between two snapshots of a part", set: func(p *Props, v any) { p.PactSnapshot = v.(int) }},
 	{key: "plan.silence", kind: "duration", fallback: "900ms", low: "200ms", high: "5m", doc: "silence after which a target is taken out; about three beats", set: func(p *Props, v any) { p.PlanSilence = v.(time.Duration) }},
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -133,10 +133,30 @@
 	Prev     mark.Stamp `json:"prev"`
 	PrevTerm mark.Term  `json:"prev_term"`
 	Commit   mark.Stamp `json:"commit"`
-	Snapshot *Snapshot  `json:"snapshot,omitempty"`
 	Entries  []Entry    `json:"entries,omitempty"`
 }
 
+// ChunkAsk carries a piece of a packed snapshot from an owner to a member: size is of the whole, digest its SHA-256, of the term of its last entry.
+type ChunkAsk struct {
+	Part   mark.Part  `json:"part"`
+	Term   mark.Term  `json:"term"`
+	From   Peer       `json:"from"`
+	Index  mark.Stamp `json:"index"`
+	Of     mark.Term  `json:"of"`
+	Digest string     `json:"digest"`
+	Size   int64      `json:"size"`
+	Offset int64      `json:"offset"`
+	Data   []byte     `json:"data"`
+}
+
+// ChunkReceipt tells how much of a snapshot a member has, or up to where its log is synced since it has the whole.
+type ChunkReceipt struct {
+	From     Peer       `json:"from"`
+	Promised mark.Term  `json:"promised"`
+	Have     int64      `json:"have"`
+	Match    mark.Stamp `json:"match,omitempty"`
+}
+
 // AppendReceipt tells what a member has synced.
 type AppendReceipt struct {
 	From     Peer       `json:"from"`
