--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -311,7 +311,7 @@
 }
 
 // becomeOwner makes this member the owner; it serves when its first entry commits.
-func (t *Part) becomeOwner(w *lore.Writing, sent time.Time, granted []wire.Peer) {
+func (t *Part) becomeOwner(w *storage.Batch, sent time.Time, granted []wire.Peer) {
 	t.isOwner, t.isServing = true, false
 	t.ctx, t.end = context.WithCancel(t.p.r)
 	t.match, t.acks, t.replicating = map[wire.Peer]mark.Stamp{}, map[wire.Peer]time.Time{}, map[wire.Peer]bool{}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -8,18 +8,16 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -38,7 +36,7 @@
 	r     *realm.Realm
 	w     *wire.Wire
 	k     *kin.Kin
-	store *lore.Lore
+	store *storage.Store
 	me    wire.Peer
 	parts []*Part
 
@@ -63,7 +61,7 @@
 }
 
 // Born reads the birth from the store, or makes one for an empty store.
-func Born(store *lore.Lore) (mark.Birth, error) {
+func Born(store *storage.Store) (mark.Birth, error) {
 	raw, err := store.Get("birth")
 	if err != nil {
 		return "", err
@@ -78,7 +76,7 @@
 	return birth, w.Wait()
 }
 
-func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *lore.Lore, machines []Machine) (*Node, error) {
+func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *storage.Store, machines []Machine) (*Node, error) {
 	me := k.Me()
 	p := &Node{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
 		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, transfers: map[wire.Peer]chan struct{}{}, started: r.Now(), Ready: make(chan struct{})}
@@ -376,52 +374,4 @@
 	return false
 }
 
-// Order is the agreed order of a part's group.
-func Order(no mark.Part, group []wire.Peer) []wire.Peer {
-	order := append([]wire.Peer(nil), group...)
-	word := fmt.Sprint("part", no)
-	sort.Slice(order, func(i, j int) bool {
-		a, b := mark.Score(word, string(order[i].Name)), mark.Score(word, string(order[j].Name))
-		if a != b {
-			return a > b
-		}
-		return order[i].Name < order[j].Name
-	})
-	return order
-}
-
-// Placement picks the group of a part: spread over zones first, then by order.
-func Placement(no mark.Part, members []wire.Member, losses int) []wire.Peer {
-	var all []wire.Peer
-	zones := map[mark.Name]string{}
-	for _, m := range members {
-		all = append(all, wire.Peer{Name: m.Name, Birth: m.Birth})
-		zones[m.Name] = m.Zone
-	}
-	size := Size(no, len(all), losses)
-	var group []wire.Peer
-	used := map[string]int{}
-	order := Order(no, all)
-	for level := 0; len(group) < size; level++ {
-		for _, peer := range order {
-			if len(group) < size && used[zones[peer.Name]] == level && !holds(group, peer) {
-				group = append(group, peer)
-				used[zones[peer.Name]]++
-			}
-		}
-	}
-	return group
-}
-
-// Size is how many members a part has in a fleet of so many core nodes. It is
-// odd where it can be: a fourth member would have to be heard for a majority
-// and would leave nobody to take a lost one's place.
-func Size(no mark.Part, cores, losses int) int {
-	size := 2*losses + 1
-	if no == mark.Config && cores >= 5 {
-		size = max(size, 5)
-	}
-	return min(size, cores)
-}
-
 func (p *Node) say(e sign.Event, pairs ...any) { p.r.Sign.Say(e, pairs...) }
--- a/internal/consensus/part.go
+++ b/internal/consensus/part.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -194,12 +194,12 @@
 }
 
 // putPromise and the other put verbs add to a batch what memory now says.
-func (t *Part) putPromise(w *lore.Writing) {
+func (t *Part) putPromise(w *storage.Batch) {
 	raw, _ := json.Marshal(t.promised)
 	w.Put(t.key("promised"), raw)
 }
 
-func (t *Part) putEntries(w *lore.Writing, entries []wire.Entry) {
+func (t *Part) putEntries(w *storage.Batch, entries []wire.Entry) {
 	for _, e := range entries {
 		raw, _ := json.Marshal(e)
 		w.Put(t.entryKey(e.Index), raw)
@@ -207,7 +207,7 @@
 }
 
 // cut drops the entries above an index, on disk too.
-func (t *Part) cut(w *lore.Writing, index mark.Stamp) {
+func (t *Part) cut(w *storage.Batch, index mark.Stamp) {
 	for _, e := range t.entries[index-t.base.Index:] {
 		w.Delete(t.entryKey(e.Index))
 	}
@@ -215,7 +215,7 @@
 }
 
 // install replaces everything below and including a snapshot's index.
-func (t *Part) install(w *lore.Writing, s *wire.Snapshot) error {
+func (t *Part) install(w *storage.Batch, s *wire.Snapshot) error {
 	if err := t.machine.Load(s.State); err != nil {
 		return fault.New(fault.BadMessage, "part %d: snapshot: %v", t.no, err)
 	}
@@ -230,7 +230,7 @@
 
 // adopt writes entries that follow prev into the log; those already there
 // under the same term stay, the first that differs cuts all after it.
-func (t *Part) adopt(w *lore.Writing, entries []wire.Entry) error {
+func (t *Part) adopt(w *storage.Batch, entries []wire.Entry) error {
 	for i, e := range entries {
 		if e.Index <= t.base.Index {
 			continue
--- a/internal/consensus/part_test.go
+++ b/internal/consensus/part_test.go
@@ -12,13 +12,13 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/syndtr/goleveldb/leveldb/storage"
+	leveldbstorage "github.com/syndtr/goleveldb/leveldb/storage"
 
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -49,11 +49,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		disk := storage.NewMemStorage()
-		r := realm.New(context.Background(), p, sign.New(io.Discard, "debug", "core-A"), realm.Net{Store: func(string) (storage.Storage, error) { return disk, nil }})
+		disk := leveldbstorage.NewMemStorage()
+		r := realm.New(context.Background(), p, sign.New(io.Discard, "debug", "core-A"), realm.Net{Store: func(string) (leveldbstorage.Storage, error) { return disk, nil }})
 		defer time.Sleep(time.Minute) // of virtual time: the store closes behind its last task
 		defer r.End()
-		store, err := lore.Open(r)
+		store, err := storage.Open(r)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -24,7 +24,7 @@
 )
 
 // append adds an entry of the owner's own term.
-func (t *Part) append(w *lore.Writing, e wire.Entry) mark.Stamp {
+func (t *Part) append(w *storage.Batch, e wire.Entry) mark.Stamp {
 	last, _ := t.last()
 	e.Index, e.Term = last+1, t.promised
 	t.entries = append(t.entries, e)
@@ -208,7 +208,7 @@
 }
 
 // follow takes an owner's term for the one in force.
-func (t *Part) follow(w *lore.Writing, term mark.Term) {
+func (t *Part) follow(w *storage.Batch, term mark.Term) {
 	if t.promised.Less(term) {
 		t.stepDown("a higher term owns")
 		t.promised = term
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -16,9 +16,9 @@
 	"io"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -259,7 +259,7 @@
 
 // takeChunk adds a chunk to what there is; one that does not fit is answered with how
 // much is there.
-func (t *Part) takeChunk(w *lore.Writing, ask *wire.ChunkAsk, receipt *wire.ChunkReceipt) error {
+func (t *Part) takeChunk(w *storage.Batch, ask *wire.ChunkAsk, receipt *wire.ChunkReceipt) error {
 	if ask.Size <= 0 || ask.Size > snapshotMost || ask.Offset < 0 || ask.Offset+int64(len(ask.Data)) > ask.Size {
 		return fault.New(fault.BadMessage, "part %d: chunk of %d bytes at %d of %d", t.no, len(ask.Data), ask.Offset, ask.Size)
 	}
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -20,11 +20,11 @@
 	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
 	"github.com/sumactrestle/sumactrestle/internal/kin"
-	"github.com/sumactrestle/sumactrestle/internal/lore"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/storage"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -36,7 +36,7 @@
 	R         *realm.Realm
 	Wire      *wire.Wire
 	Kin       *kin.Kin
-	Store     *lore.Lore
+	Store     *storage.Store
 	Consensus *consensus.Node
 	Books     []*bond.Book
 	Desk      *bond.Desk
@@ -74,7 +74,7 @@
 	}
 	if p.DataFolder != "" {
 		var err error
-		if n.Store, err = lore.Open(r); err != nil {
+		if n.Store, err = storage.Open(r); err != nil {
 			return nil, err
 		}
 		if me.Birth, err = consensus.Born(n.Store); err != nil {
--- a/internal/lore/lore.go
+++ b/internal/storage/storage.go
@@ -1,10 +1,10 @@
-// Package lore keeps a core node's state in goleveldb. One task writes: it
+// Package storage keeps a core node's state in goleveldb. One task writes: it
 // gathers what waits into one batch, numbers the batch, and syncs it, so that
 // writes reach the disk in the order they were handed in. At the start a gap in
 // the numbers, or anything else that can't be read, shows damage; a batch that
 // was torn at the very end was never acknowledged and is dropped. Damaged data
 // is set aside and never served from.
-package lore
+package storage
 
 import (
 	"encoding/binary"
@@ -16,7 +16,7 @@
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
-	"github.com/syndtr/goleveldb/leveldb/storage"
+	leveldbstorage "github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
@@ -24,13 +24,13 @@
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 )
 
-// Lore is one data folder.
-type Lore struct {
+// Store is one data folder.
+type Store struct {
 	r     *realm.Realm
 	db    *leveldb.DB
-	stor  storage.Storage
+	stor  leveldbstorage.Storage
 	mu    sync.Mutex
-	queue []*Writing
+	queue []*Batch
 	wake  chan struct{}
 	seq   uint64
 	syncs atomic.Int64
@@ -40,19 +40,19 @@
 	Failed chan struct{}
 }
 
-// Writing is a batch on its way to the disk.
-type Writing struct {
+// Batch is a batch on its way to the disk.
+type Batch struct {
 	batch leveldb.Batch
 	done  chan struct{}
 	over  <-chan struct{}
 	err   error
 }
 
-func (w *Writing) Put(key string, value []byte) { w.batch.Put([]byte(key), value) }
-func (w *Writing) Delete(key string)            { w.batch.Delete([]byte(key)) }
+func (w *Batch) Put(key string, value []byte) { w.batch.Put([]byte(key), value) }
+func (w *Batch) Delete(key string)            { w.batch.Delete([]byte(key)) }
 
 // Wait returns when the batch is synced or has failed.
-func (w *Writing) Wait() error {
+func (w *Batch) Wait() error {
 	select {
 	case <-w.done:
 		return w.err
@@ -69,8 +69,8 @@
 )
 
 // Open opens the folder, or sets it aside and opens an empty one.
-func Open(r *realm.Realm) (*Lore, error) {
-	l := &Lore{r: r, wake: make(chan struct{}, 1), start: time.Now(), Failed: make(chan struct{})}
+func Open(r *realm.Realm) (*Store, error) {
+	l := &Store{r: r, wake: make(chan struct{}, 1), start: time.Now(), Failed: make(chan struct{})}
 	problem := l.load()
 	if problem != nil {
 		l.close()
@@ -100,7 +100,7 @@
 	return errors.IsCorrupted(err) || fault.Is(err, fault.StorageBroken)
 }
 
-func (l *Lore) close() {
+func (l *Store) close() {
 	if l.db != nil {
 		l.db.Close()
 		l.db = nil
@@ -111,7 +111,7 @@
 	}
 }
 
-func (l *Lore) load() error {
+func (l *Store) load() error {
 	stor, err := l.r.Net.Store(filepath.Join(l.r.Props.DataFolder, "lore"))
 	if err != nil {
 		return err
@@ -146,16 +146,16 @@
 // IsAfterDamage tells whether this store took the place of a damaged one. Such
 // a node may join a fleet, but must not found one: its fleet exists, even if
 // all its members should be damaged at once.
-func (l *Lore) IsAfterDamage() bool {
+func (l *Store) IsAfterDamage() bool {
 	value, _ := l.Get(afterDamage)
 	return value != nil
 }
 
 // Begin starts a batch.
-func (l *Lore) Begin() *Writing { return &Writing{done: make(chan struct{}), over: l.r.Done()} }
+func (l *Store) Begin() *Batch { return &Batch{done: make(chan struct{}), over: l.r.Done()} }
 
 // Hand puts a batch into the queue; the order of handing is the order on disk.
-func (l *Lore) Hand(w *Writing) {
+func (l *Store) Hand(w *Batch) {
 	l.mu.Lock()
 	l.queue = append(l.queue, w)
 	l.mu.Unlock()
@@ -165,7 +165,7 @@
 	}
 }
 
-func (l *Lore) write() {
+func (l *Store) write() {
 	defer l.close()
 	for {
 		select {
@@ -213,7 +213,7 @@
 	}
 }
 
-func (l *Lore) drain(err error) {
+func (l *Store) drain(err error) {
 	l.mu.Lock()
 	queue := l.queue
 	l.queue = nil
@@ -229,7 +229,7 @@
 }
 
 // Stalled is for how long the write under way has been waiting on the disk.
-func (l *Lore) Stalled() time.Duration {
+func (l *Store) Stalled() time.Duration {
 	since := l.since.Load()
 	if since == 0 {
 		return 0
@@ -238,10 +238,10 @@
 }
 
 // Syncs is how many batches were synced.
-func (l *Lore) Syncs() int64 { return l.syncs.Load() }
+func (l *Store) Syncs() int64 { return l.syncs.Load() }
 
 // Get reads one value; none is nil.
-func (l *Lore) Get(key string) ([]byte, error) {
+func (l *Store) Get(key string) ([]byte, error) {
 	value, err := l.db.Get([]byte(key), nil)
 	if err == leveldb.ErrNotFound {
 		return nil, nil
@@ -250,7 +250,7 @@
 }
 
 // Walk visits all keys under a prefix in order.
-func (l *Lore) Walk(prefix string, visit func(key string, value []byte) error) error {
+func (l *Store) Walk(prefix string, visit func(key string, value []byte) error) error {
 	walk := l.db.NewIterator(util.BytesPrefix([]byte(prefix)), nil)
 	defer walk.Release()
 	for walk.Next() {
--- a/internal/lore/lore_test.go
+++ b/internal/storage/storage_test.go
@@ -1,6 +1,6 @@
 // The data folder under damage: nothing damaged is ever served from, what was
 // synced survives, and a torn end is no damage.
-package lore
+package storage
 
 import (
 	"bytes"
@@ -16,7 +16,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 )
 
-func open(t *testing.T, folder string) (*Lore, *realm.Realm, *bytes.Buffer) {
+func open(t *testing.T, folder string) (*Store, *realm.Realm, *bytes.Buffer) {
 	t.Helper()
 	var log bytes.Buffer
 	p := &props.Props{Name: "n", DataFolder: folder, LogLevel: "info"}
@@ -28,7 +28,7 @@
 	return l, r, &log
 }
 
-func put(t *testing.T, l *Lore, n int) {
+func put(t *testing.T, l *Store, n int) {
 	t.Helper()
 	w := l.Begin()
 	w.Put(fmt.Sprintf("k/%04d", n), bytes.Repeat([]byte{byte(n)}, 100))
@@ -38,7 +38,7 @@
 	}
 }
 
-func count(t *testing.T, l *Lore) (n int) {
+func count(t *testing.T, l *Store) (n int) {
 	t.Helper()
 	if err := l.Walk("k/", func(string, []byte) error { n++; return nil }); err != nil {
 		t.Fatal(err)
