A node whose disk is full goes on, and waits for room at its start

Change: a failed write is tried again, the folder opened anew, until it is taken; what waits for it goes on waiting as in a stall, nothing overtakes it. After a second the node gives up what it owns, casts no vote and takes no entries, and passes calls on. At a start without space it waits for room and still heeds signals; damage is set aside as before, a folder that another process holds is an error as before.

--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -107,13 +107,12 @@
 		}
 	}
 	r := realm.New(ctx, p, sign.New(out, p.LogLevel, p.Name), realm.Host(p.WireAddress))
-	node, err := seat.Start(r)
-	if err != nil {
-		r.End()
-		return err
-	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	node, err := seat.StartUnless(signals, r)
+	if err != nil || node == nil {
+		return err
+	}
 	var failed <-chan struct{}
 	if node.Store != nil {
 		failed = node.Store.Failed
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -149,6 +149,10 @@
 	return p.parts[no], nil
 }
 
+// stallTime is for how long a write may take before this node gives up what it owns
+// and takes no more from others: it has no vote that it can't sync.
+const stallTime = time.Second
+
 // openPart is a part of a fleet whose charter is open here. Before that this node has
 // no vote: the charter may yet be given up for another.
 func (p *Node) openPart(no mark.Part) (*Part, error) {
@@ -156,6 +160,9 @@
 	if err == nil && p.Charter() == nil {
 		err = fault.New(fault.NotOwner, "part %d: no charter is open here", no)
 	}
+	if err == nil && p.store.Stalled() > stallTime {
+		err = fault.New(fault.StorageBroken, "part %d: the disk takes nothing", no)
+	}
 	return part, err
 }
 
@@ -261,7 +268,7 @@
 		}
 		p.keepHeartbeats()
 		p.showKeeping()
-		isStalled := p.store.Stalled() > time.Second
+		isStalled := p.store.Stalled() > stallTime
 		var due []*Part
 		for _, part := range p.parts {
 			if isStalled {
--- a/internal/dream/disk.go
+++ b/internal/dream/disk.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/syndtr/goleveldb/leveldb/storage"
@@ -32,6 +33,7 @@
 	life    int
 	stalled chan struct{}
 	each    time.Duration
+	isFull  bool
 	hurts   int
 	Syncs   int
 }
@@ -58,8 +60,19 @@
 	d.mu.Unlock()
 }
 
+// Fill has the disk take no more bytes; it keeps what it has, and the beginning of the
+// write that found it full.
+func (d *Disk) Fill() {
+	d.mu.Lock()
+	d.isFull = true
+	d.hurts++
+	d.mu.Unlock()
+}
+
+// Resume ends a stall, and makes room.
 func (d *Disk) Resume() {
 	d.mu.Lock()
+	d.isFull = false
 	if d.stalled != nil {
 		close(d.stalled)
 		d.stalled = nil
@@ -78,7 +91,7 @@
 func (d *Disk) state() (isWell bool, hurts int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.stalled == nil && d.each == 0, d.hurts
+	return d.stalled == nil && d.each == 0 && !d.isFull, d.hurts
 }
 
 // SpoilAll cuts the index of the store short, so that it can't be read.
@@ -102,8 +115,11 @@
 			}
 		}
 	}
+	if d.stalled != nil {
+		close(d.stalled)
+		d.stalled = nil
+	}
 	d.mu.Unlock()
-	d.Resume()
 }
 
 func (d *Disk) attach() (storage.Storage, error) {
@@ -217,8 +233,18 @@
 }
 
 func (w *writer) Write(p []byte) (n int, err error) {
-	err = w.d.do(func() error { w.f.data = append(w.f.data, p...); return nil })
-	return len(p), err
+	err = w.d.do(func() error {
+		n = len(p)
+		if w.d.isFull {
+			n = w.d.rand.IntN(n + 1)
+		}
+		w.f.data = append(w.f.data, p[:n]...)
+		if w.d.isFull {
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	return n, err
 }
 
 func (w *writer) Sync() error {
--- a/internal/dream/faults.go
+++ b/internal/dream/faults.go
@@ -24,6 +24,7 @@
 	{Name: "wipes", Shape: five, Length: 30 * time.Second, Faults: wipes},
 	{Name: "cuts", Shape: Small, Length: 30 * time.Second, Faults: cuts},
 	{Name: "freezes", Shape: Small, Length: 25 * time.Second, Faults: freezes},
+	{Name: "fulls", Shape: Small, Length: 25 * time.Second, Faults: fulls},
 	{Name: "stalls", Shape: Small, Length: 25 * time.Second, Faults: stalls},
 	{Name: "servers", Shape: Small, Length: 25 * time.Second, Faults: servers},
 	{Name: "answers", Shape: Small, Length: 25 * time.Second, Faults: answers},
--- /dev/null
+++ b/internal/dream/full_test.go
@@ -0,0 +1,96 @@
+package dream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/sham"
+)
+
+// TestANodeWhoseDiskIsFullGoesOn: it gives up what it owns, passes calls on, says so
+// once, and is a member again when there is room, without a restart.
+func TestANodeWhoseDiskIsFullGoesOn(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		no := mark.PartOf("app/a")
+		full := f.owner(no)
+		node := full.Node()
+		client := sham.Client(f.W.Net(f.outside(1)), full.Api())
+		put := func() bool {
+			_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"x"`)})
+			return err == nil
+		}
+		f.W.Disk(full.IP).Fill()
+		go put() // what is written shows that the disk is full
+		if !f.Until(5*time.Second, func() bool { m := f.owner(no); return m != nil && m != full }) {
+			t.Fatal("the part is not given up")
+		}
+		if !f.Until(3*time.Second, put) {
+			t.Error("it passes no calls on")
+		}
+		for no := range mark.Parts + 1 {
+			if node.Consensus.Part(mark.Part(no)).IsOwner() {
+				t.Errorf("it still owns part %d", no)
+			}
+		}
+		before := full.status(no)
+		time.Sleep(5 * time.Second)
+		if full.Node() != node {
+			t.Fatal("the process has ended")
+		}
+		if n := node.R.Sign.Counts()["StoreFailed"]; n != 1 {
+			t.Errorf("%d events tell of it", n)
+		}
+		if !node.Store.IsFailing() {
+			t.Error("it does not know that its disk is full")
+		}
+		f.W.Disk(full.IP).Resume()
+		if !f.Until(3*time.Second, func() bool {
+			if !put() {
+				return false
+			}
+			time.Sleep(500 * time.Millisecond)
+			now := full.status(no)
+			return node.Store.Stalled() == 0 && now.Commit > before.Commit && now.Last == f.owner(no).status(no).Last
+		}) {
+			t.Error("it does not come back by itself")
+		}
+		if n := node.R.Sign.Counts()["StoreBack"]; n != 1 {
+			t.Errorf("%d events tell of its return", n)
+		}
+	})
+}
+
+// TestANodeStartsWhenThereIsRoom: no space at a start is no damage, and no end.
+func TestANodeStartsWhenThereIsRoom(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		m := f.Of("core2")
+		birth := m.Node().Kin.Me().Birth
+		f.W.Disk(m.IP).Fill()
+		m.Kill(true)
+		isUp := make(chan struct{})
+		go func() {
+			f.up(m)
+			close(isUp)
+		}()
+		time.Sleep(5 * time.Second)
+		select {
+		case <-isUp:
+			t.Error("it is up on a full disk")
+		default:
+		}
+		f.W.Disk(m.IP).Resume()
+		<-isUp
+		if now := m.Node().Kin.Me().Birth; now != birth {
+			t.Errorf("its data was set aside: it was born as %s and is %s", birth, now)
+		}
+		if !f.Until(10*time.Second, f.isMended) {
+			t.Error("it is no member again")
+		}
+	})
+}
--- a/internal/dream/replacing.go
+++ b/internal/dream/replacing.go
@@ -3,7 +3,9 @@
 // power between the steps of a change.
 package dream
 
-import "time"
+import (
+	"time"
+)
 
 // replacing is a core of five whose lost members are soon replaced.
 func replacing() Shape {
@@ -40,3 +42,34 @@
 	f.W.Heal()
 	f.nap(0, 3*time.Second)
 }
+
+// fulls takes the room on a disk, or on all, for a while; processes are started anew in
+// the middle of it.
+func fulls(f *Fleet) {
+	f.nap(time.Second, 3*time.Second)
+	victims := []*Machine{f.pick(f.Cores())}
+	if f.Rand.IntN(5) == 0 {
+		victims = f.Cores()
+	}
+	for _, m := range victims {
+		f.Say("the disk of %s is full", m.Name)
+		f.W.Disk(m.IP).Fill()
+	}
+	f.nap(100*time.Millisecond, 4*time.Second)
+	isKilled, isPower := f.Rand.IntN(2) == 0, f.Rand.IntN(2) == 0
+	if isKilled {
+		f.Say("%s is killed, with its power %v", victims[0].Name, isPower)
+		victims[0].Kill(isPower)
+		isUp := make(chan struct{})
+		go func() {
+			f.up(victims[0])
+			close(isUp)
+		}()
+		defer func() { <-isUp }()
+	}
+	f.nap(100*time.Millisecond, 3*time.Second)
+	for _, m := range victims {
+		f.Say("there is room on the disk of %s", m.Name)
+		f.W.Disk(m.IP).Resume()
+	}
+}
--- a/internal/dream/snapshot_test.go
+++ b/internal/dream/snapshot_test.go
@@ -84,7 +84,7 @@
 			version++
 		}
 		route := func(n int) wire.Mapping {
-			return wire.Mapping{Name: fmt.Sprint("route", n), Host: fmt.Sprintf("host%d.example", n%50), Path: fmt.Sprintf("/path%d/", n), Deadline: 800 + int64(version)%100, Aim: 300, Tries: 2, To: []wire.Split{{Service: "rates", Weight: 1}}, Source: []byte(fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":"route%d"},"version":%d}`, n, version))}
+			return wire.Mapping{Name: fmt.Sprint("route", n), Host: fmt.Sprintf("host%d.example", n%50), Path: fmt.Sprintf("/path%d/", n), Deadline: 800 + int64(version)%100, Aim: 300, Tries: 2, To: []wire.Split{{Service: "rates", Weight: 1}}, Source: []byte(fmt.Sprintf(`{"item":"route%d","version":%d}`, n, version))}
 		}
 		var all []wire.Mapping
 		for n := range *routes {
--- /dev/null
+++ b/internal/seat/start.go
@@ -0,0 +1,36 @@
+package seat
+
+import (
+	"os"
+	"syscall"
+
+	"github.com/sumactrestle/sumactrestle/internal/realm"
+)
+
+// StartUnless brings a node up as Start does, unless a signal tells it to stop before it
+// is up, for a start may wait for room on the disk: then the node is nil.
+func StartUnless(signals <-chan os.Signal, r *realm.Realm, faces ...Face) (*Node, error) {
+	type result struct {
+		node *Node
+		err  error
+	}
+	started := make(chan result, 1)
+	go func() {
+		node, err := Start(r, faces...)
+		started <- result{node, err}
+	}()
+	for {
+		select {
+		case got := <-started:
+			if got.err != nil {
+				r.End()
+			}
+			return got.node, got.err
+		case signal := <-signals:
+			if signal != syscall.SIGHUP {
+				r.End()
+				return nil, nil
+			}
+		}
+	}
+}
--- a/internal/sign/events_gen.go
+++ b/internal/sign/events_gen.go
@@ -16,11 +16,12 @@
 	PartLost       = Event{No: 304, Name: "PartLost", Level: "info", Text: "part no longer owned"}
 	GroupChanged   = Event{No: 305, Name: "GroupChanged", Level: "info", Text: "members of a part changed"}
 	StoreDamaged   = Event{No: 306, Name: "StoreDamaged", Level: "error", Text: "the data folder is damaged and was set aside"}
-	StoreFailed    = Event{No: 307, Name: "StoreFailed", Level: "error", Text: "writing to the data folder failed"}
+	StoreFailed    = Event{No: 307, Name: "StoreFailed", Level: "error", Text: "the data folder takes no writes; they are tried again"}
 	StandFailed    = Event{No: 308, Name: "StandFailed", Level: "debug", Text: "standing for a part failed"}
 	PartMended     = Event{No: 309, Name: "PartMended", Level: "warn", Text: "a part's copy differed and was mended"}
 	PartBroken     = Event{No: 310, Name: "PartBroken", Level: "error", Text: "copies of a part contradict one another; the part is given up"}
 	MemberRemoved  = Event{No: 311, Name: "MemberRemoved", Level: "info", Text: "this node is no member of a part any more and rests; its copy is kept"}
+	StoreBack      = Event{No: 312, Name: "StoreBack", Level: "warn", Text: "the data folder takes writes again"}
 	EpochCommitted = Event{No: 401, Name: "EpochCommitted", Level: "info", Text: "epoch committed"}
 	ChangeAccepted = Event{No: 402, Name: "ChangeAccepted", Level: "info", Text: "change set accepted"}
 	ChangeRefused  = Event{No: 403, Name: "ChangeRefused", Level: "warn", Text: "change set refused"}
@@ -62,6 +63,7 @@
 	PartMended,
 	PartBroken,
 	MemberRemoved,
+	StoreBack,
 	EpochCommitted,
 	ChangeAccepted,
 	ChangeRefused,
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -8,13 +8,15 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/syndtr/goleveldb/leveldb"
-	"github.com/syndtr/goleveldb/leveldb/errors"
+	leveldberrors "github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	leveldbstorage "github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
@@ -36,7 +38,10 @@
 	syncs atomic.Int64
 	since atomic.Int64
 	start time.Time
-	// Failed is closed when a write has failed; nothing is written after it.
+	// access is held for writing while the folder is opened anew.
+	access    sync.RWMutex
+	isFailing atomic.Bool
+	// Failed is closed when the data is damaged; nothing is written after it.
 	Failed chan struct{}
 }
 
@@ -66,38 +71,71 @@
 	seqKept   = 512
 
 	afterDamage = "after-damage"
+
+	// folderName is older than the package's name; disks have it.
+	folderName = "lore"
+
+	// retryPause is between two tries at a disk that takes nothing.
+	retryPause = 250 * time.Millisecond
 )
 
-// Open opens the folder, or sets it aside and opens an empty one.
+// Open opens the folder, or sets a damaged one aside and opens an empty one. Where the
+// disk has no room even to open it, it waits until there is some.
 func Open(r *realm.Realm) (*Store, error) {
 	l := &Store{r: r, wake: make(chan struct{}, 1), start: time.Now(), Failed: make(chan struct{})}
-	problem := l.load()
-	if problem != nil {
+	for {
+		err := l.open()
+		if err == nil {
+			r.Go(l.write)
+			return l, nil
+		}
 		l.close()
-		if !isDamage(problem) {
-			return nil, fault.New(fault.StorageBroken, "%s: %v", r.Props.DataFolder, problem)
+		if !isFull(err) {
+			return nil, fault.New(fault.StorageBroken, "%s: %v", r.Props.DataFolder, err)
 		}
-		folder := r.Props.DataFolder
-		aside := folder + ".damaged-" + time.Now().Format("20060102-150405")
-		r.Sign.Say(sign.StoreDamaged, "folder", folder, "aside", aside, "cause", problem.Error())
-		if err := r.Net.Aside(folder, aside); err != nil {
-			return nil, fault.New(fault.StorageBroken, "%s is damaged (%v) and can't be set aside: %v", folder, problem, err)
+		if !l.isFailing.Swap(true) {
+			r.Sign.Say(sign.StoreFailed, "cause", err.Error())
 		}
-		if err := l.load(); err != nil {
-			return nil, fault.New(fault.StorageBroken, "%s: %v", folder, err)
+		if !r.Pause(retryPause) {
+			return nil, fault.New(fault.StorageBroken, "stopping")
 		}
-		if err := l.db.Put([]byte(afterDamage), []byte("1"), &opt.WriteOptions{Sync: true}); err != nil {
-			return nil, fault.New(fault.StorageBroken, "%s: %v", folder, err)
+	}
+}
+
+// open is one try at the folder.
+func (l *Store) open() error {
+	problem := l.load()
+	if problem == nil {
+		if l.isFailing.Swap(false) {
+			l.r.Sign.Say(sign.StoreBack, "after", time.Since(l.start).String())
 		}
+		return nil
+	}
+	l.close()
+	if !isDamage(problem) {
+		return problem
+	}
+	folder := l.r.Props.DataFolder
+	aside := folder + ".damaged-" + time.Now().Format("20060102-150405")
+	l.r.Sign.Say(sign.StoreDamaged, "folder", folder, "aside", aside, "cause", problem.Error())
+	if err := l.r.Net.Aside(folder, aside); err != nil {
+		return fault.New(fault.StorageBroken, "%s is damaged (%v) and can't be set aside: %v", folder, problem, err)
 	}
-	r.Go(l.write)
-	return l, nil
+	if err := l.load(); err != nil {
+		return err
+	}
+	return l.db.Put([]byte(afterDamage), []byte("1"), &opt.WriteOptions{Sync: true})
+}
+
+// isFull tells whether a disk takes no more bytes.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
 
 // isDamage tells damaged data from a folder that can't be had now, such as one
 // that another process holds: only the former is ever set aside.
 func isDamage(err error) bool {
-	return errors.IsCorrupted(err) || fault.Is(err, fault.StorageBroken)
+	return leveldberrors.IsCorrupted(err) || fault.Is(err, fault.StorageBroken)
 }
 
 func (l *Store) close() {
@@ -112,7 +150,7 @@
 }
 
 func (l *Store) load() error {
-	stor, err := l.r.Net.Store(filepath.Join(l.r.Props.DataFolder, "lore"))
+	stor, err := l.r.Net.Store(filepath.Join(l.r.Props.DataFolder, folderName))
 	if err != nil {
 		return err
 	}
@@ -165,6 +203,7 @@
 	}
 }
 
+// write is the one task that writes: what waits goes to the disk as one batch.
 func (l *Store) write() {
 	defer l.close()
 	for {
@@ -181,36 +220,77 @@
 		if len(queue) == 0 {
 			continue
 		}
-		var whole leveldb.Batch
-		for _, w := range queue {
-			w.batch.Replay(&whole)
-		}
-		l.seq++
-		whole.Put(seqKey(l.seq), nil)
-		if l.seq > seqKept {
-			whole.Delete(seqKey(l.seq - seqKept))
-		}
 		began := time.Now()
 		l.since.Store(int64(began.Sub(l.start)) + 1)
-		err := l.db.Write(&whole, &opt.WriteOptions{Sync: true})
+		err := l.persist(l.gather(queue))
 		l.since.Store(0)
 		l.r.Times.Sync.Take(time.Since(began))
 		l.syncs.Add(1)
-		if err != nil {
-			err = fault.New(fault.StorageBroken, "%v", err)
-		}
 		for _, w := range queue {
 			w.err = err
 			close(w.done)
 		}
 		if err != nil {
+			l.drain(err)
+			return
+		}
+	}
+}
+
+// gather joins batches into one, under the next number.
+func (l *Store) gather(queue []*Batch) *leveldb.Batch {
+	whole := &leveldb.Batch{}
+	for _, w := range queue {
+		w.batch.Replay(whole)
+	}
+	l.seq++
+	whole.Put(seqKey(l.seq), nil)
+	if l.seq > seqKept {
+		whole.Delete(seqKey(l.seq - seqKept))
+	}
+	return whole
+}
+
+// persist writes a batch and syncs it. A disk that takes nothing is tried again until
+// it does: whoever waits for the batch goes on waiting, as with a stall, and nothing
+// that comes after it overtakes it. Only damage ends the writing.
+func (l *Store) persist(whole *leveldb.Batch) error {
+	err := l.db.Write(whole, &opt.WriteOptions{Sync: true})
+	if err == nil {
+		return nil
+	}
+	l.r.Sign.Say(sign.StoreFailed, "cause", err.Error())
+	l.isFailing.Store(true)
+	began := time.Now()
+	for l.r.Pause(retryPause) {
+		// The journal takes nothing after a failed write; the folder is opened anew.
+		if err = l.reopen(); err == nil {
+			err = l.db.Write(whole, &opt.WriteOptions{Sync: true})
+		}
+		if err == nil {
+			l.isFailing.Store(false)
+			l.r.Sign.Say(sign.StoreBack, "after", time.Since(began).String())
+			return nil
+		}
+		if isDamage(err) {
 			l.r.Sign.Say(sign.StoreFailed, "cause", err.Error())
 			close(l.Failed)
 			<-l.r.Done()
-			l.drain(err)
-			return
+			return fault.New(fault.StorageBroken, "%v", err)
 		}
 	}
+	return fault.New(fault.StorageBroken, "stopping")
+}
+
+// reopen closes the folder and opens it again, to the same state.
+func (l *Store) reopen() error {
+	l.access.Lock()
+	defer l.access.Unlock()
+	l.close()
+	seq := l.seq
+	err := l.load()
+	l.seq = seq
+	return err
 }
 
 func (l *Store) drain(err error) {
@@ -237,11 +317,19 @@
 	return time.Since(l.start) - time.Duration(since)
 }
 
+// IsFailing tells whether the disk takes nothing just now.
+func (l *Store) IsFailing() bool { return l.isFailing.Load() }
+
 // Syncs is how many batches were synced.
 func (l *Store) Syncs() int64 { return l.syncs.Load() }
 
 // Get reads one value; none is nil.
 func (l *Store) Get(key string) ([]byte, error) {
+	l.access.RLock()
+	defer l.access.RUnlock()
+	if l.db == nil {
+		return nil, fault.New(fault.StorageBroken, "the folder is not open")
+	}
 	value, err := l.db.Get([]byte(key), nil)
 	if err == leveldb.ErrNotFound {
 		return nil, nil
@@ -251,6 +339,11 @@
 
 // Walk visits all keys under a prefix in order.
 func (l *Store) Walk(prefix string, visit func(key string, value []byte) error) error {
+	l.access.RLock()
+	defer l.access.RUnlock()
+	if l.db == nil {
+		return fault.New(fault.StorageBroken, "the folder is not open")
+	}
 	walk := l.db.NewIterator(util.BytesPrefix([]byte(prefix)), nil)
 	defer walk.Release()
 	for walk.Next() {
