--- a/internal/dream/full_test.go
+++ b/internal/dream/full_test.go
@@ -86,6 +86,9 @@
 		}
 		f.W.Disk(m.IP).Resume()
 		<-isUp
+		if m.Node() == nil {
+			t.Fatal("it is not up when there is room")
+		}
 		if now := m.Node().Kin.Me().Birth; now != birth {
 			t.Errorf("its data was set aside: it was born as %s and is %s", birth, now)
 		}
