--- a/internal/consensus/model/actions.go
+++ b/internal/consensus/model/actions.go
@@ -31,9 +31,8 @@
 
 // action is one step, told so that a schedule can be read.
 type action struct {
-	name     string
-	who, to  int
-	identity voters
+	name    string
+	who, to int
 }
 
 func (a action) String() string {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -51,7 +51,6 @@
 	changes atomic.Int64
 	rolled  int
 	spent   map[string]time.Duration
-	lives   map[string]int
 }
 
 func (r *Run) say(format string, args ...any) {
--- a/internal/kin/probe.go
+++ b/internal/kin/probe.go
@@ -143,7 +143,13 @@
 		return false
 	}
 	relay(seq)
-	return await() || await()
+	const waits = 2 // the way through a third party is twice as long
+	for range waits {
+		if await() {
+			return true
+		}
+	}
+	return false
 }
 
 // next picks the members in turn, in an order shuffled anew every time round.
