An answer that comes before the request is out ends the connection at once

Cause: a target may answer before it has read a long body. The write then blocked until the target read on or the deadline passed, with the answer there and held back; and once it had read on, the connection was used again. Change: an answer that comes while the request is being written ends the connection; the blocked write fails and the answer is taken. Ruled out: writing the rest first (the target may never read it, and the answer waits meanwhile). Tests: 22 ways in which a connection ends, each with a request behind it: an answer goes to the request that it names or to nobody, what is not whole is no answer, nothing runs behind an unread body.

--- a/internal/dream/manner.go
+++ b/internal/dream/manner.go
@@ -61,9 +61,9 @@
 
 // ways are how a server may misbehave.
 func (f *Fleet) ways() []string {
-	ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow}
+	ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow, sham.Unframed, sham.Twice, sham.HalfHead}
 	if f.Shape.IsStay {
-		ways = append(ways, sham.Surplus, sham.Denied, sham.Full)
+		ways = append(ways, sham.Surplus, sham.Denied, sham.Full, sham.Early)
 	}
 	return ways
 }
--- a/internal/gate/pipe.go
+++ b/internal/gate/pipe.go
@@ -50,7 +50,11 @@
 	limit  int
 	answer chan answer
 	more   chan struct{} // closed when the server wants the body, or has answered
-	isDead bool
+	// isWriting is set while the request is being written. An answer that comes before
+	// it is out ends the connection: the target may never read the rest, and what
+	// follows on it would stand where the rest is due.
+	isWriting bool
+	isDead    bool
 }
 
 func (p *pipe) run() {
@@ -72,8 +76,8 @@
 			return
 		}
 		got := read(reader, request, limit, more, p.names)
-		isOver := got.err != nil || got.response.Close || reader.Buffered() > 0
 		p.mu.Lock()
+		isOver := got.err != nil || got.response.Close || reader.Buffered() > 0 || p.isWriting
 		p.asked = nil
 		p.isDead = isOver
 		p.mu.Unlock()
@@ -174,9 +178,17 @@
 		return nil, false
 	}
 	p.asked, p.limit, p.answer, p.more = request, limit, make(chan answer, 1), make(chan struct{})
+	p.isWriting = true
 	return p.answer, true
 }
 
+// written notes that the whole request is out.
+func (p *pipe) written() {
+	p.mu.Lock()
+	p.isWriting = false
+	p.mu.Unlock()
+}
+
 func (p *pipe) isIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gate/try.go
+++ b/internal/gate/try.go
@@ -143,6 +143,7 @@
 		to.strike(time.Now(), true)
 		return nil, counted.n > 0 || request.ContentLength != 0, broken(request, counted.n, err)
 	}
+	p.written()
 	isHeld = true
 	return g.await(ctx, c, r, &asking{to: to, pipe: p, out: out, sent: sent, wrote: counted}, body, no)
 }
--- a/internal/sham/plain.go
+++ b/internal/sham/plain.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/gate"
 	"github.com/sumactrestle/sumactrestle/internal/judge"
@@ -55,6 +56,21 @@
 	return true
 }
 
+// turnAwayEarly answers that a request was not run while its body is still on the way,
+// and leaves the connection open without reading on.
+func (s *Server) turnAwayEarly(w http.ResponseWriter, r *http.Request) {
+	rec := s.record(r, judge.Reached)
+	rec.Status = http.StatusServiceUnavailable
+	s.H.Add(rec)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n%s: %s\r\n%s: 1\r\n\r\n", gate.HeaderRequest, rec.Request, HeaderUnrun)
+	time.Sleep(5 * time.Second)
+	conn.Close()
+}
+
 // whole is a success as it goes over the wire.
 func whole(request, seal, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n\r\n%s", len(body), gate.HeaderRequest, request, gate.HeaderSeal, seal, body)
--- a/internal/sham/server.go
+++ b/internal/sham/server.go
@@ -36,6 +36,10 @@
 	Denied   = "denied"   // runs it, and says beside its success that it did not
 	Full     = "full"     // turns it away and says so
 	Failing  = "failing"  // runs it, and answers that it failed
+	Unframed = "unframed" // runs it, answers without a length and closes
+	Twice    = "twice"    // runs it, and answers two times
+	HalfHead = "halfhead" // runs it, and breaks off within the head of its answer
+	Early    = "early"    // turns it away before it has read the body, and reads no more
 )
 
 // Server is one stand-in back end.
@@ -171,14 +175,18 @@
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := s.H.Now()
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
 	way := Fine
 	if n := s.n.Add(1); s.Misdo != nil {
 		way = s.Misdo(n)
 	}
+	if way == Early && s.IsPlain {
+		s.turnAwayEarly(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
 	if s.IsPlain && s.turnsAway(w, r, way) {
 		return
 	}
@@ -222,6 +230,15 @@
 	case Cut:
 		hijack(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n\r\n%s", len(answer), gate.HeaderRequest, request, gate.HeaderSeal, seal, answer[:len(answer)/2]))
 		return
+	case Unframed:
+		hijack(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s", gate.HeaderRequest, request, gate.HeaderSeal, seal, answer))
+		return
+	case Twice:
+		hijack(whole(request, seal, string(answer)) + whole(request, seal, string(answer)))
+		return
+	case HalfHead:
+		hijack(whole(request, seal, string(answer))[:25])
+		return
 	case Swapped:
 		if old, ok := s.last.Load().([]string); ok {
 			w.Header().Set(gate.HeaderSeal, old[0])
