--- a/cmd/sumac/calls.go
+++ b/cmd/sumac/calls.go
@@ -22,9 +22,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/guise"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/usage"
@@ -345,11 +345,11 @@
 }
 
 func runJudge(ctx context.Context, cmd *cli.Command) error {
-	records, err := judge.Read(cmd.Args().First())
+	records, err := checker.Read(cmd.Args().First())
 	if err != nil {
 		return err
 	}
-	verdict := judge.Judge(records)
+	verdict := checker.Judge(records)
 	fmt.Print(verdict)
 	if !verdict.IsClean() {
 		return fault.New(fault.BadCall, "the history breaks a rule")
--- a/cmd/troupe/report.go
+++ b/cmd/troupe/report.go
@@ -10,9 +10,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/hollow"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/report"
 )
 
@@ -40,7 +40,7 @@
 			runs = append(runs, run)
 			continue
 		}
-		records, err := judge.Read(path)
+		records, err := checker.Read(path)
 		if err != nil {
 			return fault.New(fault.BadCall, "%s: neither the figures of a hollow run nor a history: %v", path, err)
 		}
--- a/internal/bond/desk_test.go
+++ b/internal/bond/desk_test.go
@@ -11,19 +11,19 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/dream"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/simulator"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
 type desks struct {
 	*testing.T
-	f *dream.Fleet
+	f *simulator.Fleet
 }
 
 // owner is the node that serves the part of a name.
-func (d *desks) owner(name string) (owner *dream.Machine) {
+func (d *desks) owner(name string) (owner *simulator.Machine) {
 	d.Helper()
 	isThere := d.f.Until(30*time.Second, func() bool {
 		for _, m := range d.f.Cores() {
@@ -67,7 +67,7 @@
 
 func on(t *testing.T, test func(d *desks)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := dream.NewFleet(1, dream.Small(), io.Discard)
+		f := simulator.NewFleet(1, simulator.Small(), io.Discard)
 		defer f.Close()
 		if err := f.Boot(); err != nil {
 			t.Fatal(err)
--- a/internal/judge/bonds.go
+++ b/internal/checker/bonds.go
@@ -1,5 +1,5 @@
 // Checkers of coordination: locks and elections, counters, keys and watches.
-package judge
+package checker
 
 import (
 	"sort"
--- a/internal/judge/history.go
+++ b/internal/checker/history.go
@@ -1,8 +1,8 @@
-// Package judge records what happened to a fleet, as seen by the stand-ins at
+// Package checker records what happened to a fleet, as seen by the stand-ins at
 // its edges, and judges the whole history by one checker for each thing that
 // must never happen. A history is JSON lines, so a recorded one can be judged
 // again. A checker that lacks what it needs says so, and that is a failure.
-package judge
+package checker
 
 import (
 	"bufio"
--- a/internal/judge/judge.go
+++ b/internal/checker/judge.go
@@ -1,6 +1,6 @@
 // One checker for each thing that must never happen. Each looks at the whole
 // history and names what breaks its rule, with the records around it.
-package judge
+package checker
 
 import (
 	"fmt"
--- a/internal/judge/judge_test.go
+++ b/internal/checker/judge_test.go
@@ -1,5 +1,5 @@
 // Each checker is seen to pass a sound history and to fail on a planted fault.
-package judge
+package checker
 
 import (
 	"strings"
--- a/internal/judge/served.go
+++ b/internal/checker/served.go
@@ -1,7 +1,7 @@
 // What was served: of all calls of a run, how many were answered with a success,
 // refused with a numbered code, or left unknown. It is a figure beside the verdict,
 // for a run that refuses everything breaks no rule.
-package judge
+package checker
 
 import (
 	"fmt"
--- a/internal/judge/served_test.go
+++ b/internal/checker/served_test.go
@@ -1,4 +1,4 @@
-package judge
+package checker
 
 import (
 	"testing"
--- a/internal/judge/spaces.go
+++ b/internal/checker/spaces.go
@@ -1,5 +1,5 @@
 // Checkers of spaces with counts of their own, and of operators' versions.
-package judge
+package checker
 
 import (
 	"sort"
--- a/internal/judge/spaces_test.go
+++ b/internal/checker/spaces_test.go
@@ -1,5 +1,5 @@
 // More planted faults: spaces, versions, timed locks, and proxies in touch.
-package judge
+package checker
 
 import (
 	"testing"
--- a/internal/judge/state.go
+++ b/internal/checker/state.go
@@ -1,5 +1,5 @@
 // Checkers of what is kept: change sets, budgets, coordination, recovery.
-package judge
+package checker
 
 import (
 	"fmt"
--- a/internal/judge/touch.go
+++ b/internal/checker/touch.go
@@ -1,6 +1,6 @@
 // Which proxies the bounds on time bind: where a history tells of proxies in touch
 // and out of it, only those in touch; else all, always.
-package judge
+package checker
 
 import (
 	"sort"
--- a/internal/fleet/costs.go
+++ b/internal/fleet/costs.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 )
 
 // profile takes ten seconds of processor time from a core node and a proxy.
@@ -138,7 +138,7 @@
 			for _, m := range r.f.Machines {
 				sum.add(m.Name, r.trafficOf(m))
 			}
-			r.h.Add(judge.Record{Kind: judge.Sent, Sent: maps.Clone(sum.whole)})
+			r.h.Add(checker.Record{Kind: checker.Sent, Sent: maps.Clone(sum.whole)})
 			select {
 			case <-ctx.Done():
 			case <-tick.C:
--- a/internal/fleet/duty.go
+++ b/internal/fleet/duty.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 )
 
 const dutyCycle = 20 * time.Millisecond
@@ -47,7 +47,7 @@
 func (r *Run) goodput(seconds float64) {
 	took := map[string][]time.Duration{}
 	for _, rec := range r.h.Records() {
-		if rec.Kind == judge.Called {
+		if rec.Kind == checker.Called {
 			what := rec.Outcome
 			if rec.Code != 0 {
 				what = fmt.Sprint(rec.Outcome, ", code ", rec.Code)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 // Machine is one node's place.
@@ -49,7 +49,7 @@
 	// Relay stands before every node's wire address, if there is one.
 	Relay *Relay
 	// H is told of every start of a proxy, if there is one.
-	H *judge.History
+	H *checker.History
 	// IsDebugged gives every node an address for profiles, three above its port.
 	IsDebugged bool
 	isSmall    bool
@@ -121,7 +121,7 @@
 		args = append(args, "--set", key+"="+value)
 	}
 	if m.IsProxy && m.fleet.H != nil {
-		m.fleet.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
+		m.fleet.H.Add(checker.Record{Kind: checker.Alive, Proxy: m.Gate()})
 	}
 	binary := m.fleet.Binary
 	if m.isOther {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -16,11 +16,11 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // Run is one.
@@ -41,11 +41,11 @@
 	f       *Fleet
 	shape   Shape
 	ctx     context.Context
-	h       *judge.History
+	h       *checker.History
 	out     io.Writer
 	began   time.Time
 	mu      sync.Mutex
-	servers []*sham.Server
+	servers []*standin.Server
 	calls   atomic.Int64
 	bonds   atomic.Int64
 	changes atomic.Int64
@@ -60,7 +60,7 @@
 // mark says what is done to the fleet, and notes it in the history.
 func (r *Run) mark(format string, args ...any) {
 	r.say(format, args...)
-	r.h.Add(judge.Record{Kind: judge.Hurt, Note: fmt.Sprintf(format, args...)})
+	r.h.Add(checker.Record{Kind: checker.Hurt, Note: fmt.Sprintf(format, args...)})
 }
 
 func (r *Run) nap(rnd *rand.Rand, least, most int) {
@@ -78,7 +78,7 @@
 	for _, m := range r.f.ProxyMachines() {
 		nodes = append(nodes, m.Api())
 	}
-	s := &sham.Server{Net: realm.Host(""), H: r.h, Service: service, Zone: zone, Address: address, Key: "key-" + service, Nodes: nodes, Work: r.Work}
+	s := &standin.Server{Net: realm.Host(""), H: r.h, Service: service, Zone: zone, Address: address, Key: "key-" + service, Nodes: nodes, Work: r.Work}
 	if err := s.Start(r.ctx); err != nil {
 		r.say("%s at %s: %v", service, address, err)
 		return
@@ -88,7 +88,7 @@
 	r.mu.Unlock()
 }
 
-func (r *Run) takeServer(rnd *rand.Rand) *sham.Server {
+func (r *Run) takeServer(rnd *rand.Rand) *standin.Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := rnd.IntN(len(r.servers))
@@ -117,11 +117,11 @@
 	if r.Eager >= 0 {
 		r.shape.Impatient = r.Eager
 	}
-	r.h = judge.New(r.History)
+	r.h = checker.New(r.History)
 	r.f.H = r.h
 	r.spent = map[string]time.Duration{}
 	r.say("shape %s, rates times %.2f, %d s, seed %d, faults %s", shape.Name, r.Factor, r.Seconds, r.Seed, r.Fault)
-	r.h.Add(judge.Record{Kind: judge.Began, Note: shape.Name})
+	r.h.Add(checker.Record{Kind: checker.Began, Note: shape.Name})
 	defer r.f.KillAll()
 	if strings.HasPrefix(r.Fault, "cut") || r.Fault == "all" {
 		if r.f.Relay, err = NewRelay(ctx, r.f); err != nil {
@@ -145,7 +145,7 @@
 			s.Close()
 		}
 	}()
-	operator := sham.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
+	operator := standin.NewOperator(realm.Host(""), r.h, r.f.ProxyMachines()[0].Api())
 	first := FirstChange("first", services)
 	for i, m := range first.Put.Value.Mappings {
 		first.Put.Value.Mappings[i].Once = api.NewOptBool(!r.IsTwice && !m.Repeatable.Value)
@@ -193,8 +193,8 @@
 		r.rescue()
 	}
 	r.ask(operator)
-	r.h.Add(judge.Record{Kind: judge.Ended})
-	verdict := judge.Judge(r.h.Records())
+	r.h.Add(checker.Record{Kind: checker.Ended})
+	verdict := checker.Judge(r.h.Records())
 	fmt.Fprint(out, verdict)
 	if r.isCalm() {
 		r.costs(took, before, after, traffic, later)
@@ -221,7 +221,7 @@
 			loads.Add(1)
 			go func() {
 				defer loads.Done()
-				caller := sham.NewCaller(realm.Host(""), r.h)
+				caller := standin.NewCaller(realm.Host(""), r.h)
 				caller.Once = !r.IsTwice
 				defer caller.Close()
 				var mine sync.WaitGroup
@@ -259,7 +259,7 @@
 			defer tick.Stop()
 			var clients []*api.Client
 			for _, m := range r.f.Machines {
-				clients = append(clients, sham.Client(realm.Host(""), m.Api()))
+				clients = append(clients, standin.Client(realm.Host(""), m.Api()))
 			}
 			for n := 0; ; n++ {
 				select {
@@ -275,7 +275,7 @@
 }
 
 // callOnce is one request of a service, and its repeats if the caller is eager.
-func (r *Run) callOnce(caller *sham.Caller, l Load, body []byte) {
+func (r *Run) callOnce(caller *standin.Caller, l Load, body []byte) {
 	proxies := r.f.ProxyMachines()
 	gate := func() string { return proxies[rand.IntN(len(proxies))].Gate() }
 	if l.IsRepeatable {
@@ -293,7 +293,7 @@
 func (r *Run) bondOnce(client *api.Client, app string, n int) {
 	ctx, end := context.WithTimeout(context.Background(), 4*time.Second)
 	defer end()
-	rec := judge.Record{Kind: judge.Bonded, Start: r.h.Now(), Outcome: "done"}
+	rec := checker.Record{Kind: checker.Bonded, Start: r.h.Now(), Outcome: "done"}
 	var receipt *api.Receipt
 	var err error
 	switch n % 3 {
@@ -307,7 +307,7 @@
 		rec.Op, rec.Name = "get", fmt.Sprint("key", n%5)
 		receipt, err = client.GetKey(ctx, api.GetKeyParams{Name: rec.Name})
 	}
-	rec.Code = sham.CodeOf(err)
+	rec.Code = standin.CodeOf(err)
 	switch {
 	case err == nil:
 		rec.Stamp, rec.Count = receipt.Stamp, receipt.Count.Or(0)
@@ -330,9 +330,9 @@
 		}
 	}
 	back := r.h.Now()
-	caller := sham.NewCaller(realm.Host(""), r.h)
+	caller := standin.NewCaller(realm.Host(""), r.h)
 	defer caller.Close()
-	rec := judge.Record{Kind: judge.Rescue, Start: back, Outcome: "usable"}
+	rec := checker.Record{Kind: checker.Rescue, Start: back, Outcome: "usable"}
 	for _, m := range r.f.ProxyMachines() {
 		for _, l := range r.shape.Loads {
 			if Until(r.ctx, 30*time.Second, func() bool {
@@ -351,16 +351,16 @@
 	return r.Fault == "none" || r.Fault == "change" || r.Fault == "grow"
 }
 
-func (r *Run) ask(operator *sham.Operator) {
+func (r *Run) ask(operator *standin.Operator) {
 	asked := map[string]bool{}
 	for _, rec := range r.h.Records() {
-		if rec.Kind == judge.Changed && !asked[rec.Name] {
+		if rec.Kind == checker.Changed && !asked[rec.Name] {
 			asked[rec.Name] = true
 			Until(r.ctx, 10*time.Second, func() bool { _, err := operator.Ask(r.ctx, rec.Name); return err == nil })
 		}
 	}
 	if view, err := operator.Epoch(r.ctx); err == nil {
-		rec := judge.Record{Kind: judge.InForce, Epoch: view.Epoch}
+		rec := checker.Record{Kind: checker.InForce, Epoch: view.Epoch}
 		for _, m := range view.Config.Mappings {
 			rec.Names = append(rec.Names, m.Name)
 		}
--- a/internal/fleet/smoke.go
+++ b/internal/fleet/smoke.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // FirstChange is the configuration the stand-ins use.
@@ -41,24 +41,24 @@
 	say := func(format string, args ...any) {
 		fmt.Fprintf(out, "%6.2fs %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 	}
-	h := judge.New(nil)
+	h := checker.New(nil)
 	f.H = h
 	if err := f.StartAll(); err != nil {
 		return err
 	}
-	h.Add(judge.Record{Kind: judge.Began, Note: "smoke"})
+	h.Add(checker.Record{Kind: checker.Began, Note: "smoke"})
 	host := realm.Host("")
 	services := map[string]bool{"rates": true, "bookings": false}
 	for name := range services {
 		for i := range 3 {
-			s := &sham.Server{Net: host, H: h, Service: name, Zone: fmt.Sprintf("zone%d", i+1), Address: fmt.Sprintf("127.1.%d.%d:%d", i+1, 50+len(name), port), Key: "key-" + name, Nodes: f.Apis()}
+			s := &standin.Server{Net: host, H: h, Service: name, Zone: fmt.Sprintf("zone%d", i+1), Address: fmt.Sprintf("127.1.%d.%d:%d", i+1, 50+len(name), port), Key: "key-" + name, Nodes: f.Apis()}
 			if err := s.Start(ctx); err != nil {
 				return err
 			}
 			defer s.Close()
 		}
 	}
-	operator := sham.NewOperator(host, h, f.Of("proxy1").Api())
+	operator := standin.NewOperator(host, h, f.Of("proxy1").Api())
 	if err := Until(ctx, 30*time.Second, func() bool {
 		receipt, err := operator.Submit(ctx, FirstChange("first", services))
 		if err == nil {
@@ -74,7 +74,7 @@
 		return err
 	}
 	say("every node is ready")
-	caller := sham.NewCaller(host, h)
+	caller := standin.NewCaller(host, h)
 	defer caller.Close()
 	served := func(proxy *Machine) func() bool {
 		return func() bool {
@@ -118,8 +118,8 @@
 		}
 		say("%s stopped by itself", name)
 	}
-	h.Add(judge.Record{Kind: judge.Ended})
-	verdict := judge.Judge(h.Records())
+	h.Add(checker.Record{Kind: checker.Ended})
+	verdict := checker.Judge(h.Records())
 	fmt.Fprint(out, verdict)
 	if !verdict.IsClean() {
 		return fault.New(fault.Internal, "the history breaks a rule")
--- a/internal/fleet/up.go
+++ b/internal/fleet/up.go
@@ -8,10 +8,10 @@
 	"io"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // Up starts a shape and prints how to reach it; it ends with the context.
@@ -25,7 +25,7 @@
 	if err := f.StartAll(); err != nil {
 		return err
 	}
-	r := &Run{f: f, shape: shape, ctx: ctx, h: judge.New(io.Discard), out: out, began: time.Now()}
+	r := &Run{f: f, shape: shape, ctx: ctx, h: checker.New(io.Discard), out: out, began: time.Now()}
 	services := map[string]bool{}
 	for _, l := range shape.Loads {
 		services[l.Service] = l.IsRepeatable
@@ -33,7 +33,7 @@
 			r.serve(l.Service, fmt.Sprintf("127.8.%d.%d:%d", len(services), i+1, port), fmt.Sprintf("zone%d", i%shape.Zones+1))
 		}
 	}
-	operator := sham.NewOperator(realm.Host(""), r.h, f.ProxyMachines()[0].Api())
+	operator := standin.NewOperator(realm.Host(""), r.h, f.ProxyMachines()[0].Api())
 	if err := Until(ctx, 30*time.Second, func() bool { _, err := operator.Submit(ctx, FirstChange("first", services)); return err == nil }); err != nil {
 		return fault.New(fault.Internal, "the first change set was not accepted")
 	}
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -16,7 +16,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/fleet"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // Size is what a run is asked for.
@@ -101,7 +101,7 @@
 	if err := r.f.StartAll(); err != nil {
 		return nil, err
 	}
-	r.client = sham.Client(realm.Host(""), r.f.CoreMachines()[0].Api())
+	r.client = standin.Client(realm.Host(""), r.f.CoreMachines()[0].Api())
 	if err := fleet.Until(ctx, r.limit, func() bool { _, err := r.submit(ctx, r.whole()); return err == nil }); err != nil {
 		return nil, fault.New(fault.Internal, "the first change set was not accepted")
 	}
--- a/internal/report/history.go
+++ b/internal/report/history.go
@@ -12,8 +12,8 @@
 
 	"gonum.org/v1/plot/plotter"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 const (
@@ -31,17 +31,17 @@
 }
 
 // cut puts the calls into intervals of one length.
-func cut(records []judge.Record) (intervals []interval, length time.Duration) {
+func cut(records []checker.Record) (intervals []interval, length time.Duration) {
 	var last time.Duration
 	for _, r := range records {
-		if r.Kind == judge.Called {
+		if r.Kind == checker.Called {
 			last = max(last, r.Start)
 		}
 	}
 	length = max(time.Second, (last/intervalsMost + time.Second - 1).Truncate(time.Second))
 	intervals = make([]interval, last/length+1)
 	for _, r := range records {
-		if r.Kind != judge.Called || r.Outcome == "gone" {
+		if r.Kind != checker.Called || r.Outcome == "gone" {
 			continue
 		}
 		p := &intervals[r.Start/length]
@@ -63,7 +63,7 @@
 }
 
 // History makes a section of a recorded history.
-func History(name string, records []judge.Record) (Section, error) {
+func History(name string, records []checker.Record) (Section, error) {
 	s := Section{Title: name}
 	intervals, length := cut(records)
 	calls := 0
@@ -76,13 +76,13 @@
 	var faults []float64
 	var told []string
 	for _, r := range records {
-		if r.Kind == judge.Hurt {
+		if r.Kind == checker.Hurt {
 			faults = append(faults, r.At.Seconds())
 			told = append(told, fmt.Sprintf("%8.1f s  %s", r.At.Seconds(), r.Note))
 		}
 	}
-	verdict := judge.Judge(records)
-	s.Text = fmt.Sprintf("%s\n\nrules broken: %d\n\n%s", judge.ServedOf(records), len(verdict.Breaches), verdict)
+	verdict := checker.Judge(records)
+	s.Text = fmt.Sprintf("%s\n\nrules broken: %d\n\n%s", checker.ServedOf(records), len(verdict.Breaches), verdict)
 	if len(told) > 0 {
 		s.Text += "\nfaults, by the history's clock:\n" + strings.Join(told, "\n") + "\n"
 	}
@@ -140,10 +140,10 @@
 var quantiles = map[string]float64{"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
 
 // bytesByKind is the rates between two samples of what all nodes had sent.
-func bytesByKind(records []judge.Record, faults []float64) (*Plot, error) {
-	var samples []judge.Record
+func bytesByKind(records []checker.Record, faults []float64) (*Plot, error) {
+	var samples []checker.Record
 	for _, r := range records {
-		if r.Kind == judge.Sent {
+		if r.Kind == checker.Sent {
 			samples = append(samples, r)
 		}
 	}
--- a/internal/dream/bonds.go
+++ b/internal/simulator/bonds.go
@@ -1,7 +1,7 @@
 // The rest of what applications do: compare-and-set, deletes, lists, elections,
 // watches of whole spaces, and repeats of calls that were left unknown, under the
 // id that they had.
-package dream
+package simulator
 
 import (
 	"context"
@@ -13,21 +13,21 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 const space = "space/"
 
 // again makes a call under an id, and up to three times more while it is left
 // unknown; each try is recorded under the id.
-func (f *Fleet) again(r *rand.Rand, clients []*api.Client, rec judge.Record, call func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error) (done bool) {
+func (f *Fleet) again(r *rand.Rand, clients []*api.Client, rec checker.Record, call func(ctx context.Context, client *api.Client, id string, rec *checker.Record) error) (done bool) {
 	rec.Request = mark.NewID()
 	for range 4 {
 		client, outcome := clients[r.IntN(len(clients))], ""
-		f.bonded(rec, func(ctx context.Context, now *judge.Record) error {
+		f.bonded(rec, func(ctx context.Context, now *checker.Record) error {
 			err := call(ctx, client, rec.Request, now)
 			outcome = outcomeOf(err)
 			return err
@@ -40,7 +40,7 @@
 	return false
 }
 
-func take(rec *judge.Record, receipt *api.Receipt, err error) error {
+func take(rec *checker.Record, receipt *api.Receipt, err error) error {
 	if err == nil {
 		rec.Stamp, rec.Count = receipt.Stamp, receipt.Count.Or(0)
 	}
@@ -51,7 +51,7 @@
 func (f *Fleet) Bonders(n int, mean time.Duration) {
 	var clients []*api.Client
 	for _, m := range f.Machines {
-		clients = append(clients, sham.Client(f.W.Net(f.outside(61)), m.Api()))
+		clients = append(clients, standin.Client(f.W.Net(f.outside(61)), m.Api()))
 	}
 	for i := range n {
 		f.task(func(r *rand.Rand) {
@@ -60,19 +60,19 @@
 			client := clients[r.IntN(len(clients))]
 			switch r.IntN(6) {
 			case 0:
-				f.again(r, clients, judge.Record{Op: "add", Name: "total/" + fmt.Sprint(r.IntN(2))}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+				f.again(r, clients, checker.Record{Op: "add", Name: "total/" + fmt.Sprint(r.IntN(2))}, func(ctx context.Context, client *api.Client, id string, rec *checker.Record) error {
 					receipt, err := client.AddCounter(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(id)})
 					return take(rec, receipt, err)
 				})
 			case 1, 2:
 				f.compareAndSet(r, clients, key)
 			case 3:
-				f.again(r, clients, judge.Record{Op: "drop", Name: key}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+				f.again(r, clients, checker.Record{Op: "drop", Name: key}, func(ctx context.Context, client *api.Client, id string, rec *checker.Record) error {
 					receipt, err := client.DropKey(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(id)})
 					return take(rec, receipt, err)
 				})
 			case 4:
-				f.bonded(judge.Record{Op: "list", Name: space}, func(ctx context.Context, rec *judge.Record) error {
+				f.bonded(checker.Record{Op: "list", Name: space}, func(ctx context.Context, rec *checker.Record) error {
 					receipt, err := client.ListKeys(ctx, api.ListKeysParams{Prefix: space})
 					if err == nil {
 						rec.Stamp = receipt.Stamp
@@ -94,9 +94,9 @@
 // compareAndSet reads a key and puts it back, if nobody else did meanwhile.
 func (f *Fleet) compareAndSet(r *rand.Rand, clients []*api.Client, key string) {
 	stamp, isRead := uint64(0), false
-	f.bonded(judge.Record{Op: "get", Name: key}, func(ctx context.Context, rec *judge.Record) error {
+	f.bonded(checker.Record{Op: "get", Name: key}, func(ctx context.Context, rec *checker.Record) error {
 		receipt, err := clients[r.IntN(len(clients))].GetKey(ctx, api.GetKeyParams{Name: key})
-		if sham.CodeOf(err) == fault.NoKey.No {
+		if standin.CodeOf(err) == fault.NoKey.No {
 			isRead = true
 			return nil
 		}
@@ -110,7 +110,7 @@
 		return
 	}
 	value, _ := json.Marshal(r.Uint32())
-	f.again(r, clients, judge.Record{Op: "put", Name: key, IsIf: true, From: stamp, Digest: string(value)}, func(ctx context.Context, client *api.Client, id string, rec *judge.Record) error {
+	f.again(r, clients, checker.Record{Op: "put", Name: key, IsIf: true, From: stamp, Digest: string(value)}, func(ctx context.Context, client *api.Client, id string, rec *checker.Record) error {
 		receipt, err := client.PutKey(ctx, &api.Call{Name: key, Value: jx.Raw(value), If: api.NewOptUint64(stamp), ID: api.NewOptString(id)})
 		return take(rec, receipt, err)
 	})
@@ -122,9 +122,9 @@
 	session := who + "-" + mark.NewID()
 	fence := uint64(0)
 	client := clients[r.IntN(len(clients))]
-	f.bonded(judge.Record{Op: "leader", Name: "head"}, func(ctx context.Context, rec *judge.Record) error {
+	f.bonded(checker.Record{Op: "leader", Name: "head"}, func(ctx context.Context, rec *checker.Record) error {
 		receipt, err := client.GetLeader(ctx, api.GetLeaderParams{Name: "head"})
-		if sham.CodeOf(err) == fault.NoKey.No {
+		if standin.CodeOf(err) == fault.NoKey.No {
 			return nil
 		}
 		if err == nil {
@@ -132,7 +132,7 @@
 		}
 		return err
 	})
-	err := f.bonded(judge.Record{Op: "acquire", Name: "head", Holder: session, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+	err := f.bonded(checker.Record{Op: "acquire", Name: "head", Holder: session, Ttl: ttl}, func(ctx context.Context, rec *checker.Record) error {
 		receipt, err := client.Elect(ctx, &api.Call{Name: "head", Holder: api.NewOptString(session), TTL: api.NewOptInt64(ttl.Milliseconds()), Value: jx.Raw(`"here"`), ID: api.NewOptString(mark.NewID())}, api.ElectParams{Verb: api.ElectVerbCampaign})
 		if err == nil {
 			fence = receipt.Fence.Or(0)
@@ -145,7 +145,7 @@
 	}
 	time.Sleep(time.Duration(r.Int64N(int64(ttl))))
 	if r.IntN(2) == 0 {
-		f.bonded(judge.Record{Op: "release", Name: "head", Holder: session, Fence: fence}, func(ctx context.Context, rec *judge.Record) error {
+		f.bonded(checker.Record{Op: "release", Name: "head", Holder: session, Fence: fence}, func(ctx context.Context, rec *checker.Record) error {
 			_, err := client.Elect(ctx, &api.Call{Name: "head", Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence), ID: api.NewOptString(mark.NewID())}, api.ElectParams{Verb: api.ElectVerbResign})
 			return err
 		})
@@ -154,10 +154,10 @@
 
 // countUp reads the counters at the end, when nothing else goes on.
 func (f *Fleet) countUp() {
-	client := sham.Client(f.W.Net(f.outside(92)), f.Cores()[0].Api())
+	client := standin.Client(f.W.Net(f.outside(92)), f.Cores()[0].Api())
 	for i := range 2 {
 		f.Until(10*time.Second, func() bool {
-			return f.bonded(judge.Record{Op: "total", Name: fmt.Sprint("total/", i)}, func(ctx context.Context, rec *judge.Record) error {
+			return f.bonded(checker.Record{Op: "total", Name: fmt.Sprint("total/", i)}, func(ctx context.Context, rec *checker.Record) error {
 				receipt, err := client.GetCounter(ctx, api.GetCounterParams{Name: rec.Name})
 				return take(rec, receipt, err)
 			}) == nil
@@ -169,7 +169,7 @@
 	if err == nil {
 		return "done"
 	}
-	if code := sham.CodeOf(err); code > 0 && fault.Codes[code].Outcome == "" {
+	if code := standin.CodeOf(err); code > 0 && fault.Codes[code].Outcome == "" {
 		return "refused"
 	} else if code > 0 {
 		return fault.Codes[code].Outcome
--- a/internal/dream/contact_test.go
+++ b/internal/simulator/contact_test.go
@@ -1,6 +1,6 @@
 // A core node that has no word of a majority hands out nothing that may be old: each
 // kind of call is told at once to ask another node, and nothing is confirmed.
-package dream
+package simulator
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -109,7 +109,7 @@
 	f.cutContact(m, manner)
 	time.Sleep(shapeContact)
 	other := f.Of("proxy2")
-	operator := sham.NewOperator(f.W.Net(f.outside(2)), f.H, other.Api())
+	operator := standin.NewOperator(f.W.Net(f.outside(2)), f.H, other.Api())
 	view, err := operator.Epoch(f.ctx)
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +120,7 @@
 	if got := f.givesOut(t, m); len(got) > 0 {
 		t.Errorf("without contact it gives out %v", got)
 	}
-	client := sham.Client(f.W.Net(f.outside(1)), m.Api())
+	client := standin.Client(f.W.Net(f.outside(1)), m.Api())
 	server := f.Servers("rates")[0]
 	beat := &api.Beat{Service: server.Service, Instance: server.Instance, Seq: 1 << 40, Address: server.Address, Zone: api.NewOptString(server.Zone), Weight: api.NewOptInt(1), State: "serving"}
 	for name, call := range f.calls(client, beat, f.setChange(f.Rand, "cut off", view)) {
@@ -134,7 +134,7 @@
 		if name == "submit a change" {
 			want, outcome = fault.ChangeUnknown.No, "unknown"
 		}
-		if code := sham.CodeOf(err); code != want || outcomeOf(err) != outcome {
+		if code := standin.CodeOf(err); code != want || outcomeOf(err) != outcome {
 			t.Errorf("%s: code %d, outcome %q: %v", name, code, outcomeOf(err), err)
 		}
 	}
--- a/internal/dream/double_test.go
+++ b/internal/simulator/double_test.go
@@ -1,12 +1,12 @@
 // Reads whose target is late, silent or failing: a second target answers them, as
 // far as the budget goes. Orders go to one target only, whatever becomes of them.
-package dream
+package simulator
 
 import (
 	"testing"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // withOneIll has three servers of each service, callers that the proxy has learnt
@@ -21,7 +21,7 @@
 				s.Work = 50 * time.Millisecond
 			}
 		}
-		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 		defer caller.Close()
 		call := func(method, path string) (int, time.Duration) {
 			began := time.Now()
@@ -40,7 +40,7 @@
 }
 
 func TestAReadThatIsOverdueIsAnsweredByASecondTarget(t *testing.T) {
-	withOneIll(t, "rates", sham.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+	withOneIll(t, "rates", standin.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
 		for i := range 12 {
 			if status, took := call("GET", "/rates"); status != 200 || took > time.Second {
 				t.Errorf("read %d: %d after %s", i, status, took)
@@ -50,7 +50,7 @@
 }
 
 func TestAReadAtWhichATargetFailedIsAnsweredByAnother(t *testing.T) {
-	withOneIll(t, "rates", sham.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+	withOneIll(t, "rates", standin.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
 		for i := range 12 {
 			if status, _ := call("GET", "/rates"); status != 200 {
 				t.Errorf("read %d: %d", i, status)
@@ -60,7 +60,7 @@
 }
 
 func TestAnOrderThatIsOverdueGoesToOneTarget(t *testing.T) {
-	withOneIll(t, "bookings", sham.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+	withOneIll(t, "bookings", standin.Slow, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
 		before := len(f.H.Records())
 		for range 12 {
 			call("POST", "/bookings")
@@ -84,7 +84,7 @@
 }
 
 func TestOrdersLeaveATargetThatFails(t *testing.T) {
-	withOneIll(t, "bookings", sham.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
+	withOneIll(t, "bookings", standin.Failing, func(f *Fleet, call func(method, path string) (int, time.Duration)) {
 		failed := 0
 		for range 40 {
 			if status, _ := call("POST", "/bookings"); status != 200 {
--- a/internal/dream/dream_test.go
+++ b/internal/simulator/dream_test.go
@@ -1,10 +1,10 @@
 // The fixed seeds of the simulator that run with the tests, and the long runs:
 //
-//	go test ./internal/dream -run TestSeeds -seeds 1:200 -scenario kills
+//	go test ./internal/simulator -run TestSeeds -seeds 1:200 -scenario kills
 //
 // prints, for each seed that breaks a rule, the seed, the rule, the faults and
 // the history around the breach.
-package dream
+package simulator
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 )
 
 var (
@@ -46,7 +46,7 @@
 			t.Parallel()
 			var mu sync.Mutex
 			var recoveries []time.Duration
-			var served judge.Served
+			var served checker.Served
 			var ran, inTouch int
 			t.Cleanup(func() {
 				sort.Slice(recoveries, func(i, j int) bool { return recoveries[i] < recoveries[j] })
@@ -62,7 +62,7 @@
 						mu.Lock()
 						recoveries = append(recoveries, recovery)
 						served = served.Plus(some)
-						ran, inTouch = ran+counts[judge.Ran], inTouch+counts["ran in touch"]
+						ran, inTouch = ran+counts[checker.Ran], inTouch+counts["ran in touch"]
 						mu.Unlock()
 					}
 				})
@@ -90,7 +90,7 @@
 	return list
 }
 
-func dreamOf(t *testing.T, s Scenario, seed uint64) (recovery time.Duration, served judge.Served, counts map[string]int, ok bool) {
+func dreamOf(t *testing.T, s Scenario, seed uint64) (recovery time.Duration, served checker.Served, counts map[string]int, ok bool) {
 	var log io.Writer = io.Discard
 	var kept bytes.Buffer
 	if *keep != "" {
--- a/internal/dream/fleet.go
+++ b/internal/simulator/fleet.go
@@ -1,7 +1,7 @@
 // A Fleet is the nodes and the stand-ins of one simulated run. Machines are
 // started, killed, held still, wiped and moved; stand-in servers come and go;
 // everything at the edges is written into the history that the judge reads.
-package dream
+package simulator
 
 import (
 	"context"
@@ -12,13 +12,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/consensus/model"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // Shape is what a fleet is made of.
@@ -54,7 +54,7 @@
 // Fleet is one run.
 type Fleet struct {
 	W        *World
-	H        *judge.History
+	H        *checker.History
 	Shape    Shape
 	Machines []*Machine
 	Log      io.Writer
@@ -64,7 +64,7 @@
 	loads    sync.WaitGroup
 
 	mu      sync.Mutex
-	servers []*sham.Server
+	servers []*standin.Server
 	hosts   int
 	Faults  []string
 	isLoad  atomic.Bool
@@ -76,12 +76,12 @@
 
 func NewFleet(seed uint64, shape Shape, log io.Writer) *Fleet {
 	ctx, end := context.WithCancel(context.Background())
-	f := &Fleet{W: NewWorld(seed), H: judge.New(nil), Shape: shape, Log: log, Rand: rand.New(&chance{pcg: rand.NewPCG(seed, 7)}), ctx: ctx, end: end}
+	f := &Fleet{W: NewWorld(seed), H: checker.New(nil), Shape: shape, Log: log, Rand: rand.New(&chance{pcg: rand.NewPCG(seed, 7)}), ctx: ctx, end: end}
 	f.isLoad.Store(true)
 	f.conformance.Breached = func(invariant, detail string) {
-		f.H.Add(judge.Record{Kind: judge.Differ, Note: invariant + ": " + detail})
+		f.H.Add(checker.Record{Kind: checker.Differ, Note: invariant + ": " + detail})
 	}
-	f.H.Add(judge.Record{Kind: judge.Began, Note: fmt.Sprint("seed ", seed)})
+	f.H.Add(checker.Record{Kind: checker.Began, Note: fmt.Sprint("seed ", seed)})
 	for i := range shape.Cores {
 		f.Add(fmt.Sprintf("core%d", i+1), i%shape.Zones, true, false)
 	}
@@ -154,7 +154,7 @@
 		return err
 	}
 	if m.IsProxy {
-		m.f.H.Add(judge.Record{Kind: judge.Alive, Proxy: m.Gate()})
+		m.f.H.Add(checker.Record{Kind: checker.Alive, Proxy: m.Gate()})
 	}
 	journal := sign.New(m.f.Log, "debug", m.Name)
 	journal.Told = m.f.hear
@@ -192,9 +192,9 @@
 func (f *Fleet) hear(e sign.Entry) {
 	switch e.Event.No {
 	case sign.TargetGoing.No:
-		f.H.Add(judge.Record{Kind: judge.Known, Service: e.Pairs[1].(string), Instance: e.Pairs[3].(string), Note: "taken in"})
+		f.H.Add(checker.Record{Kind: checker.Known, Service: e.Pairs[1].(string), Instance: e.Pairs[3].(string), Note: "taken in"})
 	case sign.PartBroken.No, sign.PartMended.No:
-		f.H.Add(judge.Record{Kind: judge.Differ, Note: fmt.Sprint(e.Event.Text, " ", e.Pairs)})
+		f.H.Add(checker.Record{Kind: checker.Differ, Note: fmt.Sprint(e.Event.Text, " ", e.Pairs)})
 	}
 }
 
@@ -263,11 +263,11 @@
 }
 
 // Serve starts a stand-in server at a new address, or at one given.
-func (f *Fleet) Serve(service, ip string, zone int) *sham.Server {
+func (f *Fleet) Serve(service, ip string, zone int) *standin.Server {
 	if ip == "" {
 		ip = f.host(zone)
 	}
-	s := f.fit(&sham.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond})
+	s := f.fit(&standin.Server{Net: f.W.Net(ip), H: f.H, Service: service, Zone: fmt.Sprint("zone", zone+1), Address: ip + ":8000", Key: "key-" + service, Nodes: f.apis(), Work: 2 * time.Millisecond})
 	if f.Shape.Work > 0 {
 		s.Work = time.Duration(f.Rand.Int64N(int64(f.Shape.Work)))
 	}
@@ -281,7 +281,7 @@
 }
 
 // Servers is the stand-ins of a service that were started and not taken out.
-func (f *Fleet) Servers(service string) (list []*sham.Server) {
+func (f *Fleet) Servers(service string) (list []*standin.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
@@ -293,7 +293,7 @@
 }
 
 // Forget takes a server out of the list, so that it is not picked again.
-func (f *Fleet) Forget(gone *sham.Server) {
+func (f *Fleet) Forget(gone *standin.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, s := range f.servers {
--- a/internal/dream/found_test.go
+++ b/internal/simulator/found_test.go
@@ -1,7 +1,7 @@
 // Founding while founders are killed and lose power: there is one fleet in the
 // end, whatever happened on the way, and a store that took the place of a
 // damaged one never founds another.
-package dream
+package simulator
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // fleets is the charters in force, and how many core nodes have one.
@@ -145,7 +145,7 @@
 			stopped <- time.Now()
 		}()
 		time.Sleep(time.Second)
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("core3").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("core3").Api())
 		if !f.Until(1500*time.Millisecond, func() bool {
 			_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"x"`)})
 			return err == nil
--- a/internal/dream/full_test.go
+++ b/internal/simulator/full_test.go
@@ -1,4 +1,4 @@
-package dream
+package simulator
 
 import (
 	"testing"
@@ -8,7 +8,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // TestANodeWhoseDiskIsFullGoesOn: it gives up what it owns, passes calls on, says so
@@ -19,7 +19,7 @@
 		no := mark.PartOf("app/a")
 		full := f.owner(no)
 		node := full.Node()
-		client := sham.Client(f.W.Net(f.outside(1)), full.Api())
+		client := standin.Client(f.W.Net(f.outside(1)), full.Api())
 		put := func() bool {
 			_, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"x"`)})
 			return err == nil
--- a/internal/dream/gate_test.go
+++ b/internal/simulator/gate_test.go
@@ -1,6 +1,6 @@
 // The gate under what callers do: uploads cut half-way, more requests than the
 // shares allow, and a server that answers before it has read everything.
-package dream
+package simulator
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // inFleet runs a test against a booted fleet.
@@ -34,7 +34,7 @@
 
 func ranOf(f *Fleet, call string) (n int) {
 	for _, r := range f.H.Records() {
-		if r.Kind == judge.Ran && r.Call == call {
+		if r.Kind == checker.Ran && r.Call == call {
 			n++
 		}
 	}
@@ -53,7 +53,7 @@
 			if i == 1 {
 				body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 			}
-			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s\r\n\r\n%s", sham.CallHeader, call, head, body)
+			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s\r\n\r\n%s", standin.CallHeader, call, head, body)
 			time.Sleep(100 * time.Millisecond)
 			conn.Close()
 			time.Sleep(4 * time.Second)
@@ -61,7 +61,7 @@
 				t.Errorf("%s: a cut upload ran %d times", head, n)
 			}
 		}
-		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(3)), f.H)
 		defer caller.Close()
 		got := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte(strings.Repeat("y", 500000)), "whole", false)
 		if got.Outcome != "ran" || got.Note != "" || ranOf(f, "whole") != 1 {
@@ -74,7 +74,7 @@
 	shape := Small()
 	shape.Servers = map[string]int{"bookings": 2, "rates": 1}
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
-		client := sham.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
+		client := standin.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
 		view, err := client.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -97,7 +97,7 @@
 				all.Add(1)
 				go func() {
 					defer all.Done()
-					caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+					caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 					defer caller.Close()
 					began := time.Now()
 					got := caller.Call(context.Background(), f.Of(name).Gate(), "POST", "/bookings", "bookings", []byte("{}"))
@@ -124,7 +124,7 @@
 // A part in which no server was ever heard is known to be empty, not unknown.
 func TestAServiceWithoutServersHasNoTarget(t *testing.T) {
 	inFleet(t, one(), func(t *testing.T, f *Fleet) {
-		client := sham.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
+		client := standin.Client(f.W.Net(f.outside(4)), f.Cores()[0].Api())
 		view, err := client.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -139,7 +139,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(2 * time.Second)
-		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 		defer caller.Close()
 		for i := range 8 {
 			if got := caller.Call(f.ctx, f.Of("proxy1").Gate(), "POST", fmt.Sprint("/lonely", i), "", nil); got.Code != fault.NoTarget.No {
@@ -153,9 +153,9 @@
 	shape := one()
 	shape.Settings["gate.body"] = "4096"
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
-		f.replace(f.Servers("bookings")[0], func(int64) string { return sham.Huge })
+		f.replace(f.Servers("bookings")[0], func(int64) string { return standin.Huge })
 		time.Sleep(2 * time.Second)
-		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 		defer caller.Close()
 		got := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte("{}"), "huge", false)
 		if got.Code != fault.AnswerTooLarge.No || got.Outcome != "unknown" || ranOf(f, "huge") != 1 {
@@ -169,7 +169,7 @@
 func TestWhatACutHeldBackDoesNotArriveLater(t *testing.T) {
 	inFleet(t, one(), func(t *testing.T, f *Fleet) {
 		proxy, server := f.Of("proxy1"), f.Servers("bookings")[0]
-		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 		defer caller.Close()
 		warm := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", []byte("{}"), "warm", false)
 		f.W.Cut(proxy.IP, host(server.Address))
@@ -187,7 +187,7 @@
 func TestAnUploadThatACutHeldBackDoesNotArriveLater(t *testing.T) {
 	inFleet(t, one(), func(t *testing.T, f *Fleet) {
 		proxy, server := f.Of("proxy1"), f.Servers("bookings")[0]
-		caller := sham.NewCaller(f.W.Net(f.outside(5)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(5)), f.H)
 		defer caller.Close()
 		body := []byte(strings.Repeat("x", 300000))
 		warm := caller.Repeat(f.ctx, proxy.Gate(), "POST", "/bookings", "bookings", body, "warm", false)
--- a/internal/dream/hold_test.go
+++ b/internal/simulator/hold_test.go
@@ -1,12 +1,12 @@
 // The word of a drain and of a change set may wait for the proxies to hear of it.
-package dream
+package simulator
 
 import (
 	"testing"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -26,7 +26,7 @@
 		if list := proxy.Flow.Cache.Chart().Targets["rates"]; len(list) != 0 {
 			t.Error("the proxy still has", list)
 		}
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 		view, err := client.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/dream/hurts.go
+++ b/internal/simulator/hurts.go
@@ -2,7 +2,7 @@
 // a disk lost at the very moment after an acknowledgement, slow disks, herds of
 // servers, cold starts of proxies before the core, planned stops over long work and
 // without a majority, uploads that are cut, and faults that overlap.
-package dream
+package simulator
 
 import (
 	"context"
@@ -17,10 +17,10 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // march kills every machine in turn, the next one soon after the last is back.
@@ -69,13 +69,13 @@
 		return
 	}
 	if isChange {
-		operator := sham.NewOperator(f.W.Net(f.outside(70)), f.H, proxy.Api())
+		operator := standin.NewOperator(f.W.Net(f.outside(70)), f.H, proxy.Api())
 		if view, err := operator.Epoch(f.ctx); err == nil {
 			operator.Submit(f.ctx, f.change(fmt.Sprint("a-", f.changes.Add(1)), view.Epoch))
 		}
 	} else {
-		client := sham.Client(f.W.Net(f.outside(70)), proxy.Api())
-		f.bonded(judge.Record{Op: "put", Name: name}, func(ctx context.Context, rec *judge.Record) error {
+		client := standin.Client(f.W.Net(f.outside(70)), proxy.Api())
+		f.bonded(checker.Record{Op: "put", Name: name}, func(ctx context.Context, rec *checker.Record) error {
 			receipt, err := client.PutKey(ctx, &api.Call{Name: name, Value: jx.Raw("1")})
 			return take(rec, receipt, err)
 		})
@@ -96,10 +96,10 @@
 }
 
 func (f *Fleet) readBack(name string) {
-	client := sham.Client(f.W.Net(f.outside(70)), f.pick(f.Proxies()).Api())
-	f.bonded(judge.Record{Op: "get", Name: name}, func(ctx context.Context, rec *judge.Record) error {
+	client := standin.Client(f.W.Net(f.outside(70)), f.pick(f.Proxies()).Api())
+	f.bonded(checker.Record{Op: "get", Name: name}, func(ctx context.Context, rec *checker.Record) error {
 		receipt, err := client.GetKey(ctx, api.GetKeyParams{Name: name})
-		if sham.CodeOf(err) == 3008 {
+		if standin.CodeOf(err) == 3008 {
 			return nil
 		}
 		return take(rec, receipt, err)
@@ -136,7 +136,7 @@
 	service := []string{"bookings", "rates"}[f.Rand.IntN(2)]
 	zone := fmt.Sprint("zone", 1+f.Rand.IntN(f.Shape.Zones))
 	isZone := f.Rand.IntN(2) == 0
-	var gone []*sham.Server
+	var gone []*standin.Server
 	for _, name := range []string{"bookings", "rates"} {
 		for _, s := range f.Servers(name) {
 			if isZone && s.Zone == zone || !isZone && name == service {
@@ -244,11 +244,11 @@
 			}
 			defer conn.Close()
 			call, isWhole := mark.NewID(), r.IntN(2) == 0
-			rec := judge.Record{Kind: judge.Called, Start: f.H.Now(), Call: call, Proxy: proxy, Service: "bookings", Mapping: "/bookings", Digest: sham.Digest([]byte(body)), Outcome: "gone"}
+			rec := checker.Record{Kind: checker.Called, Start: f.H.Now(), Call: call, Proxy: proxy, Service: "bookings", Mapping: "/bookings", Digest: standin.Digest([]byte(body)), Outcome: "gone"}
 			if f.Shape.IsStay {
 				rec.IsTry, rec.Request = true, mark.NewID()
 			}
-			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", sham.CallHeader, call, gate.HeaderRequest, rec.Request, len(body))
+			fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", standin.CallHeader, call, gate.HeaderRequest, rec.Request, len(body))
 			for at := 0; at < len(body) && (isWhole || at < len(body)/2); at += 16000 {
 				io.WriteString(conn, body[at:min(at+16000, len(body))])
 				pause(r, 40*time.Millisecond)
--- a/internal/dream/keepers_test.go
+++ b/internal/simulator/keepers_test.go
@@ -1,6 +1,6 @@
 // A proxy that listens to a few control nodes only must hear of each change all the
 // same, also where the core nodes nearest to it don't hold the configuration.
-package dream
+package simulator
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 func TestAProxyAmongCoreNodesWithoutTheConfigurationHearsOfChanges(t *testing.T) {
@@ -38,7 +38,7 @@
 		if !f.Until(5*time.Second, func() bool { return chart() > 0 }) {
 			t.Fatal("a proxy got no plan")
 		}
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 		for i := range 4 {
 			view, err := client.Epoch(f.ctx)
 			if err != nil {
--- a/internal/dream/kin_test.go
+++ b/internal/simulator/kin_test.go
@@ -1,5 +1,5 @@
 // Who knows whom after many machines came back at once.
-package dream
+package simulator
 
 import (
 	"testing"
--- a/internal/dream/late_test.go
+++ b/internal/simulator/late_test.go
@@ -1,7 +1,7 @@
 // How late a proxy with a way to the control nodes may come to know an epoch, on each
 // path by which it can: the bound is 1.25 pulses, the pause before a catch-up, and the
 // ways there and back, whatever the listening tasks wait for.
-package dream
+package simulator
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -29,7 +29,7 @@
 // submitted has a change set accepted, and tells its epoch.
 func submitted(t *testing.T, f *Fleet, name string) mark.Epoch {
 	t.Helper()
-	operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
+	operator := standin.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
 	var epoch mark.Epoch
 	if !f.Until(20*time.Second, func() bool {
 		view, err := operator.Epoch(f.ctx)
--- a/internal/dream/links_test.go
+++ b/internal/simulator/links_test.go
@@ -1,6 +1,6 @@
 // On a narrow link words come late, and are still right: what is long must not make a
 // proxy let go of its pipes, and a proxy must not call its epoch old for it.
-package dream
+package simulator
 
 import (
 	"context"
--- a/internal/dream/load.go
+++ b/internal/simulator/load.go
@@ -1,6 +1,6 @@
 // What goes on at the edges of a simulated fleet: callers, applications and
 // operators, each a few tasks that call, wait a little and call again.
-package dream
+package simulator
 
 import (
 	"context"
@@ -13,10 +13,10 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // task runs until the load is ended.
@@ -98,7 +98,7 @@
 
 func (f *Fleet) submitFirst() bool {
 	config := f.firstConfig()
-	operator := sham.NewOperator(f.W.Net(f.outside(40)), f.H, f.Cores()[0].Api())
+	operator := standin.NewOperator(f.W.Net(f.outside(40)), f.H, f.Cores()[0].Api())
 	_, err := operator.Submit(f.ctx, &api.Change{ID: "first", Whole: api.NewOptBool(true), Put: api.NewOptConfig(config)})
 	return err == nil
 }
@@ -107,9 +107,9 @@
 // left unknown is asked for by id, once.
 func (f *Fleet) Operators(n int, mean time.Duration) {
 	for i := range n {
-		operators := []*sham.Operator{}
+		operators := []*standin.Operator{}
 		for _, m := range f.Machines {
-			operators = append(operators, sham.NewOperator(f.W.Net(f.outside(41+i)), f.H, m.Api()))
+			operators = append(operators, standin.NewOperator(f.W.Net(f.outside(41+i)), f.H, m.Api()))
 		}
 		f.task(func(r *rand.Rand) {
 			pause(r, mean)
@@ -122,7 +122,7 @@
 			id := fmt.Sprintf("c%d-%d", i, f.changes.Add(1))
 			change := f.change(id, view.Epoch)
 			if r.IntN(6) == 0 {
-				change.Put.Value.Mappings[0].To[0].Service = sham.Nowhere
+				change.Put.Value.Mappings[0].To[0].Service = standin.Nowhere
 			}
 			_, err = o.Submit(f.ctx, change)
 			if err != nil && r.IntN(2) == 0 {
@@ -137,7 +137,7 @@
 func (f *Fleet) Apps(n int, mean time.Duration) {
 	clients := []*api.Client{}
 	for _, m := range f.Machines {
-		clients = append(clients, sham.Client(f.W.Net(f.outside(60)), m.Api()))
+		clients = append(clients, standin.Client(f.W.Net(f.outside(60)), m.Api()))
 	}
 	for i := range n {
 		holder := fmt.Sprint("app", i)
@@ -148,7 +148,7 @@
 			case 0:
 				f.lockOnce(r, client, holder)
 			case 1:
-				f.bonded(judge.Record{Op: "add", Name: fmt.Sprint("count/", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+				f.bonded(checker.Record{Op: "add", Name: fmt.Sprint("count/", r.IntN(3))}, func(ctx context.Context, rec *checker.Record) error {
 					receipt, err := client.AddCounter(ctx, &api.Call{Name: rec.Name, ID: api.NewOptString(mark.NewID())})
 					if err == nil {
 						rec.Count, rec.Stamp = receipt.Count.Or(0), receipt.Stamp
@@ -156,7 +156,7 @@
 					return err
 				})
 			case 2:
-				f.bonded(judge.Record{Op: "put", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+				f.bonded(checker.Record{Op: "put", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *checker.Record) error {
 					value, _ := json.Marshal(r.Uint32())
 					receipt, err := client.PutKey(ctx, &api.Call{Name: rec.Name, Value: jx.Raw(value), ID: api.NewOptString(mark.NewID())})
 					if err == nil {
@@ -165,9 +165,9 @@
 					return err
 				})
 			case 3:
-				f.bonded(judge.Record{Op: "get", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *judge.Record) error {
+				f.bonded(checker.Record{Op: "get", Name: fmt.Sprint("key", r.IntN(3))}, func(ctx context.Context, rec *checker.Record) error {
 					receipt, err := client.GetKey(ctx, api.GetKeyParams{Name: rec.Name})
-					if sham.CodeOf(err) == fault.NoKey.No {
+					if standin.CodeOf(err) == fault.NoKey.No {
 						return nil
 					}
 					if err == nil {
@@ -190,12 +190,12 @@
 }
 
 // bonded records one coordination call.
-func (f *Fleet) bonded(r judge.Record, call func(ctx context.Context, r *judge.Record) error) error {
-	r.Kind, r.Start = judge.Bonded, f.H.Now()
+func (f *Fleet) bonded(r checker.Record, call func(ctx context.Context, r *checker.Record) error) error {
+	r.Kind, r.Start = checker.Bonded, f.H.Now()
 	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
 	defer end()
 	err := call(ctx, &r)
-	r.Outcome, r.Code = "done", sham.CodeOf(err)
+	r.Outcome, r.Code = "done", standin.CodeOf(err)
 	if err != nil {
 		r.Outcome, r.Note = "refused", err.Error()
 		var p *api.ProblemStatusCodeWithHeaders
@@ -214,7 +214,7 @@
 	const ttl = 2 * time.Second
 	var fence uint64
 	session := holder + "-" + mark.NewID()
-	err := f.bonded(judge.Record{Op: "acquire", Name: name, Holder: session, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+	err := f.bonded(checker.Record{Op: "acquire", Name: name, Holder: session, Ttl: ttl}, func(ctx context.Context, rec *checker.Record) error {
 		receipt, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), TTL: api.NewOptInt64(ttl.Milliseconds()), ID: api.NewOptString(mark.NewID())}, api.LockParams{Verb: api.LockVerbAcquire})
 		if err == nil {
 			fence = receipt.Fence.Or(0)
@@ -227,7 +227,7 @@
 	}
 	for range r.IntN(4) {
 		time.Sleep(time.Duration(r.Int64N(int64(ttl))))
-		err := f.bonded(judge.Record{Op: "renew", Name: name, Holder: session, Fence: fence, Ttl: ttl}, func(ctx context.Context, rec *judge.Record) error {
+		err := f.bonded(checker.Record{Op: "renew", Name: name, Holder: session, Fence: fence, Ttl: ttl}, func(ctx context.Context, rec *checker.Record) error {
 			_, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence)}, api.LockParams{Verb: api.LockVerbRenew})
 			return err
 		})
@@ -236,7 +236,7 @@
 		}
 	}
 	if r.IntN(3) > 0 {
-		f.bonded(judge.Record{Op: "release", Name: name, Holder: session, Fence: fence}, func(ctx context.Context, rec *judge.Record) error {
+		f.bonded(checker.Record{Op: "release", Name: name, Holder: session, Fence: fence}, func(ctx context.Context, rec *checker.Record) error {
 			_, err := client.Lock(ctx, &api.Call{Name: name, Holder: api.NewOptString(session), Fence: api.NewOptUint64(fence), ID: api.NewOptString(mark.NewID())}, api.LockParams{Verb: api.LockVerbRelease})
 			return err
 		})
@@ -247,7 +247,7 @@
 func (f *Fleet) watchOnce(r *rand.Rand, client *api.Client, name string, from *uint64) {
 	ctx, end := context.WithTimeout(f.ctx, 6*time.Second)
 	defer end()
-	rec := judge.Record{Kind: judge.Watched, Start: f.H.Now(), Name: name, From: *from}
+	rec := checker.Record{Kind: checker.Watched, Start: f.H.Now(), Name: name, From: *from}
 	receipt, err := client.Watch(ctx, api.WatchParams{Name: name, From: *from, Hold: api.NewOptInt64(2000)})
 	switch {
 	case err == nil:
@@ -259,7 +259,7 @@
 			f.H.Add(rec)
 		}
 		*from = receipt.Stamp
-	case sham.CodeOf(err) == fault.StampTooOld.No:
+	case standin.CodeOf(err) == fault.StampTooOld.No:
 		rec.Outcome = "too old"
 		f.H.Add(rec)
 		*from = 0
--- a/internal/dream/manner.go
+++ b/internal/simulator/manner.go
@@ -3,7 +3,7 @@
 // listen, beats come seldom, and servers speak the plain manner. What a proxy acts
 // on is then told beside each request by the network made here, and the history
 // tells which proxies are in touch, for only those are bound by the bounds on time.
-package dream
+package simulator
 
 import (
 	"bytes"
@@ -15,11 +15,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 const (
@@ -45,14 +45,14 @@
 }
 
 // caller is a stand-in caller at a machine outside, in the fleet's manner.
-func (f *Fleet) caller(at int) *sham.Caller {
-	caller := sham.NewCaller(f.W.Net(f.outside(at)), f.H)
+func (f *Fleet) caller(at int) *standin.Caller {
+	caller := standin.NewCaller(f.W.Net(f.outside(at)), f.H)
 	caller.IsPlain = f.Shape.IsStay
 	return caller
 }
 
 // fit gives a server the fleet's manner.
-func (f *Fleet) fit(s *sham.Server) *sham.Server {
+func (f *Fleet) fit(s *standin.Server) *standin.Server {
 	if f.Shape.IsStay {
 		s.IsPlain, s.Every, s.Silence = true, stayBeat, staySilence
 	}
@@ -61,9 +61,9 @@
 
 // ways are how a server may misbehave.
 func (f *Fleet) ways() []string {
-	ways := []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed, sham.Swapped, sham.Slow, sham.Unframed, sham.Twice, sham.HalfHead}
+	ways := []string{standin.LoseIt, standin.Garbage, standin.Cut, standin.Unsealed, standin.Swapped, standin.Slow, standin.Unframed, standin.Twice, standin.HalfHead}
 	if f.Shape.IsStay {
-		ways = append(ways, sham.Surplus, sham.Denied, sham.Full, sham.Early)
+		ways = append(ways, standin.Surplus, standin.Denied, standin.Full, standin.Early)
 	}
 	return ways
 }
@@ -100,7 +100,7 @@
 	for c.node.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	mark := fmt.Sprintf("\r\n%s: %d\r\n%s: %s\r\n", sham.ActsOnHeader, c.node.Load().Flow.Cache.Chart().Epoch, sham.ActsAsHeader, c.as)
+	mark := fmt.Sprintf("\r\n%s: %d\r\n%s: %s\r\n", standin.ActsOnHeader, c.node.Load().Flow.Cache.Chart().Epoch, standin.ActsAsHeader, c.as)
 	n, err := c.conn.Write([]byte(string(head) + mark + string(rest)))
 	return max(min(n-len(mark)+2, len(p)), 0), err
 }
@@ -166,7 +166,7 @@
 				continue
 			}
 			isIn[proxy] = is
-			rec := judge.Record{Kind: judge.Touch, Proxy: proxy.Gate(), Outcome: "out"}
+			rec := checker.Record{Kind: checker.Touch, Proxy: proxy.Gate(), Outcome: "out"}
 			if is {
 				rec.Outcome = "in"
 			}
--- a/internal/dream/order_test.go
+++ b/internal/simulator/order_test.go
@@ -1,5 +1,5 @@
 // Orders that callers repeat, while what leads to their service changes.
-package dream
+package simulator
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // The claim on an order must outlive a change set that leads its path to another
@@ -17,13 +17,13 @@
 	shape := Small()
 	shape.Servers = map[string]int{"bookings": 1, "rates": 1, "desk": 1}
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
-		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(3)), f.H)
 		defer caller.Close()
 		first := caller.Repeat(f.ctx, f.Of("proxy1").Gate(), "POST", "/bookings", "bookings", []byte("{}"), "moved", false)
 		if first.Outcome != "ran" {
 			t.Fatalf("%+v", first)
 		}
-		operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
+		operator := standin.NewOperator(f.W.Net(f.outside(4)), f.H, f.Cores()[0].Api())
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -45,8 +45,8 @@
 func TestARepeatedCallWithoutAnOwnerIsUnknown(t *testing.T) {
 	inFleet(t, Small(), func(t *testing.T, f *Fleet) {
 		proxy := f.Of("proxy1")
-		client := sham.Client(f.W.Net(f.outside(4)), proxy.Api())
-		operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, proxy.Api())
+		client := standin.Client(f.W.Net(f.outside(4)), proxy.Api())
+		operator := standin.NewOperator(f.W.Net(f.outside(4)), f.H, proxy.Api())
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/dream/repair_test.go
+++ b/internal/simulator/repair_test.go
@@ -1,6 +1,6 @@
 // A copy that differs is found by its digests and mended, on the configuration
 // part and on a data part, and a restart does not bring the fault back.
-package dream
+package simulator
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // follower is a core node that does not own a part.
@@ -36,7 +36,7 @@
 		if err := f.Boot(); err != nil {
 			t.Fatal(err)
 		}
-		client := sham.Client(f.W.Net(f.outside(1)), f.Cores()[0].Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Cores()[0].Api())
 		put := func(value string) {
 			if _, err := client.PutKey(context.Background(), &api.Call{Name: "app/a", Value: jx.Raw(value)}); err != nil {
 				t.Fatal(err)
--- a/internal/dream/replaced_test.go
+++ b/internal/simulator/replaced_test.go
@@ -1,6 +1,6 @@
 // A member that was replaced while it was cut off must not take part in the
 // choice of an owner: its old group is no majority of the group in force.
-package dream
+package simulator
 
 import (
 	"strings"
@@ -11,11 +11,11 @@
 	"github.com/go-faster/jx"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // owner is the core node that serves a part, or nil.
@@ -165,7 +165,7 @@
 
 func TestAReplacedMemberHidesNoAcknowledgedWrite(t *testing.T) {
 	inFleet(t, fiveCores(), func(t *testing.T, f *Fleet) {
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 		put := func(value string) {
 			if _, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(value)}); err != nil {
 				t.Fatal(value, err)
@@ -212,7 +212,7 @@
 		t.Error("no step of a replicated part was seen")
 	}
 	for _, r := range f.H.Records() {
-		if r.Kind == judge.Differ && !strings.HasPrefix(r.Note, sign.PartMended.Text) {
+		if r.Kind == checker.Differ && !strings.HasPrefix(r.Note, sign.PartMended.Text) {
 			t.Error(r.Note)
 		}
 	}
--- a/internal/dream/rivals_test.go
+++ b/internal/simulator/rivals_test.go
@@ -1,4 +1,4 @@
-package dream
+package simulator
 
 import (
 	"context"
--- a/internal/dream/servers.go
+++ b/internal/simulator/servers.go
@@ -1,12 +1,12 @@
 // Faults of the stand-in servers: drained, signed off, crashed, replaced, wrong
 // in their answers, and all that while the fleet itself is hurt.
-package dream
+package simulator
 
 import (
 	"context"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // servers come and go: drained, signed off, crashed, wrong in their answers;
@@ -57,7 +57,7 @@
 			if n%3 == 0 {
 				return way
 			}
-			return sham.Fine
+			return standin.Fine
 		})
 	}
 }
@@ -73,17 +73,17 @@
 		if n%3 == 0 {
 			return ways[(from+n/3)%int64(len(ways))]
 		}
-		return sham.Fine
+		return standin.Fine
 	})
 }
 
 // replace puts a server that misbehaves in the place of one that leaves.
-func (f *Fleet) replace(s *sham.Server, misdo func(int64) string) {
+func (f *Fleet) replace(s *standin.Server, misdo func(int64) string) {
 	f.Forget(s)
 	s.Say(f.ctx, "leaving")
 	time.Sleep(2500 * time.Millisecond)
 	s.Close()
-	bad := f.fit(&sham.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo})
+	bad := f.fit(&standin.Server{Net: f.W.Net(host(s.Address)), H: f.H, Service: s.Service, Zone: s.Zone, Address: s.Address, Key: s.Key, Nodes: s.Nodes, Work: s.Work, Misdo: misdo})
 	if err := bad.Start(f.ctx); err != nil {
 		panic(err)
 	}
@@ -101,9 +101,9 @@
 			f.Say("%s %s gives way to one that loses answers", s.Service, s.Instance)
 			f.replace(s, func(n int64) string {
 				if n%2 == 0 {
-					return sham.LoseIt
+					return standin.LoseIt
 				}
-				return sham.Fine
+				return standin.Fine
 			})
 		}
 	}
--- a/internal/dream/sets.go
+++ b/internal/simulator/sets.go
@@ -2,7 +2,7 @@
 // services together, some as amendments and some as whole configurations, and
 // they race. Requests to all the paths go on all the while, so that a half set, or
 // one that was refused, would show in what a server runs.
-package dream
+package simulator
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // The services that come and go with change sets; their servers beat all along.
@@ -130,9 +130,9 @@
 		})
 	}
 	for i := range n {
-		var operators []*sham.Operator
+		var operators []*standin.Operator
 		for _, m := range f.Machines {
-			operators = append(operators, sham.NewOperator(f.W.Net(f.outside(50+i)), f.H, m.Api()))
+			operators = append(operators, standin.NewOperator(f.W.Net(f.outside(50+i)), f.H, m.Api()))
 		}
 		caller := f.caller(50 + i)
 		f.task(func(r *rand.Rand) {
@@ -151,7 +151,7 @@
 			isBad := r.IntN(6) == 0 && len(change.Put.Value.Mappings) > 1
 			if isBad {
 				last := len(change.Put.Value.Mappings) - 1
-				change.Put.Value.Mappings[last].To = []api.Split{{Service: sham.Nowhere, Weight: 1}}
+				change.Put.Value.Mappings[last].To = []api.Split{{Service: standin.Nowhere, Weight: 1}}
 			}
 			_, err = o.Submit(f.ctx, change)
 			for _, m := range change.Put.Value.Mappings[:min(2, len(change.Put.Value.Mappings))] {
--- a/internal/dream/sleep_test.go
+++ b/internal/simulator/sleep_test.go
@@ -1,6 +1,6 @@
 // A machine that is suspended stops its monotonic clock. What it held for fresh
 // when it went to sleep must not count as fresh when it wakes.
-package dream
+package simulator
 
 import (
 	"testing"
@@ -8,13 +8,13 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 func TestASuspendedProxyWakesWithoutAFreshPlan(t *testing.T) {
 	inFleet(t, one(), func(t *testing.T, f *Fleet) {
 		proxy := f.Of("proxy1")
-		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(3)), f.H)
 		defer caller.Close()
 		for range 5 {
 			if got := caller.Call(f.ctx, proxy.Gate(), "GET", "/rates", "rates", nil); got.Outcome != "ran" {
--- a/internal/dream/slide_test.go
+++ b/internal/simulator/slide_test.go
@@ -1,14 +1,14 @@
 // A proxy that is started anew while an owner that was deposed, and does not know
 // it yet, is the nearest control node there is.
-package dream
+package simulator
 
 import (
 	"testing"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 func TestAProxyStartedAnewDoesNotSlideBack(t *testing.T) {
@@ -42,7 +42,7 @@
 		if !f.Until(time.Second, func() bool { fresh = ownerOf(f, mark.Config, old); return fresh != nil }) {
 			t.Fatal("nobody took the configuration part over")
 		}
-		operator := sham.NewOperator(f.W.Net(f.outside(4)), f.H, fresh.Api())
+		operator := standin.NewOperator(f.W.Net(f.outside(4)), f.H, fresh.Api())
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -50,9 +50,9 @@
 		if _, err := operator.Submit(f.ctx, f.change("newer", view.Epoch)); err != nil {
 			t.Fatal(err)
 		}
-		caller := sham.NewCaller(f.W.Net(f.outside(3)), f.H)
+		caller := standin.NewCaller(f.W.Net(f.outside(3)), f.H)
 		defer caller.Close()
-		call := func() judge.Record {
+		call := func() checker.Record {
 			return caller.Call(f.ctx, near.Gate(), "GET", "/rates", "rates", nil)
 		}
 		time.Sleep(60 * time.Millisecond)
@@ -75,8 +75,8 @@
 		if !f.Until(15*time.Second, func() bool { return call().Outcome == "ran" }) {
 			t.Error("the proxy did not come back")
 		}
-		f.H.Add(judge.Record{Kind: judge.Ended})
-		if v := judge.Judge(f.H.Records()); !v.IsClean() {
+		f.H.Add(checker.Record{Kind: checker.Ended})
+		if v := checker.Judge(f.H.Records()); !v.IsClean() {
 			t.Error(v)
 		}
 	})
--- a/internal/dream/snapshot_test.go
+++ b/internal/simulator/snapshot_test.go
@@ -1,6 +1,6 @@
 // A large state reaches a member that lacks it, over a slow link, through takeovers
 // and restarts on the way; and a member behind leads with nothing old.
-package dream
+package simulator
 
 import (
 	"context"
@@ -14,14 +14,14 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
 // fillPart writes about so many megabytes, which can't be packed, into one part.
 func (f *Fleet) fillPart(t *testing.T, megabytes int) mark.Part {
 	t.Helper()
-	client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+	client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 	r := rand.New(rand.NewPCG(1, 2))
 	const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789+-"
 	for i := range megabytes * 64 {
@@ -63,7 +63,7 @@
 // while members are restarted, wiped and moved, and measures how large the state is and
 // how long a member takes that lost its disk. The whole size by command:
 //
-//	go test ./internal/dream -run CatchingUp -routes 5200 -changes 600 -v
+//	go test ./internal/simulator -run CatchingUp -routes 5200 -changes 600 -v
 func TestCatchingUpDoesNotGrowWithTheChanges(t *testing.T) {
 	shape := one()
 	shape.Settings["pact.snapshot"] = "40"
@@ -133,7 +133,7 @@
 	shape.Settings["pact.snapshot"] = "20"
 	shape.Settings["pact.tail"] = "5"
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 		no := mark.PartOf("app/a")
 		behind := follower(f, no)
 		behind.Kill(true)
--- a/internal/dream/spaces.go
+++ b/internal/simulator/spaces.go
@@ -1,7 +1,7 @@
 // What the users' platform asks of the nodes beyond the product's own API: sets in
 // a space and their followers, changes under operators' versions, and locks with a
 // time in each call. They are made at a node itself, as the platform's faces are.
-package dream
+package simulator
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -25,8 +25,8 @@
 }
 
 // direct makes one coordination call at a node; refused is what its owner said.
-func (f *Fleet) direct(node *seat.Node, rec judge.Record, op *wire.BondOp) (*wire.BondReceipt, string) {
-	rec.Kind, rec.Start, rec.Op = judge.Bonded, f.H.Now(), cmpOr(rec.Op, op.Op)
+func (f *Fleet) direct(node *seat.Node, rec checker.Record, op *wire.BondOp) (*wire.BondReceipt, string) {
+	rec.Kind, rec.Start, rec.Op = checker.Bonded, f.H.Now(), cmpOr(rec.Op, op.Op)
 	rec.Name, rec.Holder = op.Name, op.Holder
 	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
 	defer end()
@@ -73,9 +73,9 @@
 			key, value := fmt.Sprint(counted, "k", r.IntN(3)), mark.NewID()
 			raw, _ := json.Marshal(value)
 			op := &wire.BondOp{Op: "set", Id: value, Name: key, Value: raw}
-			rec := judge.Record{Request: value, Digest: value}
+			rec := checker.Record{Request: value, Digest: value}
 			if r.IntN(2) == 0 {
-				got, outcome := f.direct(node, judge.Record{Op: "look"}, &wire.BondOp{Op: "get", Name: key})
+				got, outcome := f.direct(node, checker.Record{Op: "look"}, &wire.BondOp{Op: "get", Name: key})
 				if outcome != "done" {
 					return
 				}
@@ -107,7 +107,7 @@
 		time.Sleep(100 * time.Millisecond)
 		return
 	}
-	rec := judge.Record{Kind: judge.Followed, Start: f.H.Now(), Name: counted, From: uint64(*from), Outcome: "done"}
+	rec := checker.Record{Kind: checker.Followed, Start: f.H.Now(), Name: counted, From: uint64(*from), Outcome: "done"}
 	ctx, end := context.WithTimeout(f.ctx, 6*time.Second)
 	defer end()
 	got, err := node.Bond(ctx, &wire.BondOp{Op: "follow", Name: counted, From: *from, Hold: 2000})
@@ -143,7 +143,7 @@
 			ttl := func() int64 { return 50 + r.Int64N(2500) }
 			call := func(op wire.BondOp) (*wire.BondReceipt, string) {
 				op.Name, op.Holder, op.Id = name, holder, mark.NewID()
-				return f.direct(node, judge.Record{Fence: uint64(op.Fence), Ttl: time.Duration(op.Ttl) * time.Millisecond}, &op)
+				return f.direct(node, checker.Record{Fence: uint64(op.Fence), Ttl: time.Duration(op.Ttl) * time.Millisecond}, &op)
 			}
 			got, outcome := call(wire.BondOp{Op: "acquire", Ttl: ttl()})
 			if outcome != "done" {
--- a/internal/dream/spare_test.go
+++ b/internal/simulator/spare_test.go
@@ -1,6 +1,6 @@
 // A core node that is lost for good gives its places to a spare one, and
 // nothing that was acknowledged is lost.
-package dream
+package simulator
 
 import (
 	"testing"
@@ -10,7 +10,7 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 func TestASpareTakesThePlaceOfACoreNodeLostForGood(t *testing.T) {
@@ -19,7 +19,7 @@
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
 		spare := f.Add("core4", 0, true, false)
 		f.up(spare)
-		client := sham.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
+		client := standin.Client(f.W.Net(f.outside(1)), f.Of("proxy1").Api())
 		if _, err := client.PutKey(f.ctx, &api.Call{Name: "app/a", Value: jx.Raw(`"kept"`)}); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/dream/transcript_test.go
+++ b/internal/simulator/transcript_test.go
@@ -1,7 +1,7 @@
 // Approved transcripts of whole exchanges with a fleet: what callers, servers,
 // applications and operators send, and what they get. Run with -approve to take
 // over what is said now. Ids, stamps of time and addresses are masked.
-package dream
+package simulator
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 var approve = flag.Bool("approve", false, "take over the transcripts as they are now")
@@ -153,7 +153,7 @@
 func TestTranscriptWrongServers(t *testing.T) {
 	transcript(t, "wrong-servers", one(), func(s *script) {
 		gate := s.f.Of("proxy1").Gate()
-		for _, way := range []string{sham.LoseIt, sham.Garbage, sham.Cut, sham.Unsealed} {
+		for _, way := range []string{standin.LoseIt, standin.Garbage, standin.Cut, standin.Unsealed} {
 			old := s.f.Servers("bookings")[0]
 			s.f.replace(old, func(int64) string { return way })
 			time.Sleep(2 * time.Second)
@@ -161,7 +161,7 @@
 			s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1")
 		}
 		s.say("the server answers after the mapping's deadline")
-		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { time.Sleep(5 * time.Second); return sham.Fine })
+		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { time.Sleep(5 * time.Second); return standin.Fine })
 		time.Sleep(2 * time.Second)
 		s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c2")
 		time.Sleep(10 * time.Second)
@@ -173,7 +173,7 @@
 	shape.IsTwice = true
 	transcript(t, "repeats", shape, func(s *script) {
 		gate := s.f.Of("proxy1").Gate()
-		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { return sham.LoseIt })
+		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { return standin.LoseIt })
 		time.Sleep(2 * time.Second)
 		s.say("an order whose answer is lost; its repeats are refused while the budget is empty")
 		s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1", "Idempotency-Key: k1")
@@ -197,7 +197,7 @@
 		time.Sleep(time.Second)
 		s.send(gate, "POST", "/bookings", `{"n":1}`, "X-Call: c1", "Idempotency-Key: k1")
 		s.say("an order whose answer is lost, and its repeat")
-		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { return sham.LoseIt })
+		s.f.replace(s.f.Servers("bookings")[0], func(int64) string { return standin.LoseIt })
 		time.Sleep(2 * time.Second)
 		s.send(gate, "POST", "/bookings", `{"n":2}`, "X-Call: c2", "Idempotency-Key: k2")
 		time.Sleep(time.Second)
--- a/internal/dream/versions.go
+++ b/internal/simulator/versions.go
@@ -1,6 +1,6 @@
 // Operators who number their changes: each names the version it was made over, they
 // race, repeat what was left unknown, and read back what they sent.
-package dream
+package simulator
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
-	"github.com/sumactrestle/sumactrestle/internal/sham"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -62,7 +62,7 @@
 func numberedChange(r *rand.Rand, over mark.Version) *wire.Change {
 	id, service := numbered+mark.NewID(), "rates"
 	if r.IntN(6) == 0 {
-		service = sham.Nowhere
+		service = standin.Nowhere
 	}
 	source, _ := json.Marshal(map[string]string{"as": "sent", "id": id})
 	m := wire.Mapping{Name: id, Path: "/numbered/" + id, To: []wire.Split{{Service: service, Weight: 1}}, Source: source}
@@ -76,7 +76,7 @@
 // submitWithin sends a change and gives it up after a time; it may then be taken, or be
 // on its way.
 func (f *Fleet) submitWithin(limit time.Duration, node *seat.Node, change *wire.Change) string {
-	rec := judge.Record{Kind: judge.Version, Start: f.H.Now(), Name: change.Id, Stamp: uint64(change.Version), From: uint64(*change.Over), Digest: string(change.Put.Mappings[0].Source), Outcome: "accepted", Invalid: change.Put.Mappings[0].To[0].Service == sham.Nowhere}
+	rec := checker.Record{Kind: checker.Version, Start: f.H.Now(), Name: change.Id, Stamp: uint64(change.Version), From: uint64(*change.Over), Digest: string(change.Put.Mappings[0].Source), Outcome: "accepted", Invalid: change.Put.Mappings[0].To[0].Service == standin.Nowhere}
 	ctx, end := context.WithTimeout(f.ctx, limit)
 	defer end()
 	receipt, err := node.Submit(ctx, change)
@@ -94,7 +94,7 @@
 
 // readBackAll records what of the operators' texts is in force; nil if it can't be had.
 func (f *Fleet) readBackAll(node *seat.Node) *wire.ConfigView {
-	rec := judge.Record{Kind: judge.ReadBack, Start: f.H.Now(), Lead: map[string]string{}}
+	rec := checker.Record{Kind: checker.ReadBack, Start: f.H.Now(), Lead: map[string]string{}}
 	ctx, end := context.WithTimeout(f.ctx, 4*time.Second)
 	defer end()
 	view, err := node.Config(ctx)
--- a/internal/dream/world.go
+++ b/internal/simulator/world.go
@@ -1,10 +1,10 @@
-// Package dream is the simulator: the real, straight-down code of the nodes in
+// Package simulator is the simulator: the real, straight-down code of the nodes in
 // a bubble of virtual time, on a network and on disks made here. A World holds
 // the network: delays, lost datagrams, cuts one way and both ways, machines
 // held still, processes killed and machines that lose power. What a seed
 // decides is the faults and their times; the order in which tasks run is the
 // scheduler's, so a seed given again makes the same faults, not the same steps.
-package dream
+package simulator
 
 import (
 	"context"
--- a/internal/sham/caller.go
+++ b/internal/standin/caller.go
@@ -1,6 +1,6 @@
 // Stand-in callers: each call bears a number of its own, and what came back is
 // held against what the server must have said.
-package sham
+package standin
 
 import (
 	"bytes"
@@ -14,8 +14,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 )
@@ -28,14 +28,14 @@
 
 // Caller sends requests to proxies.
 type Caller struct {
-	H    *judge.History
+	H    *checker.History
 	Once bool // its orders go to mappings that never run one twice
 	// IsPlain has it name each try itself; an answer then bears nothing else of ours.
 	IsPlain bool
 	client  *http.Client
 }
 
-func NewCaller(n realm.Net, h *judge.History) *Caller {
+func NewCaller(n realm.Net, h *checker.History) *Caller {
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, at string) (net.Conn, error) { return n.Dial(ctx, at) }, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second}
 	return &Caller{H: h, client: &http.Client{Transport: transport, Timeout: 15 * time.Second}}
 }
@@ -44,13 +44,13 @@
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
 // Call sends one request and records how it ended.
-func (c *Caller) Call(ctx context.Context, proxy, method, path, service string, body []byte) judge.Record {
+func (c *Caller) Call(ctx context.Context, proxy, method, path, service string, body []byte) checker.Record {
 	return c.Repeat(ctx, proxy, method, path, service, body, mark.NewID(), false)
 }
 
 // Repeat sends a request under a call number given.
-func (c *Caller) Repeat(ctx context.Context, proxy, method, path, service string, body []byte, call string, isRepeat bool) judge.Record {
-	r := judge.Record{Kind: judge.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Once: c.Once, Digest: Digest(body)}
+func (c *Caller) Repeat(ctx context.Context, proxy, method, path, service string, body []byte, call string, isRepeat bool) checker.Record {
+	r := checker.Record{Kind: checker.Called, Start: c.H.Now(), Call: call, Proxy: proxy, Service: service, Mapping: path, Repeatable: method == http.MethodGet, Repeat: isRepeat, Once: c.Once, Digest: Digest(body)}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+proxy+path, nil)
 	if err != nil {
 		return r
--- a/internal/sham/operator.go
+++ b/internal/standin/operator.go
@@ -1,5 +1,5 @@
 // Stand-in operators and applications, over the generated client.
-package sham
+package standin
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 )
 
@@ -19,12 +19,12 @@
 
 // Operator submits change sets through one node.
 type Operator struct {
-	H      *judge.History
+	H      *checker.History
 	Client *api.Client
 	paths  sync.Map // of the mappings last seen in force, by name
 }
 
-func NewOperator(n realm.Net, h *judge.History, address string) *Operator {
+func NewOperator(n realm.Net, h *checker.History, address string) *Operator {
 	return &Operator{H: h, Client: Client(n, address)}
 }
 
@@ -42,7 +42,7 @@
 
 // Submit sends a change set and records the receipt.
 func (o *Operator) Submit(ctx context.Context, change *api.Change) (*api.ChangeReceipt, error) {
-	r := judge.Record{Kind: judge.Changed, Start: o.H.Now(), Name: change.ID, Base: change.Base}
+	r := checker.Record{Kind: checker.Changed, Start: o.H.Now(), Name: change.ID, Base: change.Base}
 	r.IsWhole, r.Lead = change.Whole.Value, map[string]string{}
 	for _, name := range change.Drop.Value.Mappings {
 		if path, ok := o.paths.Load(name); ok {
@@ -78,7 +78,7 @@
 
 // Ask asks by id what became of a change set.
 func (o *Operator) Ask(ctx context.Context, id string) (string, error) {
-	r := judge.Record{Kind: judge.Asked, Start: o.H.Now(), Name: id}
+	r := checker.Record{Kind: checker.Asked, Start: o.H.Now(), Name: id}
 	limited, end := context.WithTimeout(ctx, 5*time.Second)
 	defer end()
 	receipt, err := o.Client.AskChange(limited, api.AskChangeParams{ID: id})
--- a/internal/sham/plain.go
+++ b/internal/standin/plain.go
@@ -1,7 +1,7 @@
 // The plain manner of speaking: a success bears a seal that only the caller can
 // judge, every answer names its request, and a server says in words of its own that
 // it did not run one: another instance was asked for, or it is full.
-package sham
+package standin
 
 import (
 	"encoding/json"
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 )
 
 const (
@@ -25,8 +25,8 @@
 )
 
 // record is what a server sees of a request.
-func (s *Server) record(r *http.Request, kind string) judge.Record {
-	rec := judge.Record{Kind: kind, Call: r.Header.Get(CallHeader), Request: r.Header.Get(gate.HeaderRequest), Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Repeatable: r.Method == http.MethodGet, IsTry: s.IsPlain}
+func (s *Server) record(r *http.Request, kind string) checker.Record {
+	rec := checker.Record{Kind: kind, Call: r.Header.Get(CallHeader), Request: r.Header.Get(gate.HeaderRequest), Proxy: r.Header.Get(gate.HeaderProxy), Service: r.Header.Get(gate.HeaderService), Owner: s.Service, Instance: s.Instance, Address: s.Address, Mapping: r.URL.Path, Repeatable: r.Method == http.MethodGet, IsTry: s.IsPlain}
 	epoch := r.Header.Get(gate.HeaderEpoch)
 	if s.IsPlain {
 		rec.Service, rec.Proxy, epoch = s.Service, r.Header.Get(ActsAsHeader), r.Header.Get(ActsOnHeader)
@@ -48,7 +48,7 @@
 	if status == 0 {
 		return false
 	}
-	rec := s.record(r, judge.Reached)
+	rec := s.record(r, checker.Reached)
 	rec.Status = status
 	s.H.Add(rec)
 	w.Header().Set(gate.HeaderRequest, rec.Request)
@@ -59,7 +59,7 @@
 // turnAwayEarly answers that a request was not run while its body is still on the way,
 // and leaves the connection open without reading on.
 func (s *Server) turnAwayEarly(w http.ResponseWriter, r *http.Request) {
-	rec := s.record(r, judge.Reached)
+	rec := s.record(r, checker.Reached)
 	rec.Status = http.StatusServiceUnavailable
 	s.H.Add(rec)
 	conn, _, err := w.(http.Hijacker).Hijack()
--- a/internal/sham/server.go
+++ b/internal/standin/server.go
@@ -1,7 +1,7 @@
-// Package sham holds the stand-ins at the fleet's edges: servers that beat, run
+// Package standin holds the stand-ins at the fleet's edges: servers that beat, run
 // requests and seal their answers, callers, applications and operators. They
 // record what they see for the judge, and they can be told to misbehave.
-package sham
+package standin
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
-	"github.com/sumactrestle/sumactrestle/internal/judge"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 )
@@ -45,7 +45,7 @@
 // Server is one stand-in back end.
 type Server struct {
 	Net      realm.Net
-	H        *judge.History
+	H        *checker.History
 	Service  string
 	Instance string
 	Address  string
@@ -130,7 +130,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		client := Client(s.Net, s.Nodes[i%len(s.Nodes)])
 		if s.beat(ctx, client, state) == nil {
-			s.H.Add(judge.Record{Kind: judge.Known, Service: s.Service, Instance: s.Instance, Address: s.Address, Note: state})
+			s.H.Add(checker.Record{Kind: checker.Known, Service: s.Service, Instance: s.Instance, Address: s.Address, Note: state})
 			return true
 		}
 		select {
@@ -143,7 +143,7 @@
 
 // Mute stops the beats but goes on serving.
 func (s *Server) Mute() {
-	s.H.Add(judge.Record{Kind: judge.Silent, Service: s.Service, Instance: s.Instance, Address: s.Address, Ttl: s.Silence})
+	s.H.Add(checker.Record{Kind: checker.Silent, Service: s.Service, Instance: s.Instance, Address: s.Address, Ttl: s.Silence})
 	s.end()
 }
 
@@ -196,7 +196,7 @@
 	if way == Slow {
 		time.Sleep(2 * time.Second)
 	}
-	ran := s.record(r, judge.Ran)
+	ran := s.record(r, checker.Ran)
 	ran.Start, ran.Digest = came, Digest(body)
 	s.H.Add(ran)
 	call, request := ran.Call, ran.Request
--- a/tools/blight/main.go
+++ b/tools/blight/main.go
@@ -101,7 +101,7 @@
 	if manner == "" {
 		manner = "brief"
 	}
-	run := exec.Command("go", "test", "./internal/dream", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario, "-manner", manner)
+	run := exec.Command("go", "test", "./internal/simulator", "-run", "TestSeeds", "-count=1", "-timeout", "240s", "-seeds", seeds, "-scenario", m.Scenario, "-manner", manner)
 	run.Dir = tree
 	out, err := run.CombinedOutput()
 	broken := regexp.MustCompile(`BROKEN (\S+)`).FindAllStringSubmatch(string(out), -1)
