Rename: packages kin, bond and flow become membership, coordination and distribution

Cause: the house words are withdrawn. Settings and kinds of messages keep their names, for files in use and peers know them.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -181,9 +181,9 @@
 }
 
 // isGone tells whether a name has not been live, under any birth, for long.
-func isGone(view map[mark.Name]kin.Standing, peer wire.Peer, long time.Duration) bool {
+func isGone(view map[mark.Name]membership.Standing, peer wire.Peer, long time.Duration) bool {
 	m, ok := view[peer.Name]
-	return !ok || m.State != kin.Alive && m.State != kin.Suspect && time.Since(m.Since) > long
+	return !ok || m.State != membership.Alive && m.State != membership.Suspect && time.Since(m.Since) > long
 }
 
 func (t *Part) servedAt() time.Time {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/storage"
@@ -35,7 +35,7 @@
 type Node struct {
 	r     *realm.Realm
 	w     *wire.Wire
-	k     *kin.Kin
+	k     *membership.Kin
 	store *storage.Store
 	me    wire.Peer
 	parts []*Part
@@ -76,7 +76,7 @@
 	return birth, w.Wait()
 }
 
-func New(r *realm.Realm, w *wire.Wire, k *kin.Kin, store *storage.Store, machines []Machine) (*Node, error) {
+func New(r *realm.Realm, w *wire.Wire, k *membership.Kin, store *storage.Store, machines []Machine) (*Node, error) {
 	me := k.Me()
 	p := &Node{r: r, w: w, k: k, store: store, me: wire.Peer{Name: me.Name, Birth: me.Birth},
 		owners: map[mark.Part]claimed{}, rounds: map[wire.Peer]*heartbeater{}, claimSets: map[wire.Peer]claimSet{}, isBusy: map[mark.Part]bool{}, transfers: map[wire.Peer]chan struct{}{}, started: r.Now(), Ready: make(chan struct{})}
@@ -370,7 +370,7 @@
 		var others []wire.Peer
 		for _, peer := range voters.All() {
 			m := view[peer.Name]
-			if peer != p.me && m.Birth == peer.Birth && m.State == kin.Alive {
+			if peer != p.me && m.Birth == peer.Birth && m.State == membership.Alive {
 				others = append(others, peer)
 			}
 		}
--- a/internal/bond/book.go
+++ b/internal/coordination/book.go
@@ -1,9 +1,9 @@
-// Package bond is the coordination that applications call: locks, elections,
+// Package coordination is the coordination that applications call: locks, elections,
 // counters, small keys and watches. The Book is the replicated state of one
 // part: it folds entries the same way on every member, keeps the receipt of
 // each request id so that a repeat gets the first one, and keeps the events of
 // the last minute so that watches resume through a change of owner.
-package bond
+package coordination
 
 import (
 	"encoding/json"
--- a/internal/bond/book_test.go
+++ b/internal/coordination/book_test.go
@@ -1,7 +1,7 @@
 // What a book costs and keeps: looking through marks and locks, which happens
 // many times a second, does not cost what the keys weigh; a repeat gets the
 // first receipt; events that are a minute old go, younger ones stay.
-package bond
+package coordination
 
 import (
 	"encoding/json"
--- a/internal/bond/claim.go
+++ b/internal/coordination/claim.go
@@ -2,7 +2,7 @@
 // before that is handed over, given back if nothing was written, or settled as
 // what became of it. Claims that come to the owner within a moment are gathered
 // into one entry, so that they share its messages and its syncs.
-package bond
+package coordination
 
 import (
 	"context"
--- a/internal/bond/desk.go
+++ b/internal/coordination/desk.go
@@ -2,7 +2,7 @@
 // for a majority's word given since they came in. Grants run on the owner's
 // monotonic clock and start anew at full length under a new owner; a grant that
 // is being taken back can't be renewed any more.
-package bond
+package coordination
 
 import (
 	"context"
--- a/internal/bond/desk_test.go
+++ b/internal/coordination/desk_test.go
@@ -1,6 +1,6 @@
 // The desk on a simulated fleet: locks by the owner's clock, with short times and
 // without an entry for a refusal, and followers through a change of owner.
-package bond_test
+package coordination_test
 
 import (
 	"context"
--- a/internal/bond/ranges.go
+++ b/internal/coordination/ranges.go
@@ -1,6 +1,6 @@
 // A book's state cut into ranges by the hash of the name, and the receipts as
 // one range of their own, so that copies can be compared and mended.
-package bond
+package coordination
 
 import (
 	"crypto/md5"
--- a/internal/bond/space.go
+++ b/internal/coordination/space.go
@@ -1,7 +1,7 @@
 // Spaces: what stands before the first slash of a name has a count of its own,
 // which rises by one with each set, so that a key's revision says how the sets of
 // its space follow one another and a follower sees that it missed none.
-package bond
+package coordination
 
 import (
 	"crypto/sha256"
--- a/internal/bond/space_test.go
+++ b/internal/coordination/space_test.go
@@ -1,7 +1,7 @@
 // A space's count rises by one with each set and with nothing else; a repeat gets
 // the first revision; a follower sees every set in order or is told that it can't;
 // all this outlives dumps and repairs.
-package bond
+package coordination
 
 import (
 	"encoding/json"
--- a/internal/bond/watch.go
+++ b/internal/coordination/watch.go
@@ -1,7 +1,7 @@
 // Calls that are held until something happens: a watch goes by the part's own
 // stamps and sees every kind under a prefix; a follow goes by a space's count and
 // sees what was set there.
-package bond
+package coordination
 
 import (
 	"context"
--- a/internal/flow/age.go
+++ b/internal/distribution/age.go
@@ -1,6 +1,6 @@
 // How old an epoch is when a proxy takes it into use: what the control node said of
 // its age, and what passed since its word came.
-package flow
+package distribution
 
 import (
 	"time"
--- a/internal/flow/cache.go
+++ b/internal/distribution/cache.go
@@ -2,7 +2,7 @@
 // only by newer, and staged until all groups of one epoch's manifest are there;
 // then the whole epoch is swapped in by one pointer and subscribers are told.
 // Epochs only go up.
-package flow
+package distribution
 
 import (
 	"encoding/json"
--- a/internal/flow/cache_test.go
+++ b/internal/distribution/cache_test.go
@@ -1,5 +1,5 @@
 // The cache replaces only by newer, swaps whole epochs only, and only upward.
-package flow
+package distribution
 
 import (
 	"encoding/json"
--- a/internal/flow/client.go
+++ b/internal/distribution/client.go
@@ -2,7 +2,7 @@
 // order; then one listening task for each control node; and beside them the
 // pulses (fresh.go). The pauses of the source are shortened and spread, for here
 // two seconds are the bound.
-package flow
+package distribution
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -39,7 +39,7 @@
 type Client struct {
 	r     *realm.Realm
 	w     *wire.Wire
-	k     *kin.Kin
+	k     *membership.Kin
 	Cache *Cache
 	ages  atomic.Pointer[Vouched]
 	word  atomic.Pointer[time.Time] // when anything last came from a control node
@@ -58,7 +58,7 @@
 	isFresh   bool
 }
 
-func NewClient(r *realm.Realm, w *wire.Wire, k *kin.Kin) *Client {
+func NewClient(r *realm.Realm, w *wire.Wire, k *membership.Kin) *Client {
 	c := &Client{r: r, w: w, k: k, born: r.Now(), Cache: NewCache(r.Sign), listening: map[mark.Name]string{}, fetching: realm.NewTurn()}
 	c.ages.Store(&Vouched{})
 	return c
--- a/internal/flow/fresh.go
+++ b/internal/distribution/fresh.go
@@ -1,5 +1,5 @@
 // Freshness: by what the pulses brought it is told whether a chart may be acted on.
-package flow
+package distribution
 
 import (
 	"time"
--- a/internal/flow/pack.go
+++ b/internal/distribution/pack.go
@@ -1,7 +1,7 @@
 // What a fetch brings goes deflated to an asker that says it can read it: on a narrow
 // link a configuration of many routes, much alike, would fill the link for seconds, and
 // all that is small would wait behind it. What was packed is kept for the next asker.
-package flow
+package distribution
 
 import (
 	"bytes"
--- a/internal/flow/pack_test.go
+++ b/internal/distribution/pack_test.go
@@ -1,4 +1,4 @@
-package flow
+package distribution
 
 import (
 	"encoding/json"
--- a/internal/flow/pulse.go
+++ b/internal/distribution/pulse.go
@@ -1,7 +1,7 @@
 // The proxy's pulse: it asks one control node how fresh the epoch in use is, and
 // so hears of every newer one within a bound of its own, whatever became of the held
 // requests. It goes on to others until one answers, those held for down included.
-package flow
+package distribution
 
 import (
 	"context"
--- a/internal/flow/relay.go
+++ b/internal/distribution/relay.go
@@ -1,7 +1,7 @@
 // Pulses that a control node passes on to the owner of the configuration part: one
 // serves all proxies that wait when it is sent, and between two lies a least pause, so
 // that the owner hears as much of a large fleet as of a small one.
-package flow
+package distribution
 
 import (
 	"context"
--- a/internal/flow/relay_test.go
+++ b/internal/distribution/relay_test.go
@@ -1,5 +1,5 @@
 // Relays of pulses: few for many proxies, and as old as they are.
-package flow
+package distribution
 
 import (
 	"context"
--- a/internal/flow/serve.go
+++ b/internal/distribution/serve.go
@@ -1,9 +1,9 @@
-// Package flow is the paper's distribution: a full fetch at start, a held
+// Package distribution is the paper's distribution: a full fetch at start, a held
 // listener request that carries each group's digest and version, a fetch of
 // only the groups reported changed, replacement only by newer, and then word to
 // the subscribers. This file is the control node's half; it serves what its
 // member of the configuration part has folded.
-package flow
+package distribution
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -24,7 +24,7 @@
 type Server struct {
 	r       *realm.Realm
 	w       *wire.Wire
-	k       *kin.Kin
+	k       *membership.Kin
 	p       *consensus.Node
 	ledger  *plan.Ledger
 	planner *plan.Planner
@@ -38,7 +38,7 @@
 	relays relays
 }
 
-func NewServer(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *consensus.Node, ledger *plan.Ledger, planner *plan.Planner) *Server {
+func NewServer(r *realm.Realm, w *wire.Wire, k *membership.Kin, p *consensus.Node, ledger *plan.Ledger, planner *plan.Planner) *Server {
 	s := &Server{r: r, w: w, k: k, p: p, ledger: ledger, planner: planner}
 	s.relays.r, s.relays.ask = r, s.ask
 	w.Handle("flow.listen", func(c *wire.Call) (any, error) {
--- a/internal/flow/serve_test.go
+++ b/internal/distribution/serve_test.go
@@ -1,5 +1,5 @@
 // What a control node sends of a list that goes to and fro between two contents.
-package flow
+package distribution
 
 import (
 	"encoding/json"
--- a/internal/flow/start.go
+++ b/internal/distribution/start.go
@@ -2,7 +2,7 @@
 // order. A control node that is loaded says in how long to ask again; the next in the
 // list is tried at once, and if none gives, the pause is what they said, and grows from
 // try to try, spread, as long as they are loaded.
-package flow
+package distribution
 
 import (
 	"context"
--- a/internal/flow/whole.go
+++ b/internal/distribution/whole.go
@@ -3,7 +3,7 @@
 // full fetches are under way at once, from the ask to the last byte written; who comes
 // beside them is told at once when to ask again, each a little later than the one
 // before, so that a fleet that starts together does not come back together.
-package flow
+package distribution
 
 import (
 	"bytes"
--- a/internal/flow/whole_test.go
+++ b/internal/distribution/whole_test.go
@@ -1,6 +1,6 @@
 // Full fetches: encoded once for all, so many at once, given up with their asker; and
 // the proxy that is told to come later.
-package flow
+package distribution
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
@@ -218,12 +218,12 @@
 			ctx, end := context.WithCancel(t.Context())
 			var members []wire.Member
 			for i := range 3 {
-				members = append(members, wire.Member{Name: mark.Name(fmt.Sprint("core", i)), Birth: "b", Wire: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Core: true, Keeps: true, Incarnation: 1, State: kin.Alive})
+				members = append(members, wire.Member{Name: mark.Name(fmt.Sprint("core", i)), Birth: "b", Wire: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Core: true, Keeps: true, Incarnation: 1, State: membership.Alive})
 			}
 			var asked [3]*[]time.Time
 			r := board.realm(t, ctx, "proxy", "10.0.0.9:7")
 			w := wire.New(r)
-			k := kin.New(r, w, wire.Member{Name: "proxy", Birth: "p", Wire: "10.0.0.9:7", Zone: "a"})
+			k := membership.New(r, w, wire.Member{Name: "proxy", Birth: "p", Wire: "10.0.0.9:7", Zone: "a"})
 			order := map[mark.Name]int{}
 			for i, m := range members {
 				asked[i] = fakeCore(t, board, ctx, m.Name, m.Wire, func() []wire.Member { return members }, func(n int) any {
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/flow"
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/gauge"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -137,10 +137,10 @@
 }
 
 // near counts the proxies that share the targets of this zone.
-func (g *Gate) near(chart *flow.Chart) int {
+func (g *Gate) near(chart *distribution.Chart) int {
 	n := 0
 	for name, m := range g.kin.View() {
-		if _, isNamed := chart.Shares[name]; isNamed && m.Zone == g.r.Props.Zone && (m.State == kin.Alive || m.State == kin.Suspect) {
+		if _, isNamed := chart.Shares[name]; isNamed && m.Zone == g.r.Props.Zone && (m.State == membership.Alive || m.State == membership.Suspect) {
 			n++
 		}
 	}
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -11,14 +11,14 @@
 	"strings"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
 type course struct {
 	id           string
-	chart        *flow.Chart
+	chart        *distribution.Chart
 	mapping      *wire.Mapping
 	service      wire.Service
 	crew         *crew
@@ -48,7 +48,7 @@
 
 // table finds mappings by path, and knows the targets of the epoch.
 type table struct {
-	chart  *flow.Chart
+	chart  *distribution.Chart
 	paths  map[string][]*wire.Mapping
 	places map[string]bool
 	marks  map[string]*post // by what proxies name them to one another
@@ -56,7 +56,7 @@
 	near   int
 }
 
-func (g *Gate) newTable(chart *flow.Chart, old *table) *table {
+func (g *Gate) newTable(chart *distribution.Chart, old *table) *table {
 	t := &table{chart: chart, places: map[string]bool{}, marks: map[string]*post{}, crews: map[string]*crew{}, near: g.near(chart)}
 	if t.isSameRoutes(old) {
 		t.paths = old.paths
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,10 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/flow"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -38,7 +38,7 @@
 // Gate is one proxy's.
 type Gate struct {
 	r        *realm.Realm
-	flow     *flow.Client
+	flow     *distribution.Client
 	table    atomic.Pointer[table]
 	pool     *pool
 	budget   *Budget
@@ -52,19 +52,19 @@
 	isLeaving atomic.Bool
 	gossip    *gossip
 	sick      *sick
-	kin       *kin.Kin
+	kin       *membership.Kin
 	wire      *wire.Wire
 	settles   chan settled
 	bond      func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)
 	Outcomes  sync.Map
 }
 
-func New(r *realm.Realm, f *flow.Client, w *wire.Wire, k *kin.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
+func New(r *realm.Realm, f *distribution.Client, w *wire.Wire, k *membership.Kin, bond func(context.Context, *wire.BondOp) (*wire.BondReceipt, error)) *Gate {
 	g := &Gate{r: r, flow: f, pool: newPool(r), budget: NewBudget(r.Props.ExtraWindow), lane: newLane(r.Props.GateRate, r.Props.GateBodies), isPlain: r.Props.GateSeal == "opaque", orders: NewOrders(), kin: k, wire: w, bond: bond, settles: make(chan settled, 4096)}
 	r.Go(g.settleAll)
 	g.gossip = newGossip(r, w, k, g.budget, g.orders, f.Cache.Chart)
 	g.sick = newSick(g)
-	f.Cache.Subscribe(func(chart *flow.Chart) {
+	f.Cache.Subscribe(func(chart *distribution.Chart) {
 		t := g.newTable(chart, g.table.Load())
 		g.table.Store(t)
 		g.budget.Fleet(len(chart.Shares))
@@ -202,7 +202,7 @@
 }
 
 // share is this proxy's part of a fleet-wide bound, by strength.
-func (g *Gate) share(chart *flow.Chart, whole int) int64 {
+func (g *Gate) share(chart *distribution.Chart, whole int) int64 {
 	total := 0
 	for _, strength := range chart.Shares {
 		total += strength
--- a/internal/gate/gossip.go
+++ b/internal/gate/gossip.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/flow"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
@@ -31,13 +31,13 @@
 type gossip struct {
 	r     *realm.Realm
 	w     *wire.Wire
-	k     *kin.Kin
+	k     *membership.Kin
 	b     *Budget
-	chart func() *flow.Chart
+	chart func() *distribution.Chart
 	queue chan lostOrder
 }
 
-func newGossip(r *realm.Realm, w *wire.Wire, k *kin.Kin, b *Budget, o *Orders, chart func() *flow.Chart) *gossip {
+func newGossip(r *realm.Realm, w *wire.Wire, k *membership.Kin, b *Budget, o *Orders, chart func() *distribution.Chart) *gossip {
 	g := &gossip{r: r, w: w, k: k, b: b, chart: chart, queue: make(chan lostOrder, gossipMost)}
 	w.Handle("gate.seen", func(c *wire.Call) (any, error) {
 		var ask wire.SeenAsk
@@ -103,7 +103,7 @@
 	}
 	for name, m := range g.k.View() {
 		_, isNamed := chart.Shares[name]
-		if name == g.r.Name || m.Gate == "" || m.State == kin.Left {
+		if name == g.r.Name || m.Gate == "" || m.State == membership.Left {
 			continue
 		}
 		all.Add(1)
--- a/internal/gate/sick.go
+++ b/internal/gate/sick.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
 )
 
@@ -161,7 +161,7 @@
 		return
 	}
 	for name, m := range s.g.kin.View() {
-		if name == s.g.r.Name || m.Gate == "" || m.Zone != s.g.r.Props.Zone || m.State != kin.Alive {
+		if name == s.g.r.Name || m.Gate == "" || m.Zone != s.g.r.Props.Zone || m.State != membership.Alive {
 			continue
 		}
 		s.g.r.Go(func() {
--- a/internal/hollow/part.go
+++ b/internal/hollow/part.go
@@ -15,10 +15,10 @@
 	"sync"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/flow"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/seat"
@@ -156,7 +156,7 @@
 	return g, nil
 }
 
-func (g *gate) note(chart *flow.Chart) {
+func (g *gate) note(chart *distribution.Chart) {
 	g.mu.Lock()
 	g.swaps = append(g.swaps, swap{chart.Epoch, time.Now()})
 	g.mu.Unlock()
@@ -176,7 +176,7 @@
 func (g *gate) isWhole(members int) bool {
 	live := 0
 	for _, m := range g.node.Kin.View() {
-		if m.State == kin.Alive {
+		if m.State == membership.Alive {
 			live++
 		}
 	}
--- a/internal/kin/kin.go
+++ b/internal/membership/kin.go
@@ -1,8 +1,8 @@
-// Package kin knows who is there: each node probes a few others in turn, asks
+// Package membership knows who is there: each node probes a few others in turn, asks
 // third parties for a second opinion, suspects before it removes, and refutes
 // suspicion of itself by a higher incarnation. What it holds are opinions on
 // liveness; nothing that must be true hangs on them.
-package kin
+package membership
 
 import (
 	"net"
--- a/internal/kin/probe.go
+++ b/internal/membership/probe.go
@@ -1,7 +1,7 @@
 // The probing half of kin: datagrams of one JSON line each. A ping that is not
 // answered in time is repeated through two third parties; if that fails too the
 // member is suspected, and it is down when the suspicion is not refuted.
-package kin
+package membership
 
 import (
 	"context"
--- a/internal/kin/search.go
+++ b/internal/membership/search.go
@@ -3,7 +3,7 @@
 // a score of both names that all reckon alike, and ask the lost one alone, at pauses
 // that grow, though not for core nodes, without which nothing is decided or heard of:
 // those are asked every second, in small fleets by all. Others wait for the news.
-package kin
+package membership
 
 import (
 	"slices"
--- a/internal/kin/sync.go
+++ b/internal/membership/sync.go
@@ -2,7 +2,7 @@
 // the digests of ranges of names, and members only of those ranges that differ. So an
 // exchange costs what has changed, not what the fleet is. Whole lists go to those who
 // know next to nobody: encoded once for a view, and only so many at once.
-package kin
+package membership
 
 import (
 	"context"
--- a/internal/kin/sync_test.go
+++ b/internal/membership/sync_test.go
@@ -1,5 +1,5 @@
 // What comparing lists costs, who looks for a lost member, and how long news goes round.
-package kin
+package membership
 
 import (
 	"context"
--- a/internal/plan/news.go
+++ b/internal/plan/news.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/coordination"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -43,7 +43,7 @@
 // lists is what was heard of a part. A young owner also names those that are
 // known to be out and weren't heard from yet.
 func (l *Roll) lists(no mark.Part, term mark.Term, isYoung bool) map[string][]wire.Listed {
-	marks, _ := l.books[no].All(bond.Mark, "")
+	marks, _ := l.books[no].All(coordination.Mark, "")
 	marked := map[string]wire.BondRecord{}
 	for _, m := range marks {
 		marked[m.Name] = m
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -14,8 +14,8 @@
 
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -31,7 +31,7 @@
 type Planner struct {
 	r      *realm.Realm
 	w      *wire.Wire
-	k      *kin.Kin
+	k      *membership.Kin
 	part   *consensus.Part
 	ledger *Ledger
 	kick   chan struct{}
@@ -49,7 +49,7 @@
 	isAwaited bool // a target waits for the epoch after the one planned last
 }
 
-func NewPlanner(r *realm.Realm, w *wire.Wire, k *kin.Kin, p *consensus.Node, ledger *Ledger) *Planner {
+func NewPlanner(r *realm.Realm, w *wire.Wire, k *membership.Kin, p *consensus.Node, ledger *Ledger) *Planner {
 	l := &Planner{r: r, w: w, k: k, part: p.Part(mark.Config), ledger: ledger, kick: make(chan struct{}, 1), clashes: map[clash]bool{}, zero: r.Now(), planning: realm.NewTurn()}
 	l.reset(mark.Term{})
 	return l
@@ -238,7 +238,7 @@
 	for name, m := range l.k.View() {
 		// One that went is kept for a while: most come back at once, and a share that
 		// is too small does no harm, where an epoch for each coming and going does.
-		if m.Gate != "" && (m.State == kin.Alive || m.State == kin.Suspect || time.Since(m.Since) < l.r.Props.PlanLinger) {
+		if m.Gate != "" && (m.State == membership.Alive || m.State == membership.Suspect || time.Since(m.Since) < l.r.Props.PlanLinger) {
 			shares[name] = m.Strength
 		}
 	}
--- a/internal/plan/roll.go
+++ b/internal/plan/roll.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/bond"
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/coordination"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
@@ -41,7 +41,7 @@
 type Roll struct {
 	r      *realm.Realm
 	p      *consensus.Node
-	books  []*bond.Book
+	books  []*coordination.Book
 	ledger *Ledger
 
 	// Stirred is told when a list says something else; set before the first beat.
@@ -60,7 +60,7 @@
 	digest string
 }
 
-func NewRoll(r *realm.Realm, p *consensus.Node, books []*bond.Book, ledger *Ledger) *Roll {
+func NewRoll(r *realm.Realm, p *consensus.Node, books []*coordination.Book, ledger *Ledger) *Roll {
 	return &Roll{r: r, p: p, books: books, ledger: ledger, beats: map[mark.Part]map[string]map[string]*heard{}, terms: map[mark.Part]mark.Term{}, told: map[mark.Part]told{}}
 }
 
@@ -111,7 +111,7 @@
 		return fault.New(fault.UnknownService, "%q", b.Service)
 	}
 	name := b.Service + "/" + b.Instance
-	marked, isMarked := l.books[no].Get(bond.Mark, name)
+	marked, isMarked := l.books[no].Get(coordination.Mark, name)
 	l.mu.Lock()
 	l.renew(no, term)
 	if l.beats[no] == nil {
@@ -210,7 +210,7 @@
 		return service
 	}
 	for _, book := range l.books {
-		marks, _ := book.All(bond.Mark, "")
+		marks, _ := book.All(coordination.Mark, "")
 		for _, m := range marks {
 			if service, name, _ := strings.Cut(m.Name, "/"); name == instance {
 				return service
--- a/internal/plan/settle_test.go
+++ b/internal/plan/settle_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/coordination"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
@@ -103,9 +103,9 @@
 func newRoll(t *testing.T) *Roll {
 	p := &props.Props{Name: "n", PlanSilence: time.Hour}
 	r := realm.New(t.Context(), p, sign.New(io.Discard, "info", "n"), realm.Net{})
-	var books []*bond.Book
+	var books []*coordination.Book
 	for range mark.Parts {
-		books = append(books, bond.NewBook())
+		books = append(books, coordination.NewBook())
 	}
 	return NewRoll(r, nil, books, NewLedger())
 }
@@ -120,7 +120,7 @@
 	l.beats[no][b.Service][b.Instance] = &heard{beat: b, cold: cold, first: l.r.Now(), at: l.r.Now()}
 }
 
-func putMark(t *testing.T, book *bond.Book, name, holder string) {
+func putMark(t *testing.T, book *coordination.Book, name, holder string) {
 	t.Helper()
 	raw, _ := json.Marshal(wire.BondOp{Op: "mark", Name: name, Holder: holder, Seq: 1})
 	book.Apply(1, raw)
--- a/internal/seat/desk.go
+++ b/internal/seat/desk.go
@@ -15,7 +15,7 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
-	"github.com/sumactrestle/sumactrestle/internal/bond"
+	"github.com/sumactrestle/sumactrestle/internal/coordination"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
 	"github.com/sumactrestle/sumactrestle/internal/wire"
@@ -122,15 +122,15 @@
 }
 
 func (d *desk) GetCounter(ctx context.Context, params api.GetCounterParams) (*api.Receipt, error) {
-	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Count})
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: coordination.Count})
 }
 
 func (d *desk) GetLock(ctx context.Context, params api.GetLockParams) (*api.Receipt, error) {
-	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Lock})
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: coordination.Lock})
 }
 
 func (d *desk) GetLeader(ctx context.Context, params api.GetLeaderParams) (*api.Receipt, error) {
-	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: bond.Lock})
+	return d.bond(ctx, &wire.BondOp{Op: "get", Name: params.Name, Holder: coordination.Lock})
 }
 
 func (d *desk) Lock(ctx context.Context, req *api.Call, params api.LockParams) (*api.Receipt, error) {
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -14,13 +14,13 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
-	"github.com/sumactrestle/sumactrestle/internal/bond"
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
+	"github.com/sumactrestle/sumactrestle/internal/coordination"
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/fault"
-	"github.com/sumactrestle/sumactrestle/internal/flow"
 	"github.com/sumactrestle/sumactrestle/internal/gate"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
 	"github.com/sumactrestle/sumactrestle/internal/sign"
@@ -35,15 +35,15 @@
 type Node struct {
 	R         *realm.Realm
 	Wire      *wire.Wire
-	Kin       *kin.Kin
+	Kin       *membership.Kin
 	Store     *storage.Store
 	Consensus *consensus.Node
-	Books     []*bond.Book
-	Desk      *bond.Desk
+	Books     []*coordination.Book
+	Desk      *coordination.Desk
 	Ledger    *plan.Ledger
 	Roll      *plan.Roll
 	Planner   *plan.Planner
-	Flow      *flow.Client
+	Flow      *distribution.Client
 	Gate      *gate.Gate
 
 	mu      sync.Mutex
@@ -85,7 +85,7 @@
 			me.Founders = 0
 		}
 	}
-	n.Kin = kin.New(r, n.Wire, me)
+	n.Kin = membership.New(r, n.Wire, me)
 	n.Wire.IsNear = n.Kin.IsNear
 	if me.Core {
 		if err := n.openCore(); err != nil {
@@ -93,7 +93,7 @@
 		}
 	}
 	if p.GateAddress != "" {
-		n.Flow = flow.NewClient(r, n.Wire, n.Kin)
+		n.Flow = distribution.NewClient(r, n.Wire, n.Kin)
 		n.Gate = gate.New(r, n.Flow, n.Wire, n.Kin, func(ctx context.Context, call *wire.BondOp) (*wire.BondReceipt, error) {
 			var receipt wire.BondReceipt
 			err := n.pass(ctx, op{mark.PartOf(call.Name), "bond", call}, 0, &receipt)
@@ -126,7 +126,7 @@
 	if n.Gate != nil {
 		planned := make(chan struct{})
 		tell := sync.OnceFunc(func() { close(planned) })
-		n.Flow.Cache.Subscribe(func(*flow.Chart) { tell() })
+		n.Flow.Cache.Subscribe(func(*distribution.Chart) { tell() })
 		n.Flow.Open()
 		if err := n.openGate(p.GateAddress, planned); err != nil {
 			return nil, err
@@ -169,7 +169,7 @@
 func (n *Node) openCore() error {
 	var machines []consensus.Machine
 	for range mark.Parts {
-		book := bond.NewBook()
+		book := coordination.NewBook()
 		n.Books = append(n.Books, book)
 		machines = append(machines, book)
 	}
@@ -186,10 +186,10 @@
 	if n.Consensus, err = consensus.New(n.R, n.Wire, n.Kin, n.Store, machines); err != nil {
 		return err
 	}
-	n.Desk = bond.NewDesk(n.R, n.Consensus, n.Books)
+	n.Desk = coordination.NewDesk(n.R, n.Consensus, n.Books)
 	n.Roll = plan.NewRoll(n.R, n.Consensus, n.Books, n.Ledger)
 	n.Planner = plan.NewPlanner(n.R, n.Wire, n.Kin, n.Consensus, n.Ledger)
-	flow.NewServer(n.R, n.Wire, n.Kin, n.Consensus, n.Ledger, n.Planner).HandleOwner()
+	distribution.NewServer(n.R, n.Wire, n.Kin, n.Consensus, n.Ledger, n.Planner).HandleOwner()
 	n.Wire.Handle("plan.whose", func(c *wire.Call) (any, error) {
 		var ask wire.WhoseAsk
 		if err := c.Read(&ask); err != nil {
--- a/internal/simulator/late_test.go
+++ b/internal/simulator/late_test.go
@@ -13,9 +13,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/flow"
-	"github.com/sumactrestle/sumactrestle/internal/kin"
+	"github.com/sumactrestle/sumactrestle/internal/distribution"
 	"github.com/sumactrestle/sumactrestle/internal/mark"
+	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/plan"
 	"github.com/sumactrestle/sumactrestle/internal/props"
 	"github.com/sumactrestle/sumactrestle/internal/realm"
@@ -116,7 +116,7 @@
 	hangs   atomic.Bool  // whether its fetches hang
 }
 
-func stagedNode(t *testing.T, w *World, name, zone, address string, seeds string, isCore bool, settings map[string]string) (*realm.Realm, *wire.Wire, *kin.Kin) {
+func stagedNode(t *testing.T, w *World, name, zone, address string, seeds string, isCore bool, settings map[string]string) (*realm.Realm, *wire.Wire, *membership.Kin) {
 	set := map[string]string{"name": name, "zone": zone, "wire.address": address, "seeds": seeds, "flow.pulse": "1s", "flow.stay": "1h"}
 	set["api.address"], set["gate.address"] = host(address)+":7001", host(address)+":7002"
 	for key, value := range settings {
@@ -128,7 +128,7 @@
 	}
 	r := realm.New(t.Context(), p, sign.New(io.Discard, "error", name), w.Net(host(address)))
 	line := wire.New(r)
-	who := kin.New(r, line, wire.Member{Name: mark.Name(name), Birth: mark.Birth("b" + name), Wire: address, Zone: zone, Core: isCore, Keeps: isCore})
+	who := membership.New(r, line, wire.Member{Name: mark.Name(name), Birth: mark.Birth("b" + name), Wire: address, Zone: zone, Core: isCore, Keeps: isCore})
 	return r, line, who
 }
 
@@ -173,12 +173,12 @@
 
 // staged is a proxy among control nodes of which a test decides what they answer;
 // the first is in the proxy's zone.
-func staged(t *testing.T, n int, settings map[string]string, play func(t *testing.T, client *flow.Client, cores []*stagedCore)) {
+func staged(t *testing.T, n int, settings map[string]string, play func(t *testing.T, client *distribution.Client, cores []*stagedCore)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorld(1)
 		var realms []*realm.Realm
 		var cores []*stagedCore
-		open := func(r *realm.Realm, line *wire.Wire, who *kin.Kin) {
+		open := func(r *realm.Realm, line *wire.Wire, who *membership.Kin) {
 			realms = append(realms, r)
 			if err := line.Open(); err != nil {
 				t.Fatal(err)
@@ -203,7 +203,7 @@
 		w.Place("10.1.0.9", "zone1")
 		r, line, who := stagedNode(t, w, "proxy1", "zone1", "10.1.0.9:7000", seeds[1:], false, settings)
 		open(r, line, who)
-		client := flow.NewClient(r, line, who)
+		client := distribution.NewClient(r, line, who)
 		time.Sleep(2 * time.Second)
 		client.Open()
 		time.Sleep(3 * time.Second)
@@ -219,7 +219,7 @@
 }
 
 // has waits for an epoch, in virtual time.
-func has(client *flow.Client, epoch mark.Epoch, limit time.Duration) bool {
+func has(client *distribution.Client, epoch mark.Epoch, limit time.Duration) bool {
 	over, end := context.WithTimeout(context.Background(), limit)
 	defer end()
 	for client.Cache.Chart().Epoch < epoch {
@@ -234,7 +234,7 @@
 // give it: the next one that is asked does.
 func TestANodeThatTellsOfAnEpochAndDoesNotGiveItIsPassedBy(t *testing.T) {
 	for _, servers := range []string{"0", "2"} {
-		staged(t, 3, map[string]string{"flow.servers": servers}, func(t *testing.T, client *flow.Client, cores []*stagedCore) {
+		staged(t, 3, map[string]string{"flow.servers": servers}, func(t *testing.T, client *distribution.Client, cores []*stagedCore) {
 			for i, core := range cores {
 				core.stuck.Store(core.listens.Load())
 				core.epoch.Store(2)
@@ -251,7 +251,7 @@
 
 // A fetch that hangs at one control node holds up no other's.
 func TestAFetchThatHangsHoldsUpNoOther(t *testing.T) {
-	staged(t, 2, nil, func(t *testing.T, client *flow.Client, cores []*stagedCore) {
+	staged(t, 2, nil, func(t *testing.T, client *distribution.Client, cores []*stagedCore) {
 		cores[0].hangs.Store(true)
 		cores[0].gives.Store(2)
 		time.Sleep(200 * time.Millisecond)
