Reads are left off when their caller has gone; nobody is tried for a caller that went

Cause: a request's context was the node's and its deadline alone. A target went on working for half a minute of deadlines for callers that had closed their connection, and further targets were tried for them. Change: the end of the caller's connection ends a read's try and its connection to the target, without a strike against the target; nothing is sent for a caller that went. What may not be repeated is left to end, for it may have run; a broken-off order would be lost. Ruled out: breaking orders off as well. Tests: both manners of fleets, seen failing before (the target works on); mutant caught.

--- a/internal/gate/double.go
+++ b/internal/gate/double.go
@@ -101,8 +101,11 @@
 			}
 		case <-ctx.Done():
 			a.pipe.kill()
-			a.to.strike(time.Now(), false)
 			a.end()
+			if r.Context().Err() != nil {
+				return nil, true, fault.New(fault.CallerGone, "%s", a.to.target.Instance)
+			}
+			a.to.strike(time.Now(), false)
 			return nil, true, fault.New(fault.DeadlinePassed, "%s", a.to.target.Instance)
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -244,6 +244,11 @@
 func (g *Gate) carry(c *course, r *http.Request) (*answer, error) {
 	ctx, end := context.WithDeadline(g.r, c.deadline)
 	defer end()
+	if c.isRepeatable {
+		// A target works for nobody once the caller has gone; what may not be repeated
+		// is left to end, for it may have run.
+		defer context.AfterFunc(r.Context(), end)()
+	}
 	body, isWhole, err := g.body(ctx, c, r)
 	if err != nil {
 		return nil, err
@@ -253,6 +258,12 @@
 	sent, misses := 0, 0
 	isWritten := false
 	for sent < c.most && misses < targetsMost {
+		if r.Context().Err() != nil {
+			if !isWritten {
+				problem = fault.New(fault.NotWritten, "%s: the caller has gone", c.service.Name)
+			}
+			break
+		}
 		if len(c.tried) > 0 && !g.lane.await(ctx, r.ContentLength, c.deadline) {
 			break
 		}
--- /dev/null
+++ b/internal/simulator/gone_test.go
@@ -0,0 +1,46 @@
+package simulator
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestAReadWhoseCallerWentIsLeftOff: the target is told by the end of its connection,
+// soon, and no other target is tried for a caller that is gone.
+func TestAReadWhoseCallerWentIsLeftOff(t *testing.T) {
+	const soon = 500 * time.Millisecond
+	for _, isStay := range []bool{false, true} {
+		shape := one()
+		shape.Servers = map[string]int{"rates": 2}
+		if isStay {
+			shape = stays(shape)
+		}
+		inFleet(t, shape, func(t *testing.T, f *Fleet) {
+			for _, s := range f.Servers("rates") {
+				s.Drops, s.Work = true, 3*time.Second
+			}
+			dropped := func() (n int64) {
+				for _, s := range f.Servers("rates") {
+					n += s.Dropped.Load()
+				}
+				return n
+			}
+			caller := f.caller(5)
+			defer caller.Close()
+			ctx, leave := context.WithCancel(f.ctx)
+			go func() {
+				time.Sleep(300 * time.Millisecond)
+				leave()
+			}()
+			caller.Call(ctx, f.Of("proxy1").Gate(), "GET", "/rates", "rates", nil)
+			if !f.Until(soon, func() bool { return dropped() > 0 }) {
+				t.Error("the target works on")
+			}
+			time.Sleep(2 * time.Second)
+			if n := dropped(); n != 1 {
+				t.Errorf("%d targets had the request", n)
+			}
+		})
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -57,6 +57,9 @@
 	Every    time.Duration // pause between beats; 300 ms if zero
 	Silence  time.Duration // after which it counts as gone; the judge's own if zero
 	IsPlain  bool          // answers bear an opaque seal and name their request
+	// Drops has it leave off work whose connection closes; Dropped is how often it did.
+	Drops   bool
+	Dropped atomic.Int64
 
 	seq    atomic.Uint64
 	n      atomic.Int64
@@ -173,6 +176,17 @@
 // CallHeader is the stand-in callers' own number of a call.
 const CallHeader = "X-Call"
 
+// isAwaited works on a request, and tells whether its connection lasts that long.
+func (s *Server) isAwaited(r *http.Request) bool {
+	select {
+	case <-time.After(s.Work):
+		return true
+	case <-r.Context().Done():
+		s.Dropped.Add(1)
+		return false
+	}
+}
+
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := s.H.Now()
 	way := Fine
@@ -190,7 +204,10 @@
 	if s.IsPlain && s.turnsAway(w, r, way) {
 		return
 	}
-	if s.Work > 0 {
+	if s.Drops && !s.isAwaited(r) {
+		return
+	}
+	if s.Work > 0 && !s.Drops {
 		time.Sleep(s.Work)
 	}
 	if way == Slow {
