Pairs of core troubles in the simulator; its instruments are free of races

Cause: the race run of the tests failed in seven tests of the simulator, at two places, both in the instruments added lately: the count of followed steps was read without its lock, and a test set what sees the steps while nodes ran. A run of pairs of core troubles stood still for ten minutes: a machine on a full disk held a mutex while it started, and a wait for a mutex stops virtual time. Change: the count under its lock, the observer swapped atomically, the lock of a start a channel; scenario 'pairs' (eleven kinds of core trouble, two at a time). Ruled out: faults of the product, none of the reports names its code but as the place that a step came from.

--- a/internal/consensus/model/conformance.go
+++ b/internal/consensus/model/conformance.go
@@ -25,7 +25,7 @@
 
 	mu    sync.Mutex
 	parts map[mark.Part]*observed
-	Steps int
+	steps int
 }
 
 // observed is what the steps of one part have shown so far.
@@ -56,7 +56,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Steps++
+	c.steps++
 	if c.parts == nil {
 		c.parts = map[mark.Part]*observed{}
 	}
@@ -82,6 +82,13 @@
 	}
 }
 
+// Steps is how many steps were followed so far.
+func (c *Conformance) Steps() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.steps
+}
+
 type breachFunc func(invariant, format string, args ...any)
 
 // raise demands that a disk forgets no promise; one that was not synced may be gone
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -47,6 +47,7 @@
 	{Name: "stops-long", Shape: long, Length: 30 * time.Second, Start: func(f *Fleet) { f.Uploads(4) }, Faults: longStops, IsHarmless: true},
 	{Name: "stops-alone", Shape: long, Length: 30 * time.Second, Start: func(f *Fleet) { f.Uploads(4) }, Faults: loneStops},
 	{Name: "uploads", Shape: Small, Length: 25 * time.Second, Start: func(f *Fleet) { f.Uploads(8) }, Faults: func(f *Fleet) { cuts(f); kills(f); servers(f) }},
+	{Name: "pairs", Shape: replacing, Length: 30 * time.Second, Faults: pairs},
 	{Name: "overlap", Shape: five, Length: 30 * time.Second, Faults: overlap},
 	{Name: "growth", Shape: growing, Length: 25 * time.Second, Faults: kills},
 	{Name: "mixed", Shape: five, Length: 40 * time.Second, Faults: mixed},
@@ -59,8 +60,8 @@
 func (f *Fleet) pick(list []*Machine) *Machine { return list[f.Rand.IntN(len(list))] }
 
 func (f *Fleet) up(m *Machine) {
-	m.upping.Lock()
-	defer m.upping.Unlock()
+	m.upping <- struct{}{}
+	defer func() { <-m.upping }()
 	if m.Node() == nil {
 		if err := m.Start(); err != nil {
 			f.Say("%s can't start: %v", m.Name, err)
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -48,7 +48,7 @@
 	IsProxy bool
 	mu      sync.Mutex
 	node    *seat.Node
-	upping  sync.Mutex
+	upping  chan struct{} // held while the machine is started; waiting for it lets time pass
 }
 
 // Fleet is one run.
@@ -70,7 +70,7 @@
 	isLoad  atomic.Bool
 
 	conformance model.Conformance
-	watch       func(m *Machine, step any) // of a test; set before what it waits for
+	watch       atomic.Pointer[func(m *Machine, step any)] // of a test
 	changes     atomic.Int64
 }
 
@@ -105,7 +105,7 @@
 
 // Add puts a machine into the fleet; it is down at first.
 func (f *Fleet) Add(name string, zone int, isCore, isProxy bool) *Machine {
-	m := &Machine{f: f, Name: name, Zone: fmt.Sprint("zone", zone+1), IP: f.host(zone), IsCore: isCore, IsProxy: isProxy}
+	m := &Machine{f: f, Name: name, Zone: fmt.Sprint("zone", zone+1), IP: f.host(zone), IsCore: isCore, IsProxy: isProxy, upping: make(chan struct{}, 1)}
 	f.Machines = append(f.Machines, m)
 	return m
 }
@@ -162,8 +162,8 @@
 	r := realm.New(m.f.ctx, p, journal, m.network(here))
 	r.Trace = func(step any) {
 		m.f.conformance.Observe(step)
-		if m.f.watch != nil {
-			m.f.watch(m, step)
+		if watch := m.f.watch.Load(); watch != nil {
+			(*watch)(m, step)
 		}
 	}
 	node, err := seat.Start(r)
@@ -188,6 +188,9 @@
 	return nil
 }
 
+// watchSteps has a test see every step of the replicated parts.
+func (f *Fleet) watchSteps(watch func(m *Machine, step any)) { f.watch.Store(&watch) }
+
 // hear notes what a node has learned, be it that its answer is lost.
 func (f *Fleet) hear(e sign.Entry) {
 	switch e.Event.No {
--- a/internal/simulator/found_test.go
+++ b/internal/simulator/found_test.go
@@ -102,21 +102,21 @@
 		victim := f.Of("core2")
 		accepted := make(chan struct{})
 		var once sync.Once
-		f.watch = func(m *Machine, step any) {
+		f.watchSteps(func(m *Machine, step any) {
 			if charter, ok := step.(consensus.CharterTrace); ok && m == victim && !charter.IsOpen {
 				for _, other := range f.Cores() {
 					f.W.Cut(victim.IP, other.IP)
 				}
 				once.Do(func() { close(accepted) })
 			}
-		}
+		})
 		for _, m := range f.Cores() {
 			f.up(m)
 		}
 		<-accepted
 		victim.Kill(true)
 		f.W.Disk(victim.IP).Wipe()
-		f.watch = nil
+		f.watchSteps(func(*Machine, any) {})
 		time.Sleep(3 * time.Second) // of virtual time, in which the answer is given up
 		f.W.Heal()
 		f.up(victim)
--- a/internal/simulator/replaced_test.go
+++ b/internal/simulator/replaced_test.go
@@ -100,7 +100,7 @@
 func (f *Fleet) killAtJointStep(no mark.Part) <-chan *Machine {
 	killed := make(chan *Machine, 1)
 	var once sync.Once
-	f.watch = func(m *Machine, step any) {
+	f.watchSteps(func(m *Machine, step any) {
 		trace, ok := step.(consensus.Trace)
 		if !ok || trace.Part != no || !trace.IsOwner || !trace.IsChange || !trace.Voters.IsJoint() {
 			return
@@ -111,7 +111,7 @@
 				killed <- m
 			}()
 		})
-	}
+	})
 	return killed
 }
 
@@ -208,7 +208,7 @@
 // checkConformance fails where a step of a replicated part broke an invariant.
 func (f *Fleet) checkConformance(t *testing.T) {
 	t.Helper()
-	if f.conformance.Steps == 0 {
+	if f.conformance.Steps() == 0 {
 		t.Error("no step of a replicated part was seen")
 	}
 	for _, r := range f.H.Records() {
--- a/internal/simulator/replacing.go
+++ b/internal/simulator/replacing.go
@@ -4,6 +4,7 @@
 package simulator
 
 import (
+	"sync"
 	"time"
 )
 
@@ -73,3 +74,23 @@
 		f.W.Disk(m.IP).Resume()
 	}
 }
+
+// coreTroubles is what happens to core nodes, to be brought about two at a time.
+var coreTroubles = []func(*Fleet){kills, power, wipes, cuts, freezes, stalls, fulls, slows, replacements, takeovers, stops}
+
+// pairs lets two kinds of trouble of the core go on at once, each in its own time; over
+// the seeds every pair meets.
+func pairs(f *Fleet) {
+	one := f.Rand.IntN(len(coreTroubles))
+	two := (one + 1 + f.Rand.IntN(len(coreTroubles)-1)) % len(coreTroubles)
+	var all sync.WaitGroup
+	for _, trouble := range []func(*Fleet){coreTroubles[one], coreTroubles[two]} {
+		all.Go(func() {
+			trouble(f)
+			trouble(f)
+		})
+	}
+	all.Wait()
+	f.W.Heal()
+	f.nap(time.Second, 3*time.Second)
+}
