--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -40,6 +40,11 @@
 	timerStart time.Time
 	// lastLeaderContact is when a leader was last heard; zero since the start of the process.
 	lastLeaderContact time.Time
+	// startedAt is when this replica was made; until a leader is heard its silence counts
+	// from then.
+	startedAt time.Time
+	// isLeaderless says that the leader's silence has been reported.
+	isLeaderless bool
 	// isRemoved says that a voter answered that this member has no vote any more. It
 	// does not campaign until a leader sends it entries again.
 	isRemoved bool
@@ -62,7 +67,7 @@
 		stateMachine: stateMachine,
 		changed:      make(chan struct{}),
 		log:          replicaLog{shard: shard},
-		election:     electionState{timerStart: node.env.Now()},
+		election:     electionState{timerStart: node.env.Now(), startedAt: node.env.Now()},
 		leadership:   leadership{progress: map[rpc.Peer]*progress{}},
 		proposals:    map[ids.Index]proposal{},
 	}
--- a/internal/consensus/supervise.go
+++ b/internal/consensus/supervise.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		r.checkQuorum()
+		r.reportLeaderless()
 		if r.isElectionDue() {
 			due = append(due, r)
 		}
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -210,6 +210,9 @@
 		if status.IsServing {
 			led++
 		}
+		if silence, isVoter := replica.LeaderSilence(); isVoter {
+			c.add(metrics.ShardLeaderSilence, silence.Seconds(), shard)
+		}
 	}
 	c.add(metrics.ShardsLed, float64(led))
 	c.add(metrics.EpochCommitted, float64(n.Plan.Current().Epoch))
