A voter is replaced on the evidence of its leader, not of the member list

Cause: a lost voter was replaced consensus.replacement_delay (half of catchUp) after the member list held it for down. The list takes 5 to 6 s for that in a fleet of 18 (probe 0.4 s, through others 0.8 s, over a connection 0.8 s, suspicion 2.8 s), time that no bound of the users knows of: two timers in a row, of which only the second was made from catchUp. Now a leader counts how long a voter leaves its heartbeats unanswered; whoever was not asked is not silent, and silence begins anew when the asking node itself stood still. While a peer is newly gone the voters are looked at every 0.1 s in place of 0.5 s. Spares that do not answer are not chosen. Ruled out: a shorter suspicion (the list is for the whole fleet, and false deaths cost routes), a shorter delay alone (5 s of 4 are gone before it begins).

--- a/internal/consensus/heartbeat.go
+++ b/internal/consensus/heartbeat.go
@@ -20,6 +20,8 @@
 type heartbeater struct {
 	kick   chan struct{} // has one place; a message is sent at once when it is filled
 	cancel context.CancelFunc
+	// contact is guarded by the node's lock.
+	contact peerContact
 
 	// sequence and acked belong to the task that sends.
 	sequence uint64     // of the last message; zero before the first
@@ -121,12 +123,14 @@
 		return
 	}
 	sent := n.env.Now()
+	n.recordSent(h, sent)
 	request := h.nextRequest(n.self, claims)
 	var response rpc.HeartbeatResponse
 	err := n.call(ctx, heartbeatTimeout, address, kindHeartbeat, request, &response)
 	if err != nil || response.From != peer || response.Sequence != request.Sequence {
 		return
 	}
+	n.recordHeard(peer)
 	h.acknowledge(request, claims, response.BaseLost)
 	if response.BaseLost {
 		h.sendNow()
@@ -177,6 +181,7 @@
 
 // handleHeartbeat answers a heartbeat. A claim below the current term is rejected with it.
 func (n *Node) handleHeartbeat(request *rpc.HeartbeatRequest) (*rpc.HeartbeatResponse, error) {
+	n.recordHeard(request.From)
 	response := &rpc.HeartbeatResponse{From: n.self, Sequence: request.Sequence}
 	claims, ok := n.fullClaims(request)
 	if !ok {
--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -8,22 +8,32 @@
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
 )
 
-// lostVoters returns the voters that came back under another member id, or are dead for
-// consensus.replacement_delay.
+// lostVoters returns the voters that came back under another member id, or are gone: they
+// have left the leader's questions unanswered for consensus.replacement_delay. A leader that
+// has just begun to serve waits until each voter had time to answer it.
 func (r *Replica) lostVoters(voters []rpc.Peer) (lost []rpc.Peer) {
-	view, deadAfter := r.node.members.View(), r.node.env.Config.ConsensusReplacementDelay
+	view, served := r.node.members.View(), r.node.env.Since(r.servingStart())
 	for _, peer := range voters {
 		m, isKnown := view[peer.Name]
 		hasNewID := isKnown && m.ID != peer.ID
-		isNeverSeen := !isKnown && r.node.env.Since(r.servingStart()) > deadAfter
-		isDead := isKnown && !r.node.members.IsLive(peer) && time.Since(m.StateChange) > deadAfter
-		if peer != r.node.self && (hasNewID || isNeverSeen || isDead) {
+		isGone := served > heartbeatTimeout && r.isGone(peer, isKnown)
+		if peer != r.node.self && (hasNewID || isGone) {
 			lost = append(lost, peer)
 		}
 	}
 	return lost
 }
 
+// isGone tells whether a core node has been silent for consensus.replacement_delay, or, if
+// the member list lacks it, was so since this member began to serve.
+func (r *Replica) isGone(peer rpc.Peer, isKnown bool) bool {
+	silence := r.node.silenceOf(peer)
+	if !isKnown {
+		silence = r.node.env.Since(r.servingStart())
+	}
+	return silence > r.node.env.Config.ConsensusReplacementDelay
+}
+
 // voterReplacement is one voter that comes in, for one that goes out; out is zero if the
 // voters grow.
 type voterReplacement struct {
@@ -31,13 +41,13 @@
 }
 
 // replacements pairs each lost voter with the core node that takes its place: the one of
-// its own name, or, if that is dead for consensus.replacement_delay, a spare of the zone with the fewest
-// voters. Voters that are fewer than the cluster allows get one more.
+// its own name, or, if that is gone, a spare of the zone with the fewest voters. Voters that
+// are fewer than the cluster allows get one more.
 func (r *Replica) replacements(voters, lost []rpc.Peer) []voterReplacement {
 	p := r.newReplacementPlan(voters, lost)
 	for _, out := range lost {
 		isBack := p.assign(out, func(m rpc.Member) bool { return m.Name == out.Name })
-		if !isBack && isDeadFor(p.view, out, r.node.env.Config.ConsensusReplacementDelay) {
+		if !isBack && r.isNameGone(p.view, out.Name) {
 			p.assign(out, func(m rpc.Member) bool { return !p.isLost[m.Name] })
 		}
 	}
@@ -94,18 +104,19 @@
 	return true
 }
 
-// clusterCores returns the core nodes of this cluster that seem live.
+// clusterCores returns the core nodes of this cluster that seem live and answer.
 func (r *Replica) clusterCores() (cores []rpc.Member) {
 	for _, m := range r.node.members.CoreMembers() {
-		if m.Fleet == r.node.clusterID() {
+		if m.Fleet == r.node.clusterID() && r.node.isAnswering(rpc.Peer{Name: m.Name, ID: m.ID}) {
 			cores = append(cores, m)
 		}
 	}
 	return cores
 }
 
-// isDeadFor tells whether a node has been dead for so long, under any member id.
-func isDeadFor(view map[ids.NodeName]membership.NodeState, peer rpc.Peer, deadAfter time.Duration) bool {
-	m, ok := view[peer.Name]
-	return !ok || !m.IsLive() && time.Since(m.StateChange) > deadAfter
+// isNameGone tells whether the node of a name is gone under the member id that it has now.
+func (r *Replica) isNameGone(view map[ids.NodeName]membership.NodeState, name ids.NodeName) bool {
+	m, isKnown := view[name]
+	isDead := isKnown && !m.IsLive() && time.Since(m.StateChange) > r.node.env.Config.ConsensusReplacementDelay
+	return isDead || r.isGone(rpc.Peer{Name: name, ID: m.ID}, isKnown)
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -142,6 +142,7 @@
 		s.pause(appendRetryPause)
 		return true
 	}
+	r.node.recordHeard(s.peer)
 	s.handleResponse(request, &response)
 	return true
 }
--- a/internal/consensus/snapshot_transfer.go
+++ b/internal/consensus/snapshot_transfer.go
@@ -113,6 +113,9 @@
 		}
 		var response rpc.SnapshotChunkResponse
 		err := r.node.call(ctx, appendTimeout, address, kindSnapshotChunk, request, &response)
+		if err == nil && response.From == peer {
+			r.node.recordHeard(peer)
+		}
 		switch {
 		case err != nil:
 			return 0, err
--- a/internal/consensus/supervise.go
+++ b/internal/consensus/supervise.go
@@ -11,7 +11,8 @@
 const (
 	// supervisePause lies between two looks at everything, with jitter.
 	supervisePause = 100 * time.Millisecond
-	// votersEvery is how many looks lie between two at the voters of the shards led here.
+	// votersEvery is how many looks lie between two at the voters of the shards led here;
+	// while a core node is newly gone there is one in each.
 	votersEvery = 5
 )
 
@@ -27,12 +28,20 @@
 		n.keepHeartbeats()
 		n.advertiseConfigVoter()
 		n.superviseElections()
-		if tick++; tick%votersEvery == 0 && !n.IsStopping() {
-			for _, r := range n.replicas {
-				if r.IsServing() {
-					n.runOnce(r.shard, r.superviseVoters)
-				}
-			}
+		if tick++; tick%votersEvery == 0 || n.hasNewlyGonePeer() {
+			n.superviseVoters()
+		}
+	}
+}
+
+// superviseVoters looks at the voters of the shards that this node leads.
+func (n *Node) superviseVoters() {
+	if n.IsStopping() {
+		return
+	}
+	for _, r := range n.replicas {
+		if r.IsServing() {
+			n.runOnce(r.shard, r.superviseVoters)
 		}
 	}
 }
