A node that stops asks who answers; leadership goes to a voter that answers

It now counts those that answer a question at that moment. A leader that hands over chooses only a voter that answered its last heartbeat.

--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -123,7 +123,8 @@
 	}
 }
 
-// releaseLeadership steps down from a shard that is served, and returns who is to lead it.
+// releaseLeadership steps down from a shard that is served, and returns who is to lead it:
+// a member that has the whole log, and answers.
 func (r *Replica) releaseLeadership() (target *rpc.Member, term ids.Term) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +134,8 @@
 	last, _ := r.log.last()
 	for _, peer := range ElectionOrder(r.shard, r.voters.All()) {
 		m, ok := r.node.members.Lookup(peer.Name)
-		if peer != r.node.self && ok && m.ID == peer.ID && r.leadership.progressOf(peer).matchIndex == last {
+		isReady := ok && m.ID == peer.ID && r.node.isAnswering(peer) && r.leadership.progressOf(peer).matchIndex == last
+		if peer != r.node.self && isReady {
 			target = &m
 			break
 		}
--- a/internal/consensus/prevote.go
+++ b/internal/consensus/prevote.go
@@ -103,7 +103,7 @@
 }
 
 // requestPrevotes asks all live core nodes about some shards, and returns what those
-// answered who did in time.
+// answered who did in time. About no shard, it only tells who answers.
 func (n *Node) requestPrevotes(replicas []*Replica) map[rpc.Peer]*rpc.PreVoteResponse {
 	request := &rpc.PreVoteRequest{}
 	for _, r := range replicas {
--- a/internal/consensus/shutdown.go
+++ b/internal/consensus/shutdown.go
@@ -55,13 +55,15 @@
 }
 
 // isNeededForQuorum tells whether some shard has no quorum of voters beside this node that
-// are alive and not even suspected.
+// are alive, not even suspected, and answer now: the member list tells of a death too late.
 func (n *Node) isNeededForQuorum() bool {
+	answering := n.requestPrevotes(nil)
 	for _, r := range n.replicas {
 		voters := r.currentVoters()
 		var remaining []rpc.Peer
 		for _, peer := range voters.All() {
-			if m, ok := n.memberOf(peer); ok && peer != n.self && m.State == membership.StateAlive {
+			m, ok := n.memberOf(peer)
+			if ok && m.State == membership.StateAlive && answering[peer] != nil {
 				remaining = append(remaining, peer)
 			}
 		}
