A newcomer joins through whoever answers first, and tells the core at once

Now all are asked at once, and the newcomer presents itself to every live core node over a connection.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -37,16 +37,32 @@
 	}
 }
 
-// joinCluster takes the open charter of some other node over.
+// joinCluster takes over the open charter of the first node that answers with one. All are
+// asked at once: one that is gone says nothing for as long as a call may take.
 func (n *Node) joinCluster(cores []rpc.Member) bool {
+	ctx, cancel := context.WithTimeout(n.env, bootstrapTimeout)
+	defer cancel()
+	charters := make(chan *rpc.Charter, len(cores))
+	asked := 0
 	for _, m := range cores {
 		if m.Fleet == "" || m.Name == n.env.Name {
 			continue
 		}
-		var charter rpc.Charter
-		err := n.call(n.env, bootstrapTimeout, m.RPCAddress, kindCharter, struct{}{}, &charter)
-		if err == nil && charter.Open && n.putCharter(&charter, charter.Term) == nil {
+		asked++
+		n.env.Go(func() {
+			charter := &rpc.Charter{}
+			if n.transport.Call(ctx, m.RPCAddress, kindCharter, struct{}{}, charter) != nil {
+				charter = nil
+			}
+			charters <- charter
+		})
+	}
+	for range asked {
+		charter := <-charters
+		if charter != nil && charter.Open && n.putCharter(charter, charter.Term) == nil {
 			n.logEvent(eventlog.FleetJoined, "fleet", charter.Fleet)
+			// A leader gives a lost voter's place only to a node that it knows to have joined.
+			n.members.AnnounceSelf()
 			return true
 		}
 	}
--- a/internal/membership/pushpull.go
+++ b/internal/membership/pushpull.go
@@ -134,6 +134,17 @@
 	})
 }
 
+// AnnounceSelf tells all live core members of this node's own record at once, over
+// connections. Gossip spreads it too, but takes as long as it takes until somebody probes
+// this node: too long for what the core waits for.
+func (m *Memberlist) AnnounceSelf() {
+	for _, member := range m.CoreMembers() {
+		if member.Name != m.env.Name {
+			m.env.Go(func() { m.pushPullNode(member.RPCAddress, true) })
+		}
+	}
+}
+
 // pushPullNode is one exchange. A digest of the complete list goes first. If the other's
 // differs, it answers with a digest of each range of names, and only members of ranges
 // that differ travel: an exchange costs what has changed, not what the fleet is. A node
