A node heeds signals apart, and SIGHUP no longer ends sumac node

Now each kind has a channel, registered before the settings are read; only the opening of the data folder ends at once; the loop stands once, in node.Run, for both commands.

--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -40,7 +38,7 @@
 		Version:     Version,
 		Commands: []*cli.Command{
 			{Name: "node", Usage: "run a node", Flags: settingsFlags(), Action: runNode,
-				Description: "Runs until SIGTERM or SIGINT, which stop it as planned: what is under way is finished, its parts are handed over. What is wrong with the settings is named at once, and nothing runs. Settings come from the file, then from SUMAC_ variables (SUMAC_PROXY_ADDRESS for proxy.address), then from --set."},
+				Description: "Runs until SIGTERM or SIGINT, which stop it as planned: what is under way is finished, its parts are handed over. SIGHUP, or a change of the file, has the seeds read again. What is wrong with the settings is named at once, and nothing runs. Settings come from the file, then from SUMAC_ variables (SUMAC_PROXY_ADDRESS for proxy.address), then from --set."},
 			{Name: "check", Usage: "check a node's settings, the platform's settings file, or a change set", Action: runCheck,
 				Flags:       append(settingsFlags(), platform.CheckFlag(), &cli.StringFlag{Name: "change", Usage: "`FILE` of a change set (YAML or JSON)"}, apiFlag(false), objectsFlag()),
 				Description: "One thing at a time: --props and --set, as the command node takes them; --settings, the file that the command platform runs on, whose settings are printed; or --change, laid over the configuration of the fleet at --api, or over none. Nothing is changed. Every fault is named, and there being one ends it with 2."},
@@ -87,8 +85,10 @@
 	return config.Load(cmd.String("props"), flags)
 }
 
-// runNode runs a node until a signal stops it or its storage fails.
+// runNode runs a node until a signal stops it or its storage fails. SIGHUP, or a change of
+// the settings file, has the seeds read again.
 func runNode(ctx context.Context, cmd *cli.Command) error {
+	signals := node.NotifySignals()
 	settings, err := readSettings(cmd)
 	if err != nil {
 		return err
@@ -108,22 +108,16 @@
 		}
 	}
 	env := environment.New(ctx, settings, eventlog.New(out, settings.LogLevel, settings.Name), environment.NewHost(settings.PeerAddress))
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	node, err := node.StartUntilSignal(signals, env)
-	if err != nil || node == nil {
-		return err
-	}
-	var failed <-chan struct{}
-	if node.Store != nil {
-		failed = node.Store.Corrupted()
-	}
-	select {
-	case <-signals:
-		node.Stop()
-		return nil
-	case <-failed:
-		env.Shutdown()
-		return errcode.New(errcode.StorageBroken, "%s", settings.DataFolder)
-	}
+	return node.Run(env, node.RunConfig{
+		Signals:      signals,
+		SettingsFile: cmd.String("props"),
+		Reload: func(n *node.Node) {
+			changed, err := readSettings(cmd)
+			if err != nil {
+				n.RejectSettings(err)
+				return
+			}
+			n.ApplySettings(changed)
+		},
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,10 +8,8 @@
 	"context"
 	"net/http"
 	"net/http/pprof"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/consensus"
@@ -66,6 +64,18 @@
 // Start brings a node up, with listeners beside its own API. A fault of its settings is an
 // errcode.InvalidSettings; the environment must be shut down then.
 func Start(env *environment.Environment, listeners ...Listener) (*Node, error) {
+	n, err := open(env)
+	if err != nil {
+		return nil, err
+	}
+	if err := n.start(listeners); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// open makes a node and opens its data folder, which may wait for room on the disk.
+func open(env *environment.Environment) (*Node, error) {
 	n := &Node{Env: env, RPC: rpc.New(env)}
 	settings := env.Config
 	if len(settings.Renamed) > 0 {
@@ -86,11 +96,17 @@
 		n.newProxy()
 	}
 	n.RPC.Handle(messageForward, n.handleForward)
+	return n, nil
+}
+
+// start opens the addresses and starts the tasks of a node that is open.
+func (n *Node) start(listeners []Listener) error {
+	self := n.Members.Self()
 	if err := n.RPC.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := n.Members.Start(); err != nil {
-		return nil, errcode.New(errcode.InvalidSettings, "peer.address: %v", err)
+		return errcode.New(errcode.InvalidSettings, "peer.address: %v", err)
 	}
 	if self.Core {
 		n.Consensus.Start()
@@ -98,39 +114,10 @@
 		n.Planner.Start()
 	}
 	if err := n.serveAll(listeners); err != nil {
-		return nil, err
-	}
-	env.Events.Emit(eventlog.NodeStarted, "member_id", string(self.ID), "core", self.Core, "proxy", settings.ProxyAddress)
-	return n, nil
-}
-
-// StartUntilSignal brings a node up as Start does, unless a signal other than SIGHUP tells
-// it to stop before it is up, for a start may wait for room on the disk: then the node is
-// nil. The environment is shut down unless a node is returned.
-func StartUntilSignal(signals <-chan os.Signal, env *environment.Environment, listeners ...Listener) (*Node, error) {
-	type result struct {
-		node *Node
-		err  error
-	}
-	started := make(chan result, 1)
-	env.Go(func() {
-		node, err := Start(env, listeners...)
-		started <- result{node, err}
-	})
-	for {
-		select {
-		case got := <-started:
-			if got.err != nil {
-				env.Shutdown()
-			}
-			return got.node, got.err
-		case signal := <-signals:
-			if signal != syscall.SIGHUP {
-				env.Shutdown()
-				return nil, nil
-			}
-		}
+		return err
 	}
+	n.Env.Events.Emit(eventlog.NodeStarted, "member_id", string(self.ID), "core", self.Core, "proxy", n.Env.Config.ProxyAddress)
+	return nil
 }
 
 // selfOf is the node's own record in the member list, but for what its data folder adds.
