harness soak: planned work in series while clients keep their connections

A fleet of real processes under planned work only: SIGHUP and SIGTERM in series to several machines at once, again while they stop and just after they start; change sets of three operators; clients that go on using a connection until the process behind it is gone, with requests of 2 ms to 1.5 s and uploads in pieces. It fails where a request was read and got neither an answer nor a refusal, a process did not stop in time, or the checkers find a broken rule.

--- a/internal/harness/command/command.go
+++ b/internal/harness/command/command.go
@@ -70,6 +70,7 @@
 				&cli.StringFlag{Name: "profile", Usage: "`FOLDER` for processor profiles of one core node and one proxy"},
 				&cli.StringFlag{Name: "history", Usage: "`FILE` to record the history in, for sumac judge and harness report"},
 			}, Action: deployment},
+			soakCommand(binary, folder),
 			upgradeCommand(folder),
 			reportCommand(),
 		},
--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -195,22 +195,35 @@
 // submitRoutes submits routes to the first service in one change set. Its outcome is recorded
 // in the history, also when it is refused or unknown.
 func (r *run) submitRoutes(prefix string, count int) {
-	operator := r.newOperator()
-	view, err := operator.Epoch(r.ctx)
+	r.changesSubmitted++
+	id := fmt.Sprint(prefix, r.changesSubmitted)
+	names := []string{id}
+	if count > 1 {
+		names = nil
+		for i := range count {
+			names = append(names, fmt.Sprint(id, "-", i))
+		}
+	}
+	r.submitNamed(r.ctx, r.newOperator(), id, names)
+}
+
+// submitRoute submits one route to the first service, on the epoch in force.
+func (r *run) submitRoute(ctx context.Context, operator *standin.Operator, id string) {
+	r.submitNamed(ctx, operator, id, []string{id})
+}
+
+// submitNamed submits routes of these names to the first service in one change set, on the
+// epoch in force; none if that can't be read.
+func (r *run) submitNamed(ctx context.Context, operator *standin.Operator, id string, names []string) {
+	view, err := operator.Epoch(ctx)
 	if err != nil {
 		return
 	}
-	r.changesSubmitted++
-	id := fmt.Sprint(prefix, r.changesSubmitted)
 	config := api.Config{}
-	for i := range count {
-		name := id
-		if count > 1 {
-			name = fmt.Sprint(id, "-", i)
-		}
+	for _, name := range names {
 		config.Mappings = append(config.Mappings, api.Mapping{Name: name, Path: "/" + name, To: []api.Split{{Service: r.Shape.Loads[0].Service, Weight: 1}}})
 	}
-	operator.Submit(r.ctx, &api.Change{ID: id, Base: view.Epoch, Put: api.NewOptConfig(config)})
+	operator.Submit(ctx, &api.Change{ID: id, Base: view.Epoch, Put: api.NewOptConfig(config)})
 }
 
 func (r *run) newOperator() *standin.Operator {
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -26,6 +26,8 @@
 
 	Cores, Proxies, Zones int
 
+	// Settings are of the product, for every node, beside those that follow from its place.
+	Settings map[string]string
 	// Profiled gives every node an address for processor profiles.
 	Profiled bool
 	// SingleThreaded runs every node on one thread of the runtime.
--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -95,6 +96,7 @@
 		"strength":        fmt.Sprint(m.Capacity),
 		"log.file":        m.LogFile(),
 	}
+	maps.Copy(settings, m.fleet.Settings)
 	if m.fleet.Relay != nil {
 		settings["peer.address"], settings["peer.advertise"] = m.relayedAddress(), m.RPCAddress()
 	}
--- a/internal/harness/run.go
+++ b/internal/harness/run.go
@@ -37,7 +37,9 @@
 	Seconds     int     // length of the load
 	RetryShare  float64 // of clients that retry a failed order at once; the shape's if negative
 	ServiceTime time.Duration
-	ExtraRoutes int // in the configuration, without load
+	// ServiceTimes, if set, are those of each service's servers, in turn.
+	ServiceTimes []time.Duration
+	ExtraRoutes  int // in the configuration, without load
 	// AllowDuplicates has orders bear no idempotency, so that a retry may be executed again.
 	AllowDuplicates bool
 
--- a/internal/harness/servers.go
+++ b/internal/harness/servers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/environment"
 	"github.com/sumactrestle/sumactrestle/internal/standin"
@@ -32,7 +33,7 @@
 		Address:     address,
 		SealKey:     sealKey(service),
 		Nodes:       nodes,
-		ServiceTime: r.ServiceTime,
+		ServiceTime: r.serviceTime(),
 	}
 	if err := server.Start(r.ctx); err != nil {
 		r.logf("%s at %s: %v", service, address, err)
@@ -41,6 +42,14 @@
 	r.servers = append(r.servers, server)
 }
 
+// serviceTime is how long the next server works on a request.
+func (r *run) serviceTime() time.Duration {
+	if len(r.ServiceTimes) == 0 {
+		return r.ServiceTime
+	}
+	return r.ServiceTimes[len(r.servers)%len(r.ServiceTimes)]
+}
+
 // takeServer takes a server out of the run. Its taker closes it.
 func (r *run) takeServer(random *rand.Rand) *standin.Server {
 	i := random.IntN(len(r.servers))
--- /dev/null
+++ b/internal/harness/soak.go
@@ -0,0 +1,173 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/checker"
+	"github.com/sumactrestle/sumactrestle/internal/environment"
+	"github.com/sumactrestle/sumactrestle/internal/errcode"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
+)
+
+const (
+	// soakGrace is shutdown.grace_period of the fleet; soakDrain is proxy.drain_delay.
+	soakGrace = 4 * time.Second
+	soakDrain = time.Second
+	// soakSettling is between the last planned stop and the verdict.
+	soakSettling = 2 * time.Second
+	// soakChangePause is the longest pause between two change sets of one operator.
+	soakChangePause = 500 * time.Millisecond
+	soakOperators   = 3
+	soakStream      = 11 // of random numbers
+)
+
+// soakServiceTimes is how long the servers work on a request, in turn. The longest may begin
+// when the proxy's drain ends, and is over within the grace period.
+var soakServiceTimes = []time.Duration{2 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond}
+
+// soakShape is what the soak's load is made of. Its rates are those of the soak's clients.
+var soakShape = Shape{
+	Name: "soak", Zones: 3, CoordinationPerSecond: 40,
+	Loads: []Load{
+		{Service: "reads", Servers: 6, Idempotent: true},
+		{Service: "orders", Servers: 6, BodyBytes: 400},
+		{Service: "uploads", Servers: 6, BodyBytes: 200 << 10},
+	},
+}
+
+// SoakOptions describes a soak.
+type SoakOptions struct {
+	Binary  string // the program of sumac
+	Folder  string // for data and logs
+	Output  io.Writer
+	Seed    uint64
+	Seconds int
+	Cores   int
+	Proxies int
+	Clients int
+	// CPUShare is what each process gets of a processor; all of it if zero.
+	CPUShare float64
+}
+
+// soak is a soak under way.
+type soak struct {
+	*run
+	clients int
+	// corePermit is held while a core node is stopped, so that a majority stays.
+	corePermit sync.Mutex
+
+	mu       sync.Mutex // guards failures
+	failures []string   // what breaks a rule that the checkers don't have
+}
+
+// Soak runs a fleet of real processes under planned work only: signals, restarts and change
+// sets come in series and overlap, while clients go on using open connections until the
+// process behind them is gone. It fails if a request was read and got neither an answer nor
+// a refusal, if a process did not stop by itself in time, or if the history breaks a rule.
+func Soak(ctx context.Context, options SoakOptions) error {
+	shape := soakShape
+	shape.Cores, shape.Proxies = options.Cores, options.Proxies
+	shape.ProxyCPU, shape.CoreCPU = options.CPUShare, options.CPUShare
+	r, err := newRun(ctx, Options{
+		Binary: options.Binary, Folder: options.Folder, Shape: shape, Output: options.Output,
+		RateFactor: 1, Seconds: options.Seconds, Fault: faultNone, Seed: options.Seed,
+		ServiceTimes: soakServiceTimes, AllowDuplicates: true, ThrottleCPU: options.CPUShare > 0,
+	})
+	if err != nil {
+		return err
+	}
+	r.fleet.Settings = map[string]string{
+		"shutdown.grace_period": soakGrace.String(),
+		"proxy.drain_delay":     soakDrain.String(),
+	}
+	s := &soak{run: r, clients: options.Clients}
+	return s.execute()
+}
+
+func (s *soak) execute() error {
+	s.logf("soak of %d core nodes, %d proxies, %d clients, %d s, seed %d", s.Shape.Cores, s.Shape.Proxies, s.clients, s.Seconds, s.Seed)
+	s.history.Add(checker.Record{Kind: checker.ScenarioStarted, Note: s.Shape.Name})
+	s.history.Add(checker.Record{Kind: checker.PlannedStopsOnly})
+	defer s.fleet.KillAll()
+	defer s.closeServers()
+	operator, err := s.deploy(s.initialChange())
+	if err != nil {
+		return err
+	}
+	time.Sleep(registrationTime)
+	s.logf("the fleet is ready")
+	if s.ThrottleCPU {
+		defer s.throttle()()
+	}
+	s.work()
+	s.recordOutcomes(operator)
+	s.history.Add(checker.Record{Kind: checker.ScenarioEnded})
+	return s.judge()
+}
+
+// work has clients, applications, operators and planned work go on side by side, and returns
+// when every process is up again and every request was heard out.
+func (s *soak) work() {
+	loading, stopLoad := context.WithCancel(s.ctx)
+	var load sync.WaitGroup
+	for i := range s.clients {
+		client := &soakClient{soak: s, random: s.random(i)}
+		load.Go(func() { client.run(loading) })
+	}
+	s.startApplications(loading, &load)
+	working, stopWork := context.WithTimeout(s.ctx, time.Duration(s.Seconds)*time.Second)
+	defer stopWork()
+	var work sync.WaitGroup
+	for i := range soakOperators {
+		work.Go(func() { s.submitInSeries(working, i) })
+	}
+	for i, m := range s.fleet.Machines {
+		work.Go(func() { s.disturb(working, m, s.random(len(s.fleet.Machines)*1000+i)) })
+	}
+	work.Wait()
+	s.logf("no more planned work")
+	time.Sleep(soakSettling)
+	stopLoad()
+	load.Wait()
+	time.Sleep(soakServiceTimes[len(soakServiceTimes)-1])
+}
+
+// random is a source of random numbers of its own for one of the soak's tasks.
+func (s *soak) random(task int) *rand.Rand {
+	return rand.New(rand.NewPCG(s.Seed, soakStream+uint64(task)))
+}
+
+// submitInSeries submits change sets, each as soon as the last one is answered or a moment
+// later, through different nodes. What is refused is tried no more.
+func (s *soak) submitInSeries(ctx context.Context, operator int) {
+	random := s.random(operator + 1_000_000)
+	for i := 0; ctx.Err() == nil; i++ {
+		node := s.fleet.CoreMachines()[random.IntN(s.Shape.Cores)]
+		client := standin.NewOperator(environment.NewHost(""), s.history, node.APIAddress())
+		s.submitRoute(ctx, client, fmt.Sprintf("soak%d-%d", operator, i))
+		pause(ctx, time.Duration(random.Int64N(int64(soakChangePause))))
+	}
+}
+
+// fail notes what breaks a rule.
+func (s *soak) fail(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+	s.recordFault("FAILED: "+format, args...)
+}
+
+// judge prints the verdict of the checkers and what the soak itself saw.
+func (s *soak) judge() error {
+	s.logf("%s", checker.MeasureAvailability(s.history.Records()))
+	err := s.run.judge()
+	if len(s.failures) > 0 {
+		return errcode.New(errcode.Internal, "seed %d: %d failures, the first: %s", s.Seed, len(s.failures), s.failures[0])
+	}
+	return err
+}
