A stopping proxy answers whatever it has read before its connections end

At the end of its grace a proxy ended its environment, and with it, at the same moment, the requests in flight and their connections: what had been read and not answered saw its connection close. That met requests that a target worked on for longer than was left, and uploads that waited for their turn on a narrow link. Mend: 0.2 s before the end what is in flight is given up and answered, with a refusal if no target was handed it, else with an unknown outcome; uploads that wait for their turn 0.5 s sooner, as a refusal before the body takes that long; no request that comes during the drain has a later deadline, so that a target is not asked to work for nobody. The end of the connections is a step of its own. Ruled out: a shorter drain (requests at work outlast it all the same).

--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -26,9 +26,13 @@
 	soakStream      = 11 // of random numbers
 )
 
-// soakServiceTimes is how long the servers work on a request, in turn. The longest may begin
-// when the proxy's drain ends, and is over within the grace period.
-var soakServiceTimes = []time.Duration{2 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond}
+// soakServiceTimes is how long the servers work on a request, in turn. The longest does not end
+// within a stop that begins meanwhile: its client must be told what is known of it.
+var soakServiceTimes = []time.Duration{2 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Millisecond, 200 * time.Millisecond, 4900 * time.Millisecond}
+
+// soakLeastTime is what every request has in a stop: one that is answered with an unknown
+// outcome before it was broken off too soon.
+const soakLeastTime = soakGrace - soakDrain - 500*time.Millisecond
 
 // soakShape is what the soak's load is made of. Its rates are those of the soak's clients.
 var soakShape = Shape{
@@ -92,7 +96,6 @@
 func (s *soak) execute() error {
 	s.logf("soak of %d core nodes, %d proxies, %d clients, %d s, seed %d", s.Shape.Cores, s.Shape.Proxies, s.clients, s.Seconds, s.Seed)
 	s.history.Add(checker.Record{Kind: checker.ScenarioStarted, Note: s.Shape.Name})
-	s.history.Add(checker.Record{Kind: checker.PlannedStopsOnly})
 	defer s.fleet.KillAll()
 	defer s.closeServers()
 	operator, err := s.deploy(s.initialChange())
@@ -162,9 +165,32 @@
 	s.recordFault("FAILED: "+format, args...)
 }
 
+// findDropped finds requests that a server executed and that got no whole answer, or the
+// answer that nobody knows what became of them although there was time to wait.
+func (s *soak) findDropped() {
+	executed := map[string]bool{}
+	for _, r := range s.history.Records() {
+		if r.Kind == checker.RequestExecuted {
+			executed[r.CallID] = true
+		}
+	}
+	for _, r := range s.history.Records() {
+		if r.Kind != checker.RequestCompleted {
+			continue
+		}
+		if r.Outcome == checker.OutcomeBroken && executed[r.CallID] {
+			s.fail("%s call %s was handed to a server and got no answer: %s", r.Service, r.CallID, r.Note)
+		}
+		if r.Outcome == checker.OutcomeUnknown && r.At-r.Start < soakLeastTime {
+			s.fail("%s call %s was given up %s after its beginning: %s", r.Service, r.CallID, r.At-r.Start, r.Note)
+		}
+	}
+}
+
 // judge prints the verdict of the checkers and what the soak itself saw.
 func (s *soak) judge() error {
 	s.logf("%s", checker.MeasureAvailability(s.history.Records()))
+	s.findDropped()
 	err := s.run.judge()
 	if len(s.failures) > 0 {
 		return errcode.New(errcode.Internal, "seed %d: %d failures, the first: %s", s.Seed, len(s.failures), s.failures[0])
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,7 +243,8 @@
 		n.Consensus.TransferLeadership(ctx)
 	}
 	if n.Proxy != nil {
-		n.Proxy.Drain()
+		end, _ := ctx.Deadline()
+		n.Proxy.Drain(end)
 		n.Env.Sleep(n.Env.Config.ProxyDrainDelay)
 		n.Proxy.Stop()
 	}
--- a/internal/proxy/admission/admission.go
+++ b/internal/proxy/admission/admission.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// BeginRead waits, until latest at most, for a place among the bodies that are being read.
-// The caller gives the place back with release.
-func (u *Uploads) BeginRead(size int64, latest time.Time) (release func(), ok bool) {
+// BeginRead waits, until latest at most, for a place among the bodies that are being read. It
+// returns false when ctx ends. The caller gives the place back with release.
+func (u *Uploads) BeginRead(ctx context.Context, size int64, latest time.Time) (release func(), ok bool) {
 	if u.readers == nil || !IsLarge(size) {
 		return func() {}, true
 	}
@@ -95,6 +95,7 @@
 	case u.readers <- struct{}{}:
 		return func() { <-u.readers }, true
 	case <-wakeup.C:
-		return nil, false
+	case <-ctx.Done():
 	}
+	return nil, false
 }
--- a/internal/proxy/admission/admission_test.go
+++ b/internal/proxy/admission/admission_test.go
@@ -33,22 +33,22 @@
 	if d := reserve(now.Add(2*time.Second), 50_000); d != 0 {
 		t.Error("an idle link holds one up", d)
 	}
-	end, ok := uploads.BeginRead(50_000, now.Add(time.Hour))
+	end, ok := uploads.BeginRead(t.Context(), 50_000, now.Add(time.Hour))
 	if !ok {
 		t.Fatal("the first is not read")
 	}
-	if _, ok := uploads.BeginRead(50_000, now); ok {
+	if _, ok := uploads.BeginRead(t.Context(), 50_000, now); ok {
 		t.Error("a second is read beside the first")
 	}
-	if _, ok := uploads.BeginRead(400, now); !ok {
+	if _, ok := uploads.BeginRead(t.Context(), 400, now); !ok {
 		t.Error("a small one is not read")
 	}
 	end()
-	if _, ok := uploads.BeginRead(-1, now.Add(time.Hour)); !ok {
+	if _, ok := uploads.BeginRead(t.Context(), -1, now.Add(time.Hour)); !ok {
 		t.Error("the place was not given back")
 	}
 	free := New(Config{})
-	if _, ok := free.BeginRead(1<<20, now); !ok {
+	if _, ok := free.BeginRead(t.Context(), 1<<20, now); !ok {
 		t.Error("one without bounds bounds")
 	}
 	if at, ok := free.reserve(now, 1<<20, now); !ok || at != now {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -65,7 +65,11 @@
 	writer := &countingWriter{writer: connection}
 	sentAt := time.Now()
 	defer plan.addUpstreamTime(sentAt)
-	if err := writeRequest(ctx, connection, request, writer); err != nil {
+	// A write that the target holds up ends when everything in flight is given up.
+	stopWriting := context.AfterFunc(p.lifecycle.forwards, func() { connection.SetDeadline(time.Now()) })
+	err = writeRequest(ctx, connection, request, writer)
+	stopWriting()
+	if err != nil {
 		select {
 		case response := <-responses:
 			// The server responded before it had read everything.
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -32,13 +32,9 @@
 	if r.ContentLength == 0 {
 		return func() io.Reader { return nil }, true, nil
 	}
-	uploadDeadline := plan.uploadDeadline(time.Now())
-	if !p.uploads.Admit(ctx, r.ContentLength, uploadDeadline) {
-		return nil, false, errcode.New(errcode.Overload, "no turn on the link for %d bytes in time", r.ContentLength)
-	}
-	release, ok := p.uploads.BeginRead(r.ContentLength, uploadDeadline)
-	if !ok {
-		return nil, false, errcode.New(errcode.Overload, "too many large bodies at once")
+	release, err := p.admitBody(ctx, plan, r.ContentLength)
+	if err != nil {
+		return nil, false, err
 	}
 	defer release()
 	plan.bodyRead = true
@@ -64,6 +60,26 @@
 	return func() io.Reader { return stream }, false, nil
 }
 
+// admitBody waits for the turn of a body that is about to be read. The caller ends the reading
+// with release.
+func (p *Proxy) admitBody(ctx context.Context, plan *requestPlan, size int64) (release func(), err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(p.lifecycle.admissions, cancel)()
+	deadline := plan.uploadDeadline(time.Now())
+	isAdmitted := p.uploads.Admit(ctx, size, deadline)
+	if isAdmitted {
+		release, isAdmitted = p.uploads.BeginRead(ctx, size, deadline)
+	}
+	switch {
+	case isAdmitted:
+		return release, nil
+	case p.lifecycle.admissions.Err() != nil:
+		return nil, errcode.New(errcode.Stopping, "%s", plan.service.Name)
+	}
+	return nil, errcode.New(errcode.Overload, "no turn on the link for %d bytes in time", size)
+}
+
 // streamedBody is a client's body that is forwarded as it comes. It remembers an error of
 // the client's side, to tell it from one of the target's.
 type streamedBody struct {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -19,7 +19,7 @@
 // the first that the request was sent to is paid for from the retry budget. A server error
 // in response to an idempotent request is handed on only if no other target does better.
 func (p *Proxy) forward(plan *requestPlan, r *http.Request) (*upstream.Response, error) {
-	ctx, cancel := context.WithDeadline(p.environment, plan.deadline)
+	ctx, cancel := context.WithDeadline(p.lifecycle.forwards, plan.deadline)
 	defer cancel()
 	if plan.idempotent {
 		// A target works for nobody once the client has gone; what is not idempotent
@@ -41,6 +41,12 @@
 			}
 			break
 		}
+		if p.lifecycle.isOver() {
+			if !written {
+				lastErr = errcode.New(errcode.Stopping, "%s", plan.service.Name)
+			}
+			break
+		}
 		if len(plan.tried) > 0 && !p.uploads.Admit(ctx, r.ContentLength, plan.deadline) {
 			break
 		}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -80,6 +80,9 @@
 			if r.Context().Err() != nil {
 				return attemptResult{wrote: true, err: errcode.New(errcode.ClientGone, "%s", sent.to.Target.Instance)}
 			}
+			if p.lifecycle.isOver() {
+				return attemptResult{wrote: true, err: errcode.New(errcode.ResponseLost, "%s: the proxy stops", sent.to.Target.Instance)}
+			}
 			sent.to.RecordFailure(time.Now(), false)
 			return attemptResult{wrote: true, err: errcode.New(errcode.DeadlinePassed, "%s", sent.to.Target.Instance)}
 		}
@@ -97,7 +100,7 @@
 	plan.hedges++
 	results := make(chan attemptResult, 1)
 	p.environment.Go(func() {
-		ctx, cancel := context.WithDeadline(p.environment, plan.deadline)
+		ctx, cancel := context.WithDeadline(p.lifecycle.forwards, plan.deadline)
 		defer cancel()
 		results <- p.attempt(ctx, plan, r, candidate, openBody, index)
 	})
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -84,7 +84,7 @@
 		plan.recordName = idempotency.RecordName(r)
 	}
 	now := time.Now()
-	plan.deadline = p.deadline(r, plan.route, now)
+	plan.deadline = p.lifecycle.bound(p.deadline(r, plan.route, now))
 	plan.latencyTarget = time.Duration(plan.route.LatencyTargetMillis) * time.Millisecond
 	if plan.latencyTarget <= 0 {
 		plan.latencyTarget = plan.deadline.Sub(now) / 4
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -75,12 +75,6 @@
 	outliers    *outlier.Reporter
 }
 
-// lifecycle is how far the proxy's shutdown has come.
-type lifecycle struct {
-	draining atomic.Bool // still serves, and closes each connection after its next response
-	stopping atomic.Bool // rejects all requests
-}
-
 // requestCounts counts requests.
 type requestCounts struct {
 	inFlight  atomic.Int64
@@ -105,6 +99,7 @@
 		uploads:     admission.New(admission.Config{KilobytesPerSecond: settings.ProxyLargeBodyRate, ConcurrentReads: settings.ProxyMaxLargeBodies}),
 		retryBudget: retry.NewBudget(settings.RetryBudgetWindow),
 	}
+	p.lifecycle.init(env)
 	correlationHeader := ""
 	if p.opaqueSeals {
 		correlationHeader = settings.HeaderRequestID
@@ -135,12 +130,6 @@
 	return view.byReportID[id]
 }
 
-// Drain serves on, and closes each connection of a client after its next response.
-func (p *Proxy) Drain() { p.lifecycle.draining.Store(true) }
-
-// Stop rejects all requests from now on.
-func (p *Proxy) Stop() { p.lifecycle.stopping.Store(true) }
-
 // Close closes the idle connections to targets.
 func (p *Proxy) Close() { p.connections.Close() }
 
