--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -60,9 +60,7 @@
 // those that did in one change.
 func (r *Replica) replaceVoters(voters []rpc.Peer, replacements []voterReplacement) {
 	begun := r.node.env.Now()
-	for _, change := range replacements {
-		r.logEvent(eventlog.ReplacementStarted, "out", string(change.out.Name), "in", string(change.in.Name))
-	}
+	r.logReplacements(replacements)
 	caughtUp := r.catchUpLearners(replacements)
 	next := slices.Clone(voters)
 	for i, change := range replacements {
@@ -80,7 +78,19 @@
 		r.logEvent(eventlog.ReplacementFailed, "members", joint.String(), "cause", "the change was not committed")
 		return
 	}
-	r.logEvent(eventlog.ReplacementFinished, "members", final.String(), "took", r.node.env.Since(begun).String())
+	if replacements[0].isForLostVoter() {
+		r.logEvent(eventlog.ReplacementFinished, "members", final.String(), "took", r.node.env.Since(begun).String())
+	}
+}
+
+// logReplacements logs that lost voters begin to be replaced. That the voters grow is no news
+// beside the change itself.
+func (r *Replica) logReplacements(replacements []voterReplacement) {
+	for _, change := range replacements {
+		if change.isForLostVoter() {
+			r.logEvent(eventlog.ReplacementStarted, "out", string(change.out.Name), "in", string(change.in.Name))
+		}
+	}
 }
 
 // catchUpLearners replicates to all newcomers side by side, and tells which came close behind.
--- a/internal/consensus/replacement.go
+++ b/internal/consensus/replacement.go
@@ -40,6 +40,9 @@
 	in, out rpc.Peer
 }
 
+// isForLostVoter tells whether a voter goes out for the one that comes in.
+func (c voterReplacement) isForLostVoter() bool { return c.out != rpc.Peer{} }
+
 // replacements pairs each lost voter with the core node that takes its place: the one of
 // its own name, or, if that is gone, a spare of the zone with the fewest voters. Voters that
 // are fewer than the cluster allows get one more.
