--- a/internal/simulator/successor_test.go
+++ b/internal/simulator/successor_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// TestBootstrap_NewcomerTellsTheCoreAtOnce: that a newcomer has joined the cluster is known to
+// every core node long before somebody happens to probe it.
+func TestBootstrap_NewcomerTellsTheCoreAtOnce(t *testing.T) {
+	inFleet(t, usersCore(), func(t *testing.T, f *Fleet) {
+		time.Sleep(3 * time.Second)
+		newcomer := f.Add("core4", 0, true, false)
+		f.startMachine(newcomer)
+		if !f.WaitUntil(time.Second, func() bool { return newcomer.Node().Consensus.Charter() != nil }) {
+			t.Fatal("the newcomer has not joined")
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, m := range f.Cores()[:3] {
+			if m.Node().Members.View()["core4"].Fleet == "" {
+				t.Errorf("%s does not know that the newcomer has joined", m.Name)
+			}
+		}
+	})
+}
+
 // TestMembershipChange_CoreThatStoodStillReplacesNobody: when the whole core stands still for
 // longer than a voter may be silent, nobody counts that against another.
 func TestMembershipChange_CoreThatStoodStillReplacesNobody(t *testing.T) {
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # The project's test command: build, formatter and linters, race tests with a fixed set of seeds,
-# and one bounded run of real processes.
+# and two bounded runs of real processes.
 set -euo pipefail
 cd "$(dirname "$0")"
 go build -o bin/ ./cmd/...
@@ -25,3 +25,5 @@
 go test -race -count=1 -timeout 30m -skip "$known_red" ./...
 go test -count=1 -timeout 20m ./internal/simulator -run TestSeeds -seeds 2:4
 ./bin/harness smoke
+# Planned work in series on real processes; its seeds are kept.
+./bin/harness soak --seeds 1:2 --seconds 15
