consensus: learners in a file of their own; requests decoded by rpc.Handle

No change of behaviour; tests of consensus, its model, membership changes, bootstrap and transcripts pass.

--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/eventlog"
@@ -14,12 +13,6 @@
 	// membershipChangeTimeout bounds one step of a change.
 	membershipChangeTimeout = 3 * time.Second
 
-	// A learner is waited for as long as it comes closer, and given up after so long
-	// without progress.
-	learnerPollInterval = 50 * time.Millisecond
-	learnerStallTimeout = 2 * time.Second
-	maxLearnerLag       = 16 // entries that a learner may lack when it becomes a voter
-
 	// The preferred leader gets the shard back after it was live, and this member served,
 	// for so long. It is polled so often for the entry that shows that its disk works.
 	stableAfter            = 15 * time.Second
@@ -93,21 +86,6 @@
 	}
 }
 
-// catchUpLearners replicates to all newcomers side by side, and tells which came close behind.
-func (r *Replica) catchUpLearners(replacements []voterReplacement) []bool {
-	caughtUp := make([]bool, len(replacements))
-	var learners sync.WaitGroup
-	for i, change := range replacements {
-		learners.Add(1)
-		r.node.env.Go(func() {
-			defer learners.Done()
-			caughtUp[i] = r.catchUpLearner(change.in)
-		})
-	}
-	learners.Wait()
-	return caughtUp
-}
-
 // returnToPreferredLeader transfers the shard to the first in election order once that one
 // is stable again and has shown that its disk works, so that leaders stay spread.
 func (r *Replica) returnToPreferredLeader(voters []rpc.Peer) {
@@ -153,36 +131,6 @@
 	return remaining
 }
 
-// catchUpLearner replicates to a learner, and tells whether it came close behind.
-func (r *Replica) catchUpLearner(peer rpc.Peer) bool {
-	r.mu.Lock()
-	if !r.leadership.isServing {
-		r.mu.Unlock()
-		return false
-	}
-	r.startReplicating(peer)
-	r.mu.Unlock()
-	for since := r.node.env.Now(); r.node.env.Since(since) < learnerStallTimeout; {
-		r.mu.Lock()
-		last, _ := r.log.last()
-		p, isServing := *r.leadership.progressOf(peer), r.leadership.isServing
-		r.mu.Unlock()
-		if p.lastAdvance.After(since) {
-			since = p.lastAdvance
-		}
-		switch {
-		case !isServing:
-			return false
-		case p.matchIndex > 0 && p.matchIndex+maxLearnerLag >= last:
-			return true
-		}
-		if !r.node.env.Sleep(learnerPollInterval) {
-			return false
-		}
-	}
-	return false
-}
-
 // proposeVoters writes one step of a change, and tells whether it is committed.
 func (r *Replica) proposeVoters(next Voters) bool {
 	ctx, cancel := context.WithTimeout(r.node.env, membershipChangeTimeout)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -176,27 +176,21 @@
 
 // registerHandlers registers the handlers of all kinds of messages.
 func (n *Node) registerHandlers() {
-	handle(n, kindVote, onReplica(n.votingReplica, func(m *rpc.VoteRequest) ids.Shard { return m.Shard }, (*Replica).handleVote))
-	handle(n, kindAppend, onReplica(n.votingReplica, func(m *rpc.AppendRequest) ids.Shard { return m.Shard }, (*Replica).handleAppend))
-	handle(n, kindSnapshotChunk, onReplica(n.votingReplica, func(m *rpc.SnapshotChunkRequest) ids.Shard { return m.Shard }, (*Replica).handleSnapshotChunk))
-	handle(n, kindTransfer, onReplica(n.replica, func(m *rpc.CampaignRequest) ids.Shard { return m.Shard }, (*Replica).handleTransfer))
-	handle(n, kindCompare, onReplica(n.replica, func(m *rpc.RangeDigestRequest) ids.Shard { return m.Shard }, (*Replica).handleCompare))
-	handle(n, kindRepair, onReplica(n.replica, func(m *rpc.RepairRequest) ids.Shard { return m.Shard }, (*Replica).handleRepair))
-	handle(n, kindPrevote, n.handlePrevote)
-	handle(n, kindHeartbeat, n.handleHeartbeat)
-	handle(n, kindBootstrap, n.handleBootstrap)
-	handle(n, kindCharter, n.handleCharter)
+	rpc.Handle(n.transport, kindVote, onReplica(n.votingReplica, func(m *rpc.VoteRequest) ids.Shard { return m.Shard }, (*Replica).handleVote))
+	rpc.Handle(n.transport, kindAppend, onReplica(n.votingReplica, func(m *rpc.AppendRequest) ids.Shard { return m.Shard }, (*Replica).handleAppend))
+	rpc.Handle(n.transport, kindSnapshotChunk, onReplica(n.votingReplica, func(m *rpc.SnapshotChunkRequest) ids.Shard { return m.Shard }, (*Replica).handleSnapshotChunk))
+	rpc.Handle(n.transport, kindTransfer, onReplica(n.replica, func(m *rpc.CampaignRequest) ids.Shard { return m.Shard }, (*Replica).handleTransfer))
+	rpc.Handle(n.transport, kindCompare, onReplica(n.replica, func(m *rpc.RangeDigestRequest) ids.Shard { return m.Shard }, (*Replica).handleCompare))
+	rpc.Handle(n.transport, kindRepair, onReplica(n.replica, func(m *rpc.RepairRequest) ids.Shard { return m.Shard }, (*Replica).handleRepair))
+	rpc.Handle(n.transport, kindPrevote, onNode(n.handlePrevote))
+	rpc.Handle(n.transport, kindHeartbeat, onNode(n.handleHeartbeat))
+	rpc.Handle(n.transport, kindBootstrap, onNode(n.handleBootstrap))
+	rpc.Handle(n.transport, kindCharter, onNode(n.handleCharter))
 }
 
-// handle registers a handler that gets its request decoded.
-func handle[Request, Response any](n *Node, kind string, handler func(*Request) (Response, error)) {
-	n.transport.Handle(kind, func(c *rpc.Request) (any, error) {
-		var request Request
-		if err := c.Decode(&request); err != nil {
-			return nil, err
-		}
-		return handler(&request)
-	})
+// onNode makes a handler of a method that needs no context.
+func onNode[Request, Response any](method func(*Request) (Response, error)) func(context.Context, *Request) (Response, error) {
+	return func(_ context.Context, request *Request) (Response, error) { return method(request) }
 }
 
 // onReplica makes a handler of a method of the replica that a request is for.
@@ -204,8 +198,8 @@
 	find func(ids.Shard) (*Replica, error),
 	shardOf func(*Request) ids.Shard,
 	method func(*Replica, *Request) (Response, error),
-) func(*Request) (Response, error) {
-	return func(request *Request) (response Response, err error) {
+) func(context.Context, *Request) (Response, error) {
+	return func(_ context.Context, request *Request) (response Response, err error) {
 		r, err := find(shardOf(request))
 		if err != nil {
 			return response, err
