Sight: a node tells by how much the machine holds it up; a soak records its history

The listed soaks failed where the machine was slow, and nothing told how slow it was to a proxy: only the process of the soak itself was watched.

--- a/internal/eventlog/events_gen.go
+++ b/internal/eventlog/events_gen.go
@@ -48,6 +48,7 @@
 	SettingsRejected    = Event{Number: 802, Name: "PropsRefused", Level: "warn", Text: "changed settings are faulty; the old ones stay"}
 	ProxyListenFailed   = Event{Number: 803, Name: "GateFailed", Level: "error", Text: "the address for callers can't be taken"}
 	SettingsRenamed     = Event{Number: 804, Name: "SettingsRenamed", Level: "warn", Text: "settings are given under former names"}
+	ProcessStalled      = Event{Number: 805, Name: "ProcessStalled", Level: "info", Text: "the machine held this process up"}
 )
 
 // Events is the whole table.
@@ -97,4 +98,5 @@
 	SettingsRejected,
 	ProxyListenFailed,
 	SettingsRenamed,
+	ProcessStalled,
 }
--- a/internal/harness/command/command.go
+++ b/internal/harness/command/command.go
@@ -95,18 +95,11 @@
 	if err != nil {
 		return err
 	}
-	var history io.Writer
-	if path := cmd.String("history"); path != "" {
-		if first != last {
-			return errcode.New(errcode.InvalidCall, "a history is of one seed")
-		}
-		file, err := os.Create(path)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		history = file
+	history, err := createHistory(cmd.String("history"), first == last)
+	if err != nil {
+		return err
 	}
+	defer history.Close()
 	failed := 0
 	for seed := first; seed <= last; seed++ {
 		options := harness.Options{
@@ -114,7 +107,7 @@
 			OtherBinary:     cmd.String("other"),
 			Shape:           shape,
 			Output:          os.Stdout,
-			History:         history,
+			History:         history.Writer,
 			RateFactor:      cmd.Float("factor"),
 			Seconds:         cmd.Int("seconds"),
 			RetryShare:      cmd.Float("eager"),
@@ -147,6 +140,31 @@
 	return nil
 }
 
+// historyFile is where a history goes. Its Writer is nil if it goes nowhere.
+type historyFile struct {
+	io.Writer
+	file *os.File
+}
+
+// createHistory creates the file of a history, if a path is given.
+func createHistory(path string, isOneSeed bool) (historyFile, error) {
+	if path == "" {
+		return historyFile{}, nil
+	}
+	if !isOneSeed {
+		return historyFile{}, errcode.New(errcode.InvalidCall, "a history is of one seed")
+	}
+	file, err := os.Create(path)
+	return historyFile{file, file}, err
+}
+
+// Close ends the history, if there is one.
+func (h historyFile) Close() {
+	if h.file != nil {
+		h.file.Close()
+	}
+}
+
 // seedsOf reads a seed, or the first and the last of several.
 func seedsOf(text string) (first, last uint64, err error) {
 	one, other, isRange := strings.Cut(text, ":")
--- a/internal/harness/command/soak.go
+++ b/internal/harness/command/soak.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "cores", Value: 3, Usage: "core nodes"},
 			&cli.IntFlag{Name: "proxies", Value: 6, Usage: "proxies"},
 			&cli.IntFlag{Name: "clients", Value: 60, Usage: "clients, each with one connection"},
+			&cli.StringFlag{Name: "history", Usage: "`FILE` to record the history in, for sumac judge and harness report"},
 			&cli.FloatFlag{Name: "cpu", Usage: "share of a processor that each process gets, by stopping and continuing it; all of it if 0"},
 		}, Action: soak}
 }
@@ -42,6 +43,11 @@
 	case share < 0 || share > 1:
 		return errcode.New(errcode.InvalidCall, "the share of a processor must be 0 to 1")
 	}
+	history, err := createHistory(cmd.String("history"), first == last)
+	if err != nil {
+		return err
+	}
+	defer history.Close()
 	failed := 0
 	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
 		err := inFolder(cmd, func(folder string) error {
@@ -49,6 +55,7 @@
 				Binary:   cmd.String("sumac"),
 				Folder:   folder,
 				Output:   os.Stdout,
+				History:  history.Writer,
 				Seed:     seed,
 				Seconds:  cmd.Int("seconds"),
 				Cores:    cores,
--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -57,6 +57,7 @@
 	Cores   int
 	Proxies int
 	Clients int
+	History io.Writer // records, one a line; nil for none
 	// CPUShare is what each process gets of a processor; all of it if zero.
 	CPUShare float64
 }
@@ -81,7 +82,7 @@
 	shape.Cores, shape.Proxies = options.Cores, options.Proxies
 	shape.ProxyCPU, shape.CoreCPU = options.CPUShare, options.CPUShare
 	r, err := newRun(ctx, Options{
-		Binary: options.Binary, Folder: options.Folder, Shape: shape, Output: options.Output,
+		Binary: options.Binary, Folder: options.Folder, Shape: shape, Output: options.Output, History: options.History,
 		RateFactor: 1, Seconds: options.Seconds, Fault: faultNone, Seed: options.Seed,
 		ServiceTimes: soakServiceTimes, AllowDuplicates: true, ThrottleCPU: options.CPUShare > 0,
 	})
@@ -219,6 +220,7 @@
 // judge prints the verdict of the checkers and what the soak itself saw.
 func (s *soak) judge() error {
 	s.logf("%s", checker.MeasureAvailability(s.history.Records()))
+	s.printStalls(s.readStalls())
 	s.findDropped()
 	err := s.run.judge()
 	if len(s.failures) > 0 {
--- /dev/null
+++ b/internal/harness/soak_stalls.go
@@ -0,0 +1,63 @@
+package harness
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/sumactrestle/sumactrestle/internal/eventlog"
+)
+
+// stall is a time for which the machine held a process up.
+type stall struct {
+	machine    *Machine
+	start, end time.Duration // since the run's begin
+}
+
+func (s stall) length() time.Duration { return s.end - s.start }
+
+// stallEntry is what of a line of a node's log tells of a stall.
+type stallEntry struct {
+	Time         time.Time `json:"time"`
+	Event        int       `json:"event"`
+	Milliseconds int64     `json:"ms"`
+}
+
+// readStalls reads the stalls of every process from the logs. A log that can't be read tells
+// of none.
+func (r *run) readStalls() (stalls []stall) {
+	for _, m := range r.fleet.Machines {
+		stalls = append(stalls, r.stallsOf(m)...)
+	}
+	return stalls
+}
+
+func (r *run) stallsOf(m *Machine) (stalls []stall) {
+	file, err := os.Open(m.LogFile())
+	if err != nil {
+		return nil
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var entry stallEntry
+		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Event != eventlog.ProcessStalled.Number {
+			continue
+		}
+		end := entry.Time.Sub(r.startedAt)
+		stalls = append(stalls, stall{m, end - time.Duration(entry.Milliseconds)*time.Millisecond, end})
+	}
+	return stalls
+}
+
+// printStalls tells how long the processes were held up at the worst.
+func (r *run) printStalls(stalls []stall) {
+	if len(stalls) == 0 {
+		r.logf("no process was held up by a tenth of a second")
+		return
+	}
+	worst := slices.MaxFunc(stalls, func(a, b stall) int { return int(a.length() - b.length()) })
+	r.logf("processes were held up %d times, %s by %s at the most", len(stalls), worst.machine.Name, worst.length().Round(time.Millisecond))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	stopping         atomic.Bool
 	notifyingPlanner atomic.Bool
 	heartbeats       atomic.Int64 // of targets, since the start
+	stalls           *stallWatch
 }
 
 // Listener is an address of its own for a handler that is made of the node's calls.
@@ -76,7 +77,7 @@
 
 // open makes a node and opens its data folder, which may wait for room on the disk.
 func open(env *environment.Environment) (*Node, error) {
-	n := &Node{Env: env, RPC: rpc.New(env)}
+	n := &Node{Env: env, RPC: rpc.New(env), stalls: &stallWatch{env: env}}
 	settings := env.Config
 	if len(settings.Renamed) > 0 {
 		env.Events.Emit(eventlog.SettingsRenamed, "settings", settings.Renamed)
@@ -102,6 +103,7 @@
 // start opens the addresses and starts the tasks of a node that is open.
 func (n *Node) start(listeners []Listener) error {
 	self := n.Members.Self()
+	n.Env.Go(n.stalls.run)
 	if err := n.RPC.Start(); err != nil {
 		return err
 	}
