--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/environment"
-	"github.com/sumactrestle/sumactrestle/internal/errcode"
 	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
@@ -33,10 +31,6 @@
 // within a stop that begins meanwhile: its client must be told what is known of it.
 var soakServiceTimes = []time.Duration{2 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Millisecond, 200 * time.Millisecond, 4900 * time.Millisecond}
 
-// soakLeastTime is what every request has in a stop: one that is answered with an unknown
-// outcome before it was broken off too soon.
-const soakLeastTime = soakGrace - soakDrain - 500*time.Millisecond
-
 // soakShape is what the soak's load is made of. Its rates are those of the soak's clients.
 var soakShape = Shape{
 	Name: "soak", Zones: 3, CoordinationPerSecond: 40,
@@ -181,50 +175,3 @@
 	s.failures = append(s.failures, fmt.Sprintf(format, args...))
 	s.recordFault("FAILED: "+format, args...)
 }
-
-// findDropped finds requests that a server executed and that got no whole answer, and those
-// that a stopping proxy answered with an unknown outcome although there was time to wait. An
-// unknown outcome from a proxy that was not stopping is counted only: it has other reasons,
-// such as a server that this machine held up.
-func (s *soak) findDropped() {
-	executed, stops := map[string]bool{}, map[string][]time.Duration{}
-	for _, r := range s.history.Records() {
-		switch r.Kind {
-		case checker.RequestExecuted:
-			executed[r.CallID] = true
-		case checker.PlannedStop:
-			stops[r.Proxy] = append(stops[r.Proxy], r.At)
-		}
-	}
-	others := 0
-	for _, r := range s.history.Records() {
-		isGivenUp := r.Outcome == checker.OutcomeUnknown && r.At-r.Start < soakLeastTime
-		switch {
-		case r.Kind != checker.RequestCompleted:
-		case r.Outcome == checker.OutcomeBroken && executed[r.CallID]:
-			s.fail("%s call %s was handed to a server and got no answer: %s", r.Service, r.CallID, r.Note)
-		case isGivenUp && wasStopping(stops[r.Proxy], r):
-			s.fail("%s call %s was given up %s after its beginning: %s", r.Service, r.CallID, r.At-r.Start, r.Note)
-		case isGivenUp:
-			others++
-		}
-	}
-	s.logf("%d requests ended with an unknown outcome at proxies that were not stopping", others)
-}
-
-// wasStopping tells whether a request was in flight while its proxy was stopping.
-func wasStopping(stops []time.Duration, r checker.Record) bool {
-	return slices.ContainsFunc(stops, func(began time.Duration) bool { return began < r.At && r.Start < began+stopTimeout })
-}
-
-// judge prints the verdict of the checkers and what the soak itself saw.
-func (s *soak) judge() error {
-	s.logf("%s", checker.MeasureAvailability(s.history.Records()))
-	s.printStalls(s.readStalls())
-	s.findDropped()
-	err := s.run.judge()
-	if len(s.failures) > 0 {
-		return errcode.New(errcode.Internal, "seed %d: %d failures, the first: %s", s.Seed, len(s.failures), s.failures[0])
-	}
-	return err
-}
--- a/internal/harness/soak_stalls.go
+++ b/internal/harness/soak_stalls.go
@@ -10,6 +10,9 @@
 	"github.com/sumactrestle/sumactrestle/internal/eventlog"
 )
 
+// stallMargin is how far from a moment a stall may lie that is told beside what happened then.
+const stallMargin = 500 * time.Millisecond
+
 // stall is a time for which the machine held a process up.
 type stall struct {
 	machine    *Machine
@@ -52,6 +55,19 @@
 	return stalls
 }
 
+// longestStall is the longest of the stalls that touch a time at a machine; the zero stall if
+// there is none. A machine of nil is for any.
+func longestStall(stalls []stall, m *Machine, from, to time.Duration) stall {
+	var longest stall
+	for _, s := range stalls {
+		isMeant := m == nil || s.machine == m
+		if isMeant && s.start < to+stallMargin && s.end > from-stallMargin && s.length() > longest.length() {
+			longest = s
+		}
+	}
+	return longest
+}
+
 // printStalls tells how long the processes were held up at the worst.
 func (r *run) printStalls(stalls []stall) {
 	if len(stalls) == 0 {
