A server that stops answers whatever it has read; the answers at a stop's end have their time

Symptoms: in a soak beside 60 busy loops one connection ended 0.20 s after its request's last byte 1.3 s after its proxy's SIGTERM, where idle connections are closed, and one 4.07 s after, at the stop's end; both at once, without an answer.

Cause of the first: net/http's Shutdown takes a connection for idle until the head of its next request has been parsed, and closes it although the request was read. internal/httpserver ends the wait for the next request by a deadline in the past instead: either nothing was read, and what came meanwhile is reset unread, or the first bytes were, and the request is served. Connections that have not carried a request yet may send their first for five seconds, as before.

Cause of the second: the log has the proxy stopping at 18.5698 and stopped at 22.5701, exactly its grace of 4 s, so the timer that gives up what is in flight 0.2 s before the end and the one that closes the connections came due in one turn of a process that was held up, and the close won. Other servers end with the grace as before.

Ruled out: a client that measured late (its 4.07 s are 22 times its lateness), a request handed on after the end (none was).

Tests: TestShutdown_AnswersRequestReadButNotParsed failed before ("unexpected EOF"); 60 rounds of eight clients that cross a stop: executed and answered are the same number.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,13 @@
 	"time"
 )
 
+// newConnectionTime is how long a connection without a request yet is taken to be about to
+// send one. Shutdown does not end it before.
+const newConnectionTime = 5 * time.Second
+
+// shutdownPollInterval is between two looks whether all connections have ended.
+const shutdownPollInterval = 5 * time.Millisecond
+
 // Config describes a Server.
 type Config struct {
 	Handler           http.Handler
@@ -71,10 +78,16 @@
 // was read is answered and its connection closed, or until the context ends. Close must be
 // called after it.
 func (s *Server) Shutdown(ctx context.Context) {
-	s.mu.Lock()
-	s.isEnding = true
-	s.mu.Unlock()
-	s.server.Shutdown(ctx)
+	s.end()
+	poll := time.NewTicker(shutdownPollInterval)
+	defer poll.Stop()
+	for s.endIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
+	}
 }
 
 // Close closes all connections at once, whatever they are used for.
@@ -91,6 +104,19 @@
 	s.listener.Close() // a second time is an error without consequence
 }
 
+// endIdle ends the connections that wait for their next request, and those that have waited
+// long enough for their first. It returns how many connections are left.
+func (s *Server) endIdle(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		if c.hasServed() || now.Sub(c.acceptedAt) >= newConnectionTime {
+			c.end()
+		}
+	}
+	return len(s.connections)
+}
+
 // follow keeps the connections' states as net/http goes through them.
 func (s *Server) follow(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*connection)
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/errcode"
 	"github.com/sumactrestle/sumactrestle/internal/eventlog"
+	"github.com/sumactrestle/sumactrestle/internal/httpserver"
 )
 
 const (
@@ -30,25 +30,18 @@
 	if err != nil {
 		return errcode.New(errcode.InvalidSettings, "%s: %v", key, err)
 	}
-	server := &http.Server{
+	server := httpserver.New(listener, httpserver.Config{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		BaseContext:       func(net.Listener) context.Context { return n.Env },
-	}
-	if size := n.Env.Config.ProxyReceiveBufferBytes; key == proxyAddressKey && size > 0 {
-		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-			if c, ok := conn.(interface{ SetReadBuffer(int) error }); ok {
-				_ = c.SetReadBuffer(size) // else the system's own size serves
-			}
-			return ctx
-		}
-	}
+		BaseContext:       n.Env,
+		PrepareConnection: n.prepareConnection(key),
+	})
 	n.mu.Lock()
-	n.servers = append(n.servers, server)
+	n.servers = append(n.servers, nodeServer{server, key})
 	n.mu.Unlock()
 	n.Env.Go(func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !n.Env.IsStopping() {
+		if err := server.Serve(); err != nil && !n.Env.IsStopping() {
 			n.Env.Events.Emit(eventlog.MessageRejected, "cause", err.Error())
 		}
 	})
@@ -59,6 +52,26 @@
 	return nil
 }
 
+// prepareConnection sets the receive buffer of clients' connections, where the settings name
+// one; nil for nothing to do.
+func (n *Node) prepareConnection(key string) func(net.Conn) {
+	size := n.Env.Config.ProxyReceiveBufferBytes
+	if key != proxyAddressKey || size == 0 {
+		return nil
+	}
+	return func(conn net.Conn) {
+		if c, ok := conn.(interface{ SetReadBuffer(int) error }); ok {
+			_ = c.SetReadBuffer(size) // else the system's own size serves
+		}
+	}
+}
+
+// nodeServer is one of a node's servers.
+type nodeServer struct {
+	*httpserver.Server
+	key string // the setting that names its address
+}
+
 // serveAPI serves the API, and the metrics beside it.
 func (n *Node) serveAPI() error {
 	server, err := api.NewServer(&apiHandler{n}, api.WithErrorHandler(writeInvalidCall), api.WithNotFound(writeNotFound))
@@ -68,14 +81,18 @@
 	return n.serve(n.Env.Config.APIAddress, "api.address", http.MaxBytesHandler(n.withMetrics(server), maxAPIBody))
 }
 
-// shutdownServers finishes the requests in flight and closes every server, until the
-// context ends.
-func (n *Node) shutdownServers(ctx context.Context) {
+// shutdownServers finishes the requests in flight and closes every server, until the contexts
+// end: that of the proxy's clients, and that of all others.
+func (n *Node) shutdownServers(clients, others context.Context) {
 	n.mu.Lock()
 	servers := n.servers
 	n.mu.Unlock()
 	var all sync.WaitGroup
 	for _, server := range servers {
+		ctx := others
+		if server.key == proxyAddressKey {
+			ctx = clients
+		}
 		all.Add(1)
 		n.Env.Go(func() { defer all.Done(); server.Shutdown(ctx) })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,7 @@
 	Proxy        *proxy.Proxy
 
 	mu      sync.Mutex // guards servers
-	servers []*http.Server
+	servers []nodeServer
 
 	// leaders are the RPC addresses of the leaders that answered last, by shard.
 	leaders          [ids.ShardCount + 1]atomic.Pointer[string]
@@ -232,6 +232,10 @@
 	return nil
 }
 
+// answerOverrun is how far beyond shutdown.grace_period a planned stop may go to write the
+// answers of requests that were given up at its end.
+const answerOverrun = 500 * time.Millisecond
+
 // Stop stops the node as planned, within shutdown.grace_period: it hands over the shards
 // that it leads; a proxy says that it is not ready and serves on for proxy.drain_delay
 // whoever has not heard, and then takes nothing new; requests in flight are finished, and
@@ -244,14 +248,18 @@
 	if n.Consensus != nil {
 		n.Consensus.TransferLeadership(ctx)
 	}
+	end, _ := ctx.Deadline()
 	if n.Proxy != nil {
-		end, _ := ctx.Deadline()
 		n.Proxy.Drain(end)
 		n.Env.Sleep(n.Env.Config.ProxyDrainDelay)
 		n.Proxy.Stop()
 	}
 	n.Members.Leave()
-	n.shutdownServers(ctx)
+	// Whatever was given up at the end is answered before its connection is closed, however
+	// long the machine holds this process up meanwhile.
+	answering, endAnswering := context.WithTimeout(n.Env, time.Until(end)+answerOverrun)
+	defer endAnswering()
+	n.shutdownServers(answering, ctx)
 	if n.Proxy != nil {
 		n.Proxy.Close()
 	}
