A leader that is to go takes no more proposals and lets a member catch up before it steps down

Cause: a leader that stops as planned handed over to a member that had its whole log at that moment, and without one stepped down all the same. In a shard with a write in flight there is none, so exactly the shards in use were left to an ordinary election. It takes no more proposals now, waits for a member to catch up, 0.3 s at the most, and steps down then, as in Ongaro's dissertation, section 3.10. Ruled out: the proxies' retries (one attempt each), the election itself (0.83 s is its length without being asked), the member list.

--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/sumactrestle/sumactrestle/internal/errcode"
 	"github.com/sumactrestle/sumactrestle/internal/eventlog"
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
 	"github.com/sumactrestle/sumactrestle/internal/storage"
 )
 
-// transferTimeout bounds the request to the next leader.
-const transferTimeout = time.Second
-
 // leadership is what a replica knows as the leader; it begins anew with each election won.
 type leadership struct {
 	isLeader bool
@@ -21,7 +17,10 @@
 	// everything that earlier leaders committed.
 	isServing    bool
 	servingSince time.Time
-	firstIndex   ids.Index // the first entry of the leader's own term
+	// isTransferring says that no proposals are taken any more: the next leader must have the
+	// whole log.
+	isTransferring bool
+	firstIndex     ids.Index // the first entry of the leader's own term
 	// ctx ends with the leadership, and with it the streams to the members.
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -55,7 +54,7 @@
 // of its own term, is committed. granted voted for it as of the moment sent.
 func (r *Replica) becomeLeader(batch *storage.Batch, sent time.Time, granted []rpc.Peer) {
 	l := &r.leadership
-	l.isLeader, l.isServing = true, false
+	l.isLeader, l.isServing, l.isTransferring = true, false, false
 	l.ctx, l.cancel = context.WithCancel(r.node.env)
 	l.progress = map[rpc.Peer]*progress{}
 	for _, peer := range granted {
@@ -112,51 +111,3 @@
 		r.stepDown("no quorum in reach")
 	}
 }
-
-// transferLeadership steps down and asks the first live member in election order that has
-// the whole log to campaign.
-func (r *Replica) transferLeadership(ctx context.Context) {
-	target, term := r.releaseLeadership()
-	if target != nil {
-		// A request that is lost costs no more than an election.
-		_ = r.node.call(ctx, transferTimeout, target.RPCAddress, kindTransfer, &rpc.CampaignRequest{Shard: r.shard, Term: term}, nil)
-	}
-}
-
-// releaseLeadership steps down from a shard that is served, and returns who is to lead it:
-// a member that has the whole log, and answers.
-func (r *Replica) releaseLeadership() (target *rpc.Member, term ids.Term) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.leadership.isServing {
-		return nil, ids.Term{}
-	}
-	last, _ := r.log.last()
-	for _, peer := range ElectionOrder(r.shard, r.voters.All()) {
-		m, ok := r.node.members.Lookup(peer.Name)
-		isReady := ok && m.ID == peer.ID && r.node.isAnswering(peer) && r.leadership.progressOf(peer).matchIndex == last
-		if peer != r.node.self && isReady {
-			target = &m
-			break
-		}
-	}
-	r.stepDown("leadership transferred")
-	return target, r.currentTerm
-}
-
-// handleTransfer has this member campaign because the leader asks it to.
-func (r *Replica) handleTransfer(request *rpc.CampaignRequest) (struct{}, error) {
-	if !r.isTransferFromLeader(request) {
-		return struct{}{}, errcode.New(errcode.NotLeader, "shard %d: the transfer is of an old term", r.shard)
-	}
-	r.node.env.Go(func() { r.campaign(true) })
-	return struct{}{}, nil
-}
-
-// isTransferFromLeader tells whether a transfer comes from the leader that this member
-// knows; one that is late must not depose the next leader.
-func (r *Replica) isTransferFromLeader(request *rpc.CampaignRequest) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.currentTerm == request.Term
-}
--- /dev/null
+++ b/internal/consensus/leadership_transfer_test.go
@@ -0,0 +1,23 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/sumactrestle/sumactrestle/internal/errcode"
+)
+
+// What comes in while a member catches up would keep it from ever having the whole log.
+func TestReplica_TransferringLeaderTakesNoProposals(t *testing.T) {
+	runReplica(t, func(t *testing.T, r *Replica, _ *recordingMachine) {
+		withTwoEntries(t, r)
+		r.leadership.isLeader, r.leadership.isServing = true, true
+		if _, _, err := r.appendProposal(command(`1`)); err != nil {
+			t.Fatal(err)
+		}
+		r.stopProposals()
+		if _, _, err := r.appendProposal(command(`2`)); !errors.Is(err, errcode.NotLeader) {
+			t.Error("a proposal while the leadership is transferred:", err)
+		}
+	})
+}
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -58,7 +58,7 @@
 func (r *Replica) appendProposal(entry rpc.Entry) (ids.Index, proposal, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.leadership.isServing {
+	if !r.leadership.isServing || r.leadership.isTransferring {
 		return 0, proposal{}, errcode.New(errcode.NotLeader, "shard %d", r.shard)
 	}
 	if entry.Kind == entryMembershipChange && !(r.hasStableVoters() && r.voters.canBecome(votersOf(entry))) {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -27,7 +27,6 @@
 
 	checkedAt time.Time // of the first byte; zero before
 	written   int       // bytes
-	awaiting  bool      // the head is out, and the body has to be asked for
 	err       error     // why the rest was not written; nil if it was, or if writing itself failed
 }
 
@@ -54,15 +53,11 @@
 	}
 	buffer := bufio.NewWriter(h)
 	stream.beforeFirstRead = func() error {
-		h.awaiting = true
 		if err := buffer.Flush(); err != nil {
 			return err
 		}
-		if h.err = h.awaitContinue(ctx); h.err != nil {
-			return h.err
-		}
-		h.awaiting = false
-		return nil
+		h.err = h.awaitContinue(ctx)
+		return h.err
 	}
 	request.Header.Set("Expect", "100-continue")
 	if err := request.Write(buffer); err != nil {
