An upload whose proxy stops before its head is taken has not run, whichever of two ends is seen first

When everything in flight is given up, the context ends and the connection's deadline passes at one moment, and the end of the connection could look as if the server wanted the body.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -73,7 +73,11 @@
 	if err := h.connection.AwaitContinue(ctx); err != nil {
 		return err
 	}
-	if time.Since(h.checkedAt) > upstream.UnackedTimeout {
+	switch {
+	case ctx.Err() != nil:
+		// The connection ends at the same moment, which looks as if the server had answered.
+		return ctx.Err()
+	case time.Since(h.checkedAt) > upstream.UnackedTimeout:
 		return upstream.ErrContinueTimeout
 	}
 	return h.check()
--- a/internal/simulator/proxy_handover_test.go
+++ b/internal/simulator/proxy_handover_test.go
@@ -100,3 +100,19 @@
 		}
 	})
 }
+
+func TestProxy_StopRefusesUploadWhoseHeadIsNotTaken(t *testing.T) {
+	shape := stoppingShape()
+	shape.Settings["shutdown.grace_period"], shape.Settings["proxy.drain_delay"] = "800ms", "500ms"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		f.Targets("bookings")[0].HeadDelay = 900 * time.Millisecond
+		record, _ := f.callWhileStopping(f.Machine("proxy1"), "POST", "/bookings", []byte(strings.Repeat("x", 200_000)))
+		if record.Outcome != checker.OutcomeNotRun || record.Code != errcode.Stopping.Number {
+			t.Errorf("the proxy stops while the server has not taken the head: %+v", record)
+		}
+		time.Sleep(2 * time.Second)
+		if ran := executions(f, record.CallID); len(ran) != 0 {
+			t.Errorf("it ran: %+v", ran)
+		}
+	})
+}
