--- a/internal/eventlog/events_gen.go
+++ b/internal/eventlog/events_gen.go
@@ -6,6 +6,7 @@
 	NodeStarted         = Event{Number: 101, Name: "NodeStarted", Level: "info", Text: "node started"}
 	NodeStopping        = Event{Number: 102, Name: "NodeStopping", Level: "info", Text: "node is stopping"}
 	NodeStopped         = Event{Number: 103, Name: "NodeStopped", Level: "info", Text: "node stopped"}
+	RequestsCutOff      = Event{Number: 104, Name: "RequestsCutOff", Level: "warn", Text: "requests got no answer before the node ended"}
 	MemberUp            = Event{Number: 201, Name: "MemberUp", Level: "info", Text: "member is up"}
 	MemberSuspect       = Event{Number: 202, Name: "MemberSuspect", Level: "info", Text: "member is suspected"}
 	MemberDown          = Event{Number: 203, Name: "MemberDown", Level: "warn", Text: "member is down"}
@@ -56,6 +57,7 @@
 	NodeStarted,
 	NodeStopping,
 	NodeStopped,
+	RequestsCutOff,
 	MemberUp,
 	MemberSuspect,
 	MemberDown,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -261,6 +261,9 @@
 	defer endAnswering()
 	n.shutdownServers(answering, ctx)
 	if n.Proxy != nil {
+		if count := n.Proxy.InFlight(); count > 0 {
+			n.Env.Events.Emit(eventlog.RequestsCutOff, "requests", count)
+		}
 		n.Proxy.Close()
 	}
 	n.Env.Events.Emit(eventlog.NodeStopped)
