The age of a confirmation counts from before it is read; the soak tells each time that it was held up

Planner.Freshness read how old the leader's confirmation is and then began to count what passes until the epoch is read. A process that stands still between the two lines called its confirmation younger by that span, and a leader that was deposed meanwhile would confirm an epoch that is no longer the newest. Found by reading, in the search for old-plan under hold-ups of several seconds; not seen, and too narrow to be its cause. No test can stand between the two lines.

Not traced: the soak told only its worst delay. It tells each of over 0.2 s now.

--- a/internal/controlplane/read.go
+++ b/internal/controlplane/read.go
@@ -41,11 +41,13 @@
 // confirmed that this node leads the configuration shard, and up to when the epoch reflects
 // each data shard. It starts no confirmation of its own: the age of the last one counts.
 func (p *Planner) Freshness() (*rpc.FreshnessResponse, error) {
+	// What passes from here on makes the confirmation older, also where this process stands
+	// still between two lines; the epoch is read last.
+	began := p.env.Now()
 	age, isServing := p.replica.ConfirmationAge()
 	if !isServing {
 		return nil, errcode.New(errcode.NotLeader, "configuration shard")
 	}
-	began := p.env.Now()
 	term, _, _ := p.replica.LeadershipSince()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -25,6 +25,7 @@
 	soakStream      = 11 // of random numbers
 	// latenessInterval is between two looks at how late this process is.
 	latenessInterval = 10 * time.Millisecond
+	longLateness     = 200 * time.Millisecond // is told each time
 )
 
 // soakServiceTimes is how long the servers work on a request, in turn. The longest does not end
@@ -139,14 +140,19 @@
 	time.Sleep(soakServiceTimes[len(soakServiceTimes)-1])
 }
 
-// watchLateness notes by how much the machine held this process up at the worst. Clients and
+// watchLateness tells each time that the machine held this process up for long, and by how much
+// at the worst. Clients and
 // servers run in it, so what it sees late was not late at a proxy.
 func (s *soak) watchLateness(ctx context.Context) {
 	worst := time.Duration(0)
 	for ctx.Err() == nil {
 		began := time.Now()
 		pause(ctx, latenessInterval)
-		worst = max(worst, time.Since(began)-latenessInterval)
+		late := time.Since(began) - latenessInterval
+		if late > longLateness {
+			s.logf("clients and servers were held up by %s until now", late.Round(time.Millisecond))
+		}
+		worst = max(worst, late)
 	}
 	s.logf("the machine held clients and servers up by %s at the most", worst.Round(time.Millisecond))
 }
