A stand-in server notes when a request came to its machine; nothing stands between check and first write

Its proxy had that epoch in use from 23.382 to 23.579 s, was not held up (no event 805), and had the next one before the acknowledgement at 23.75 s; the server noted the request at 25.73 s, more than 2.1 s after the hand-over. All stand-in servers share the process of the soak, which was held up by 1.0 s a turn, and a request takes several turns: accept, a goroutine for the connection, a handler.

So the arrival is read from the kernel: how long ago the connection's last bytes came (TCP_INFO). What the rule says, that a request reaches a server two seconds after a change at the latest, is held as strictly as before against the proxy, and the server's own delay no longer counts as the proxy's. The soak prints the longest of these delays.

In the proxy the retry budget's lock stood between the check and the first write; it comes after the write now.

--- a/internal/harness/soak_verdict.go
+++ b/internal/harness/soak_verdict.go
@@ -31,6 +31,7 @@
 	}
 	s.logf("%s", checker.MeasureAvailability(v.records))
 	s.printStalls(v.stalls)
+	s.printQueued()
 	v.findDropped()
 	v.printUnknown()
 	err := s.run.judge()
@@ -40,6 +41,15 @@
 	return err
 }
 
+// printQueued tells how long a request waited at the worst until its server's process read it.
+func (s *soak) printQueued() {
+	longest := time.Duration(0)
+	for _, server := range s.servers {
+		longest = max(longest, server.LongestQueued())
+	}
+	s.logf("requests waited in their server's socket for %s at the most", longest)
+}
+
 // findDropped finds requests that a server executed and that got no whole answer, and those
 // that were answered with an unknown outcome although there was time to wait, whether their
 // proxy was stopping or not.
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -22,7 +22,7 @@
 	connection *upstream.Connection
 	// check returns why the request may not be handed over any more; nil if it may.
 	check func() error
-	// onBegin is called once, before the first byte.
+	// onBegin is called once, as soon as the first bytes are written or could not be.
 	onBegin func()
 
 	checkedAt time.Time // of the first byte; zero before
@@ -37,7 +37,7 @@
 			return 0, h.err
 		}
 		h.checkedAt = time.Now()
-		h.onBegin()
+		defer h.onBegin() // nothing stands between the check and the write
 	}
 	n, err := h.connection.Write(data)
 	h.written += n
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -49,7 +49,9 @@
 
 // ServeHTTP executes a request and answers it, or misbehaves.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrival := s.History.Now()
+	queued := queuedFor(r.Context())
+	arrival := s.History.Now() - queued
+	s.noteQueued(queued)
 	misbehavior := WellBehaved
 	if n := s.requestCount.Add(1); s.Misbehavior != nil {
 		misbehavior = s.Misbehavior(n)
@@ -80,6 +82,19 @@
 	s.respond(w, s.responseTo(run, len(body), misbehavior), misbehavior)
 }
 
+// noteQueued notes for how long a request waited for this process.
+func (s *Server) noteQueued(queued time.Duration) {
+	for {
+		longest := s.longestQueued.Load()
+		if int64(queued) <= longest || s.longestQueued.CompareAndSwap(longest, int64(queued)) {
+			return
+		}
+	}
+}
+
+// LongestQueued is the longest time that a request waited for this process on its machine.
+func (s *Server) LongestQueued() time.Duration { return time.Duration(s.longestQueued.Load()) }
+
 // work takes the time of a request, and returns false if it was left off.
 func (s *Server) work(r *http.Request) bool {
 	if !s.CancelsOnDisconnect {
