A stopping proxy closes its connections after its answers, by order and not by the clock

The proxy says itself that it ended with one request unanswered (event 104), 4.74 s after its SIGTERM with a grace of 4 s, and logged nothing in the 1.1 s before, where an epoch was applied each 0.3 s otherwise: it was held up over the end of its grace, and the watch for that does not report a stall in which the node ends.

Cause: the half second for answers counted from the end of the grace, so both were due at once when the process ran again. It counts from the moment at which the requests are given up now. The watch reports that last stall too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -232,9 +232,26 @@
 	return nil
 }
 
-// answerOverrun is how far beyond shutdown.grace_period a planned stop may go to write the
-// answers of requests that were given up at its end.
-const answerOverrun = 500 * time.Millisecond
+// answerTime is what a planned stop leaves for the answers of requests that were given up at
+// its end, from the moment at which they were.
+const answerTime = 500 * time.Millisecond
+
+// untilAnswered returns a context that ends answerTime after everything in flight was given up.
+// It goes by that and not by the clock: where the machine holds this process up over the end of
+// its grace, everything is due at once when it runs again, and a connection that is closed first
+// takes its answer with it.
+func untilAnswered(env *environment.Environment, givenUp <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(env)
+	env.Go(func() {
+		select {
+		case <-givenUp:
+			env.Sleep(answerTime)
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return ctx, cancel
+}
 
 // Stop stops the node as planned, within shutdown.grace_period: it hands over the shards
 // that it leads; a proxy says that it is not ready and serves on for proxy.drain_delay
@@ -255,12 +272,12 @@
 		n.Proxy.Stop()
 	}
 	n.Members.Leave()
-	// Whatever was given up at the end is answered before its connection is closed, however
-	// long the machine holds this process up meanwhile.
-	answering, endAnswering := context.WithTimeout(n.Env, time.Until(end)+answerOverrun)
-	defer endAnswering()
-	n.shutdownServers(answering, ctx)
-	if n.Proxy != nil {
+	if n.Proxy == nil {
+		n.shutdownServers(ctx, ctx)
+	} else {
+		answering, endAnswering := untilAnswered(n.Env, n.Proxy.GivenUp())
+		defer endAnswering()
+		n.shutdownServers(answering, ctx)
 		if count := n.Proxy.InFlight(); count > 0 {
 			n.Env.Events.Emit(eventlog.RequestsCutOff, "requests", count)
 		}
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -26,10 +26,11 @@
 func (w *stallWatch) run() {
 	for {
 		began := w.env.Now()
-		if !w.env.Sleep(stallInterval) {
+		goesOn := w.env.Sleep(stallInterval)
+		w.observe(w.env.Since(began) - stallInterval)
+		if !goesOn {
 			return
 		}
-		w.observe(w.env.Since(began) - stallInterval)
 	}
 }
 
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -57,5 +57,8 @@
 	})
 }
 
+// GivenUp is closed when everything in flight is given up, and its answers go out.
+func (p *Proxy) GivenUp() <-chan struct{} { return p.lifecycle.forwards.Done() }
+
 // Stop rejects all requests from now on.
 func (p *Proxy) Stop() { p.lifecycle.stopping.Store(true) }
