--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -7,7 +7,7 @@
 )
 
 // past is a deadline that ends a read at once.
-var past = time.Unix(1, 0)
+func past() time.Time { return time.Now().Add(-time.Second) }
 
 // connection is a client's connection whose wait for the next request can be ended without
 // losing a request of which a byte was read.
@@ -53,7 +53,7 @@
 	defer c.mu.Unlock()
 	c.isWaiting = true
 	if c.isEnding {
-		c.Conn.SetReadDeadline(past)
+		c.Conn.SetReadDeadline(past())
 	}
 }
 
@@ -66,7 +66,7 @@
 	}
 	c.isEnding = true
 	if c.isWaiting {
-		c.Conn.SetReadDeadline(past)
+		c.Conn.SetReadDeadline(past())
 	}
 }
 
