A request of which a byte was read early is answered at a stop

What callers saw: a connection reset, or an end without an answer, for a request that they sent after their whole previous answer, where the proxy stopped at that moment and had read the request's first byte.

Cause: net/http reads one byte in the background while a handler is not back yet. If that byte begins the next request, the wait for it was taken to begin all the same once the connection was idle, and a stop ends such a wait at once by a deadline in the past.

Why this works: what a background read brings is noted before the wait begins, and a wait whose request has begun is not begun, so a stop has nothing to end there.

Ruled out: counting the bytes of heads and bodies in the connection would find pipelined beginnings too, but needs a second parser of HTTP beside net/http's; clients that pipeline must repeat unanswered requests anyway (RFC 9112, 9.3.2).

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// backgroundReadSize is the length of the reads by which net/http notices, while a handler is not
+// back yet, that the client has gone. What such a read brings is the first byte of the next request.
+const backgroundReadSize = 1
+
 // past is a deadline that ends a read at once.
 func past() time.Time { return time.Now().Add(-time.Second) }
 
@@ -18,21 +22,33 @@
 	mu        sync.Mutex // guards all that follows
 	isWaiting bool       // nothing of the next request was read
 	isEnding  bool       // it waits for no other request
+	hasEarly  bool       // the first byte of the next request was read before the wait for it
 	served    bool       // it has had a request
 	// readDeadline is the one that net/http set last. While the wait is ended another one
 	// is in force.
 	readDeadline time.Time
 }
 
-// Read reads what the client sent. The first bytes of a request end the wait for it.
+// Read reads what the client sent. The first bytes of a request end the wait for it, also where
+// they come before the wait.
 func (c *connection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
+		c.noteEarly(len(buffer))
 		c.beginRequest()
 	}
 	return n, err
 }
 
+// noteEarly notes a byte that was read while a request is being served.
+func (c *connection) noteEarly(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWaiting && size == backgroundReadSize {
+		c.hasEarly = true
+	}
+}
+
 // beginRequest ends the wait for a request, for there is one.
 func (c *connection) beginRequest() {
 	c.mu.Lock()
@@ -46,11 +62,15 @@
 	}
 }
 
-// awaitRequest begins the wait for the next request. If the connection is ending, nothing of
-// it is read any more.
+// awaitRequest begins the wait for the next request, unless that has begun already. If the
+// connection is ending, nothing of it is read any more.
 func (c *connection) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hasEarly {
+		c.hasEarly = false
+		return
+	}
 	c.isWaiting = true
 	if c.isEnding {
 		c.Conn.SetReadDeadline(past())
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -7,7 +7,8 @@
 // closed, or with the first bytes of a request, and that request is served.
 //
 // The invariant: once a byte of a request was read, the connection is closed only after its
-// response was written, or by Close.
+// response was written, or by Close. A client that sends a request before it has its predecessor's
+// whole response (pipelining) has no such promise (RFC 9112, section 9.3.2).
 package httpserver
 
 import (
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -136,6 +136,59 @@
 	<-stopped
 }
 
+// A handler that has flushed its whole answer and is not back yet: net/http reads the first byte
+// of the client's next request in the background meanwhile. A stop took the connection for one
+// that waits and ended it at once: "connection reset by peer" for a request of which a byte was
+// read.
+func TestShutdown_AnswersRequestReadWhileTheHandlerWasNotBack(t *testing.T) {
+	for _, stopsFirst := range []bool{true, false} {
+		open := make(chan struct{})
+		close(open)
+		read := gatedListener{hasRead: make(chan struct{}), gate: open}
+		release := make(chan struct{})
+		finished := make(chan struct{}, 2)
+		server, address := start(t, func(l net.Listener) net.Listener { read.Listener = l; return read }, Config{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", "5")
+				greet(w, r)
+				http.NewResponseController(w).Flush()
+				<-release
+				finished <- struct{}{}
+			}),
+		})
+		conn, reader := dial(t, address)
+		const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+		if _, err := io.WriteString(conn, request[:1]); err != nil {
+			t.Fatal(err)
+		}
+		<-read.hasRead
+		stopped := make(chan struct{})
+		stop := func() {
+			go func() {
+				server.Shutdown(t.Context())
+				close(stopped)
+			}()
+			for isListening(address) {
+			}
+		}
+		if stopsFirst {
+			stop()
+		}
+		close(release)
+		<-finished
+		if !stopsFirst {
+			stop()
+		}
+		if _, err := io.WriteString(conn, request[1:]); err != nil {
+			t.Fatal(err)
+		}
+		if response, err := http.ReadResponse(reader, nil); err != nil || !response.Close {
+			t.Errorf("stops first %v: a request of which a byte was read got no answer: %v %v", stopsFirst, response, err)
+		}
+		<-stopped
+	}
+}
+
 func isListening(address string) bool {
 	conn, err := net.Dial("tcp", address)
 	if err == nil {
