The soak's servers have processes of their own; old-plan goes by their unchanged time of arrival again

So servers of a soak run in processes of their own (harness server, one each), whose records are taken in at the end; Record.received keeps the kernel's time and no rule goes by it.

Ruled out by a trial: records that the processes write as they come. They are written at the end.

A history that the soak records is written at its end, since the servers' records are not there before.

--- a/internal/checker/history.go
+++ b/internal/checker/history.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,9 @@
 	Kind  Kind          `json:"kind"`
 	At    time.Duration `json:"at"`
 	Start time.Duration `json:"start,omitempty"`
+	// Received is when the machine of the server received the first bytes of the request, as its
+	// kernel tells. No rule goes by it: it splits a late arrival into its parts.
+	Received time.Duration `json:"received,omitempty"`
 
 	// Requests through a proxy. CallID is the client's own and the same in a retry;
 	// RequestID names one request of the proxy.
@@ -136,6 +141,15 @@
 // NewHistory begins a history. Its records are also written to out, unless that is nil.
 func NewHistory(out io.Writer) *History { return &History{startedAt: time.Now(), out: out} }
 
+// JoinHistory returns a part of a history that another process of this machine began.
+func JoinHistory(startedAt time.Time) *History {
+	now := time.Now()
+	return &History{startedAt: now.Add(-now.Sub(startedAt))}
+}
+
+// StartedAt is when the history began.
+func (h *History) StartedAt() time.Time { return h.startedAt }
+
 // Now returns the time since the history began.
 func (h *History) Now() time.Duration { return time.Since(h.startedAt) }
 
@@ -153,6 +167,26 @@
 	}
 }
 
+// Merge takes in the records of another process, each where its time puts it. They are not written
+// to out, where they would stand behind later ones; WriteRecords writes them all.
+func (h *History) Merge(records []Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records = append(h.records, records...)
+	slices.SortStableFunc(h.records, func(a, b Record) int { return cmp.Compare(a.At, b.At) })
+}
+
+// WriteRecords writes all records, one a line.
+func (h *History) WriteRecords(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	for _, r := range h.Records() {
+		if err := encoder.Encode(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Records returns a copy of all records.
 func (h *History) Records() []Record {
 	h.mu.Lock()
--- a/internal/checker/history_test.go
+++ b/internal/checker/history_test.go
@@ -44,3 +44,17 @@
 		t.Fatal(err)
 	}
 }
+
+func TestMerge_PutsRecordsInTheOrderOfTheirTimes(t *testing.T) {
+	h := NewHistory(nil)
+	h.Add(Record{At: 1, Note: "a"})
+	h.Add(Record{At: 4, Note: "d"})
+	h.Merge([]Record{{At: 2, Note: "b"}, {At: 2, Note: "c"}})
+	order := ""
+	for _, r := range h.Records() {
+		order += r.Note
+	}
+	if order != "abcd" {
+		t.Error(order)
+	}
+}
--- a/internal/harness/command/command.go
+++ b/internal/harness/command/command.go
@@ -71,6 +71,7 @@
 				&cli.StringFlag{Name: "history", Usage: "`FILE` to record the history in, for sumac judge and harness report"},
 			}, Action: deployment},
 			soakCommand(binary, folder),
+			serverCommand(),
 			upgradeCommand(folder),
 			reportCommand(),
 		},
--- a/internal/harness/command/soak.go
+++ b/internal/harness/command/soak.go
@@ -29,6 +29,13 @@
 		}, Action: soak}
 }
 
+// serverCommand is the command of a soak's server processes.
+func serverCommand() *cli.Command {
+	return &cli.Command{Name: harness.ServerCommand, Hidden: true, Usage: "one stand-in server, as standard input describes it, until that ends",
+		Action: func(ctx context.Context, _ *cli.Command) error { return harness.RunServer(ctx, os.Stdin, os.Stdout) },
+	}
+}
+
 func soak(ctx context.Context, cmd *cli.Command) error {
 	first, last, err := seedsOf(cmd.String("seeds"))
 	if err != nil {
--- a/internal/harness/run.go
+++ b/internal/harness/run.go
@@ -59,10 +59,14 @@
 	ctx       context.Context
 	fleet     *Fleet
 	history   *checker.History
-	servers   []*standin.Server // changed only by the goroutine that injects faults
+	servers   []*standin.Server // in this process; changed only by the goroutine that injects faults
 	load      loadCounts
 	startedAt time.Time
 
+	launch          func(*standin.Server) error // starts a server
+	launched        int                         // servers, or attempts at it
+	serverProcesses []*serverProcess
+
 	// Of the goroutine that injects faults.
 	changesSubmitted int
 	replaced         int // machines, by the other build or back
@@ -94,7 +98,7 @@
 		return nil, err
 	}
 	history := checker.NewHistory(options.History)
-	return &run{
+	r := &run{
 		Options:   options,
 		ctx:       ctx,
 		history:   history,
@@ -111,7 +115,9 @@
 			SingleThreaded: options.ThrottleCPU,
 			History:        history,
 		}),
-	}, nil
+	}
+	r.launch = r.launchServer
+	return r, nil
 }
 
 // logf prints a line with the time since the run began.
--- a/internal/harness/servers.go
+++ b/internal/harness/servers.go
@@ -35,11 +35,19 @@
 		Nodes:       nodes,
 		ServiceTime: r.serviceTime(),
 	}
-	if err := server.Start(r.ctx); err != nil {
+	r.launched++
+	if err := r.launch(server); err != nil {
 		r.logf("%s at %s: %v", service, address, err)
-		return
+	}
+}
+
+// launchServer starts a server in this process.
+func (r *run) launchServer(server *standin.Server) error {
+	if err := server.Start(r.ctx); err != nil {
+		return err
 	}
 	r.servers = append(r.servers, server)
+	return nil
 }
 
 // serviceTime is how long the next server works on a request.
@@ -47,7 +55,7 @@
 	if len(r.ServiceTimes) == 0 {
 		return r.ServiceTime
 	}
-	return r.ServiceTimes[len(r.servers)%len(r.ServiceTimes)]
+	return r.ServiceTimes[r.launched%len(r.ServiceTimes)]
 }
 
 // takeServer takes a server out of the run. Its taker closes it.
--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -77,7 +78,7 @@
 	shape.Cores, shape.Proxies = options.Cores, options.Proxies
 	shape.ProxyCPU, shape.CoreCPU = options.CPUShare, options.CPUShare
 	r, err := newRun(ctx, Options{
-		Binary: options.Binary, Folder: options.Folder, Shape: shape, Output: options.Output, History: options.History,
+		Binary: options.Binary, Folder: options.Folder, Shape: shape, Output: options.Output,
 		RateFactor: 1, Seconds: options.Seconds, Fault: faultNone, Seed: options.Seed,
 		ServiceTimes: soakServiceTimes, AllowDuplicates: true, ThrottleCPU: options.CPUShare > 0,
 	})
@@ -88,15 +89,20 @@
 		"shutdown.grace_period": soakGrace.String(),
 		"proxy.drain_delay":     soakDrain.String(),
 	}
+	r.launch = r.launchServerProcess
 	s := &soak{run: r, clients: options.Clients}
-	return s.execute()
+	err = s.execute()
+	if options.History == nil {
+		return err
+	}
+	return errors.Join(err, s.history.WriteRecords(options.History))
 }
 
 func (s *soak) execute() error {
 	s.logf("soak of %d core nodes, %d proxies, %d clients, %d s, seed %d", s.Shape.Cores, s.Shape.Proxies, s.clients, s.Seconds, s.Seed)
 	s.history.Add(checker.Record{Kind: checker.ScenarioStarted, Note: s.Shape.Name})
 	defer s.fleet.KillAll()
-	defer s.closeServers()
+	defer s.stopServerProcesses() // where the run ends early
 	operator, err := s.deploy(s.initialChange())
 	if err != nil {
 		return err
@@ -107,6 +113,9 @@
 		defer s.throttle()()
 	}
 	s.work()
+	if err := s.stopServerProcesses(); err != nil {
+		return err
+	}
 	s.recordOutcomes(operator)
 	s.history.Add(checker.Record{Kind: checker.ScenarioEnded})
 	return s.judge()
@@ -141,8 +150,7 @@
 }
 
 // watchLateness tells each time that the machine held this process up for long, and by how much
-// at the worst. Clients and
-// servers run in it, so what it sees late was not late at a proxy.
+// at the worst. Clients run in it, so what it sees late was not late at a proxy.
 func (s *soak) watchLateness(ctx context.Context) {
 	worst := time.Duration(0)
 	for ctx.Err() == nil {
@@ -150,11 +158,11 @@
 		pause(ctx, latenessInterval)
 		late := time.Since(began) - latenessInterval
 		if late > longLateness {
-			s.logf("clients and servers were held up by %s until now", late.Round(time.Millisecond))
+			s.logf("clients were held up by %s until now", late.Round(time.Millisecond))
 		}
 		worst = max(worst, late)
 	}
-	s.logf("the machine held clients and servers up by %s at the most", worst.Round(time.Millisecond))
+	s.logf("the machine held clients up by %s at the most", worst.Round(time.Millisecond))
 }
 
 // random is a source of random numbers of its own for one of the soak's tasks.
--- a/internal/harness/soak_verdict.go
+++ b/internal/harness/soak_verdict.go
@@ -31,7 +31,7 @@
 	}
 	s.logf("%s", checker.MeasureAvailability(v.records))
 	s.printStalls(v.stalls)
-	s.printQueued()
+	v.printQueued()
 	v.findDropped()
 	v.printUnknown()
 	err := s.run.judge()
@@ -41,13 +41,16 @@
 	return err
 }
 
-// printQueued tells how long a request waited at the worst until its server's process read it.
-func (s *soak) printQueued() {
+// printQueued tells how long a request waited at the worst from its receipt by the server's machine
+// until the server noted it.
+func (v *soakVerdict) printQueued() {
 	longest := time.Duration(0)
-	for _, server := range s.servers {
-		longest = max(longest, server.LongestQueued())
+	for _, r := range v.records {
+		if r.Kind == checker.RequestExecuted && r.Received > 0 {
+			longest = max(longest, r.Start-r.Received)
+		}
 	}
-	s.logf("requests waited in their server's socket for %s at the most", longest)
+	v.logf("requests waited for their server's process for %s at the most", longest.Round(time.Millisecond))
 }
 
 // findDropped finds requests that a server executed and that got no whole answer, and those
--- a/internal/standin/arrival.go
+++ b/internal/standin/arrival.go
@@ -2,12 +2,131 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
 
+// timestampedListener hands out connections that know when the kernel received the first bytes of
+// each request.
+type timestampedListener struct{ *net.TCPListener }
+
+// withTimestamps has the kernel note when data comes. A listener of another kind, such as the
+// simulator's, is returned as it is.
+func withTimestamps(listener net.Listener) net.Listener {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return listener
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return listener
+	}
+	// The connections have it from their listener: data may come before they are accepted.
+	failed := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
+	})
+	if failed != nil || err != nil {
+		return listener
+	}
+	return timestampedListener{tcp}
+}
+
+// Accept waits for the next connection.
+func (l timestampedListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return conn, nil
+	}
+	return &timestampedConn{TCPConn: conn, raw: raw, isAwaiting: true}, nil
+}
+
+// timestampedConn is a connection whose reads ask the kernel when the data came. A process that
+// the machine holds up notes a request when it runs again, and not when it came.
+type timestampedConn struct {
+	*net.TCPConn
+	raw syscall.RawConn
+
+	mu         sync.Mutex // guards all that follows
+	isAwaiting bool       // nothing of the next request was read
+	receivedAt time.Time  // the first bytes of the last request; zero if the kernel did not tell
+}
+
+// Read reads data, and with the first of a request the kernel's time of it. Where more than one
+// packet is read, that is the time of the last.
+func (c *timestampedConn) Read(buffer []byte) (int, error) {
+	if len(buffer) == 0 {
+		return 0, nil
+	}
+	var n, controlSize int
+	var err error
+	control := make([]byte, unix.CmsgSpace(int(unsafe.Sizeof(unix.Timespec{}))))
+	failed := c.raw.Read(func(fd uintptr) bool {
+		n, controlSize, _, _, err = unix.Recvmsg(int(fd), buffer, control, 0)
+		return err != unix.EAGAIN && err != unix.EINTR
+	})
+	switch {
+	case failed != nil:
+		return 0, failed
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvmsg", err)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	c.noteReceived(kernelTime(control[:controlSize]))
+	return n, nil
+}
+
+func (c *timestampedConn) noteReceived(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isAwaiting {
+		c.isAwaiting, c.receivedAt = false, at
+	}
+}
+
+// awaitRequest has the next bytes be the first of a request.
+func (c *timestampedConn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isAwaiting = true
+}
+
+// kernelTime reads the time of data from the control messages that came beside it; zero if there
+// is none.
+func kernelTime(control []byte) time.Time {
+	messages, err := unix.ParseSocketControlMessage(control)
+	if err != nil {
+		return time.Time{}
+	}
+	for _, m := range messages {
+		isTime := m.Header.Level == unix.SOL_SOCKET && m.Header.Type == unix.SO_TIMESTAMPNS
+		if isTime && len(m.Data) >= int(unsafe.Sizeof(unix.Timespec{})) {
+			at := (*unix.Timespec)(unsafe.Pointer(&m.Data[0]))
+			return time.Unix(at.Unix())
+		}
+	}
+	return time.Time{}
+}
+
+// followIdle tells a connection when its next request is awaited.
+func followIdle(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*timestampedConn); ok && state == http.StateIdle {
+		c.awaitRequest()
+	}
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
@@ -15,26 +134,17 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
-// queuedFor is for how long the last bytes of a request's connection have been on this machine
-// without being read: a process that the machine holds up notes a request when it runs again,
-// and not when it came. Connections that are not TCP, such as the simulator's, tell nothing.
+// queuedFor is for how long the first bytes of a request that is being taken have been on this
+// machine; zero if its connection does not tell.
 func queuedFor(ctx context.Context) time.Duration {
-	conn, ok := ctx.Value(connectionKey{}).(*net.TCPConn)
+	c, ok := ctx.Value(connectionKey{}).(*timestampedConn)
 	if !ok {
 		return 0
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	queued := time.Duration(0)
-	err = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			queued = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	if err != nil {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receivedAt.IsZero() {
 		return 0
 	}
-	return queued
+	return time.Since(c.receivedAt)
 }
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -49,9 +49,7 @@
 
 // ServeHTTP executes a request and answers it, or misbehaves.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	queued := queuedFor(r.Context())
-	arrival := s.History.Now() - queued
-	s.noteQueued(queued)
+	arrival, queued := s.History.Now(), queuedFor(r.Context())
 	misbehavior := WellBehaved
 	if n := s.requestCount.Add(1); s.Misbehavior != nil {
 		misbehavior = s.Misbehavior(n)
@@ -78,23 +76,13 @@
 	}
 	run := s.recordOf(r, checker.RequestExecuted)
 	run.Start, run.Digest = arrival, Digest(body)
+	if queued > 0 {
+		run.Received = arrival - queued
+	}
 	s.History.Add(run)
 	s.respond(w, s.responseTo(run, len(body), misbehavior), misbehavior)
 }
 
-// noteQueued notes for how long a request waited for this process.
-func (s *Server) noteQueued(queued time.Duration) {
-	for {
-		longest := s.longestQueued.Load()
-		if int64(queued) <= longest || s.longestQueued.CompareAndSwap(longest, int64(queued)) {
-			return
-		}
-	}
-}
-
-// LongestQueued is the longest time that a request waited for this process on its machine.
-func (s *Server) LongestQueued() time.Duration { return time.Duration(s.longestQueued.Load()) }
-
 // work takes the time of a request, and returns false if it was left off.
 func (s *Server) work(r *http.Request) bool {
 	if !s.CancelsOnDisconnect {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -54,11 +54,10 @@
 	CancelsOnDisconnect bool
 	Cancelled           atomic.Int64
 
-	sequence      atomic.Uint64 // of heartbeats
-	requestCount  atomic.Int64
-	longestQueued atomic.Int64 // nanoseconds
-	state         atomic.Value // string, as reported in heartbeats
-	previous      atomic.Pointer[sealedResponse]
+	sequence     atomic.Uint64 // of heartbeats
+	requestCount atomic.Int64
+	state        atomic.Value // string, as reported in heartbeats
+	previous     atomic.Pointer[sealedResponse]
 
 	server *http.Server
 	cancel context.CancelFunc // ends the heartbeats
@@ -77,11 +76,11 @@
 	}
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(parent)
-	s.server = &http.Server{Handler: s, ConnContext: withConnection}
+	s.server = &http.Server{Handler: s, ConnContext: withConnection, ConnState: followIdle}
 	s.tasks.Add(2)
 	go func() {
 		defer s.tasks.Done()
-		s.server.Serve(listener)
+		s.server.Serve(withTimestamps(listener))
 	}()
 	go func() {
 		defer s.tasks.Done()
