Events are written by a task of the log's own; no task of a node waits for the log's disk

What callers saw, where the log's disk or pipe stands still: no answers and no stop, from whichever task had an event to tell. A stop begins with one, and so does each applied epoch.

Cause: the log wrote each line in Emit.

Ruled out: wrapping the file in a writer with a queue, behind the synchronous logger: the logger takes its buffer back after Write, so each line would be copied.

--- a/cmd/sumac/main.go
+++ b/cmd/sumac/main.go
@@ -107,7 +107,9 @@
 			return errcode.New(errcode.InvalidSettings, "data.folder: %v", err)
 		}
 	}
-	env := environment.New(ctx, settings, eventlog.New(out, settings.LogLevel, settings.Name), environment.NewHost(settings.PeerAddress))
+	events := eventlog.NewAsync(out, settings.LogLevel, settings.Name)
+	defer events.Close(node.LogFlushTime)
+	env := environment.New(ctx, settings, events, environment.NewHost(settings.PeerAddress))
 	return node.Run(env, node.RunConfig{
 		Signals:      signals,
 		SettingsFile: cmd.String("props"),
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,6 +32,7 @@
 // Log is the event log of one process.
 type Log struct {
 	logger *log.Logger
+	async  *asyncWriter // nil for a log whose events are written by whoever emits them
 
 	mu      sync.Mutex // guards the three below
 	seq     uint64
@@ -43,9 +44,13 @@
 }
 
 // New returns a log that writes events of the level and above to out, each with the name of the
-// node.
+// node, before Emit returns.
 func New(out io.Writer, level string, node string) *Log {
-	logger := &log.Logger{Level: log.ParseLevel(level), TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: out}}
+	return newLog(&log.IOWriter{Writer: out}, level, node)
+}
+
+func newLog(writer log.Writer, level string, node string) *Log {
+	logger := &log.Logger{Level: log.ParseLevel(level), TimeFormat: time.RFC3339Nano, Writer: writer}
 	logger.Context = log.NewContext(nil).Str("node", node).Value()
 	return &Log{counts: map[string]uint64{}, logger: logger}
 }
--- a/internal/metrics/metrics_gen.go
+++ b/internal/metrics/metrics_gen.go
@@ -6,6 +6,7 @@
 	NodeInfo                 = Metric{Name: "sumac_node_info", Kind: "gauge", Help: "Always 1; what the node is.", Labels: []string{"name", "zone", "core", "gate"}}
 	NodeReady                = Metric{Name: "sumac_node_ready", Kind: "gauge", Help: "1 while the node can do its work.", Labels: []string(nil)}
 	EventsLogged             = Metric{Name: "sumac_events_total", Kind: "counter", Help: "Events logged, by number.", Labels: []string{"event", "name"}}
+	LogLinesDropped          = Metric{Name: "sumac_log_lines_dropped_total", Kind: "counter", Help: "Log lines that were not written, since the log's file or pipe took none for too long.", Labels: []string(nil)}
 	ProcessStalled           = Metric{Name: "sumac_process_stalled_seconds_total", Kind: "counter", Help: "For how long the machine has held this process up, in stalls of a tenth of a second or more.", Labels: []string(nil)}
 	Members                  = Metric{Name: "sumac_members", Kind: "gauge", Help: "Members as this node sees them.", Labels: []string{"state", "role"}}
 	RPCMessages              = Metric{Name: "sumac_wire_messages_total", Kind: "counter", Help: "Messages sent to other processes, by kind, to the own zone or another.", Labels: []string{"kind", "zone"}}
@@ -50,6 +51,7 @@
 	NodeInfo,
 	NodeReady,
 	EventsLogged,
+	LogLinesDropped,
 	ProcessStalled,
 	Members,
 	RPCMessages,
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -100,6 +100,7 @@
 	scrape.add(metrics.NodeInfo, 1, string(n.Env.Name), n.Env.Config.Zone, strconv.FormatBool(n.Consensus != nil), strconv.FormatBool(n.Proxy != nil))
 	scrape.add(metrics.NodeReady, boolValue(n.Ready() == nil))
 	scrape.add(metrics.Heartbeats, float64(n.heartbeats.Load()))
+	scrape.add(metrics.LogLinesDropped, float64(n.Env.Events.DroppedLines()))
 	scrape.add(metrics.ProcessStalled, n.stalls.stalledFor().Seconds())
 	counts := n.Env.Events.Counts()
 	for _, e := range eventlog.Events {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,6 +15,9 @@
 // settingsPollInterval is between two looks whether the settings file has changed.
 const settingsPollInterval = 5 * time.Second
 
+// LogFlushTime is how long a process that ends waits until its last log lines are written.
+const LogFlushTime = 100 * time.Millisecond
+
 // Signals are those that a node heeds. The two kinds have a channel each, so that a series of
 // the one never displaces the other.
 type Signals struct {
--- a/tools/mutate/fit_test.go
+++ b/tools/mutate/fit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -25,6 +26,7 @@
 		t.Fatal(err)
 	}
 	tests := testsUnder(t, filepath.Join(root, "internal"))
+	maps.Copy(tests, testsUnder(t, filepath.Join(root, "cmd")))
 	for _, m := range mutants {
 		if m.Test != "" && !tests[m.Test] {
 			t.Errorf("%s: there is no test %s", m.Name, m.Test)
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -73,7 +73,7 @@
 	tree := filepath.Join(folder, "tree")
 	must(os.RemoveAll(tree))
 	must(os.MkdirAll(tree, 0o755))
-	for _, name := range []string{"go.mod", "go.sum", "internal", "cmd"} {
+	for _, name := range []string{"go.mod", "go.sum", "internal", "cmd", "platform"} {
 		must(exec.Command("cp", "-r", name, tree).Run())
 	}
 	for _, change := range append([]replacement{m.replacement}, m.More...) {
@@ -88,7 +88,7 @@
 		must(os.WriteFile(path, []byte(string(text[:at])+change.New+string(text[at+len(change.Old):])), 0o644))
 	}
 	if m.Test != "" {
-		run := exec.Command("go", "test", "./internal/...", "-v", "-run", "^"+m.Test+"$", "-count=1", "-timeout", "240s")
+		run := exec.Command("go", "test", "./internal/...", "./cmd/...", "-v", "-run", "^"+m.Test+"$", "-count=1", "-timeout", "240s")
 		run.Dir = tree
 		out, err := run.CombinedOutput()
 		if err == nil || !isFailed(string(out), m.Test) {
