Soak: a failed stop tells what the threads wait for, a connection's end whether its request was read

A process that does not stop in time is killed, and with it goes what its threads waited for; the failure names each thread's state and place in the kernel now (a D is a thread that can't be ended). A connection that ends after its last byte is judged by the client's clock, which is late where the machine is: the state of the socket tells exactly whether the other side had read everything, for else its kernel sends a reset.

The check of 0.2 s stays as it is and its failure names the new fact. A request that was read and whose connection then ended without an answer fails besides, however soon that came: the clock let it pass within 0.2 s.

--- a/internal/harness/soak_client.go
+++ b/internal/harness/soak_client.go
@@ -164,6 +164,10 @@
 func (c *soakClient) recordBroken(record *checker.Record, err error, isWhole bool, after time.Duration, isBegun bool) {
 	record.Outcome, record.Note = checker.OutcomeBroken, err.Error()
 	name := fmt.Sprintf("%s call %s at %s", record.Service, record.CallID, c.machine.Name)
+	closed := closeUnknown
+	if isWhole && !isBegun && !errors.Is(err, os.ErrDeadlineExceeded) {
+		closed = closeKindOf(c.conn)
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.soak.fail("%s: no answer for %s", name, after)
@@ -171,9 +175,11 @@
 		c.soak.fail("%s: the answer is cut off: %v", name, err)
 	case isWhole && after > c.slack && !errors.Is(err, syscall.ECONNRESET):
 		// A reset says that some of the request was left unread.
-		c.soak.fail("%s: the connection ended %s after its last byte without an answer: %v", name, after, err)
+		c.soak.fail("%s: the connection ended %s after its last byte without an answer (close: %s): %v", name, after, closed, err)
+	case closed == closeRead:
+		c.soak.fail("%s: the proxy read the request and closed the connection %s after its last byte without an answer: %v", name, after, err)
 	default:
-		c.soak.logf("%s: crossed the proxy's close: all written %v, ended %s later: %v", name, isWhole, after, err)
+		c.soak.logf("%s: crossed the proxy's close: all written %v, ended %s later (close: %s): %v", name, isWhole, after, closed, err)
 	}
 }
 
--- a/internal/harness/soak_work.go
+++ b/internal/harness/soak_work.go
@@ -58,7 +58,7 @@
 	select {
 	case <-ended:
 	case <-time.After(time.Until(began.Add(stopTimeout))):
-		s.fail("%s did not stop within %s", m.Name, stopTimeout)
+		s.fail("%s did not stop within %s; its threads: %s", m.Name, stopTimeout, threadStates(m.PID()))
 		m.Kill()
 	}
 	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
