Stand-in: the kernel's time of a receipt is read as an age, by the kernel's own clock

TestNoWallClockDecides found the wall clock in the trace of receipts: what the kernel notes is in wall time, and was made into a time of day. It is made into an age at once, against the same clock of the kernel, and no time of day is left. Nothing decides by it either way. The test failed before and passes now.

--- a/internal/standin/arrival.go
+++ b/internal/standin/arrival.go
@@ -84,15 +84,20 @@
 	case n == 0:
 		return 0, io.EOF
 	}
-	c.noteReceived(kernelTime(control[:controlSize]))
+	c.noteReceived(kernelAge(control[:controlSize]))
 	return n, nil
 }
 
-func (c *timestampedConn) noteReceived(at time.Time) {
+// noteReceived notes how long ago data was received that was just read, if that is known.
+func (c *timestampedConn) noteReceived(age time.Duration, isKnown bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isAwaiting {
-		c.isAwaiting, c.receivedAt = false, at
+	if !c.isAwaiting {
+		return
+	}
+	c.isAwaiting, c.receivedAt = false, time.Time{}
+	if isKnown {
+		c.receivedAt = time.Now().Add(-age)
 	}
 }
 
@@ -103,21 +108,26 @@
 	c.isAwaiting = true
 }
 
-// kernelTime reads the time of data from the control messages that came beside it; zero if there
-// is none.
-func kernelTime(control []byte) time.Time {
+// kernelAge reads from the control messages that came beside data how long ago the kernel received
+// it; false if they don't tell.
+func kernelAge(control []byte) (time.Duration, bool) {
 	messages, err := unix.ParseSocketControlMessage(control)
 	if err != nil {
-		return time.Time{}
+		return 0, false
 	}
 	for _, m := range messages {
 		isTime := m.Header.Level == unix.SOL_SOCKET && m.Header.Type == unix.SO_TIMESTAMPNS
-		if isTime && len(m.Data) >= int(unsafe.Sizeof(unix.Timespec{})) {
-			at := (*unix.Timespec)(unsafe.Pointer(&m.Data[0]))
-			return time.Unix(at.Unix())
+		if !isTime || len(m.Data) < int(unsafe.Sizeof(unix.Timespec{})) {
+			continue
+		}
+		received := (*unix.Timespec)(unsafe.Pointer(&m.Data[0]))
+		var now unix.Timespec
+		if unix.ClockGettime(unix.CLOCK_REALTIME, &now) != nil {
+			return 0, false
 		}
+		return time.Duration(now.Nano() - received.Nano()), true
 	}
-	return time.Time{}
+	return 0, false
 }
 
 // followIdle tells a connection when its next request is awaited.
