Simulator: operators are made in one place; soak's names follow the glossary

In the soak, silence is a timeout and whole is complete.

Run: go vet; the simulator's tests of hand-over, idempotency, contact, distribution, sliding and metrics, all passed.

--- a/internal/harness/soak_client.go
+++ b/internal/harness/soak_client.go
@@ -25,8 +25,8 @@
 
 const (
 	soakDialTimeout = time.Second
-	// soakSilence is how long a client waits for an answer, beyond the route's deadline.
-	soakSilence = 2*routeDeadlineMillis*time.Millisecond + time.Second
+	// soakAnswerTimeout is how long a client waits for an answer, beyond the route's deadline.
+	soakAnswerTimeout = 2*routeDeadlineMillis*time.Millisecond + time.Second
 	// unreadSlack is how long after its last byte a request's connection may end without an
 	// answer: it crossed the proxy's close.
 	unreadSlack = 200 * time.Millisecond
@@ -109,12 +109,12 @@
 		Service: load.Service, Path: path, Idempotent: load.Idempotent, Digest: standin.Digest(body),
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, path, standin.HeaderCall, record.CallID, len(body))
-	isWhole := c.write([]byte(head), body)
+	isComplete := c.write([]byte(head), body)
 	sentAt := time.Now()
-	c.conn.SetReadDeadline(sentAt.Add(soakSilence))
+	c.conn.SetReadDeadline(sentAt.Add(soakAnswerTimeout))
 	response, answer, err := c.read()
 	if err != nil {
-		c.recordBroken(&record, err, isWhole, time.Since(sentAt), response != nil)
+		c.recordBroken(&record, err, isComplete, time.Since(sentAt), response != nil)
 		c.drop()
 	} else {
 		recordAnswer(&record, response, answer)
@@ -133,7 +133,7 @@
 		half := len(body) / 2
 		pieces = [][]byte{head, body[:half], body[half:]}
 	}
-	c.conn.SetWriteDeadline(time.Now().Add(soakSilence))
+	c.conn.SetWriteDeadline(time.Now().Add(soakAnswerTimeout))
 	for i, piece := range pieces {
 		if i > 0 {
 			time.Sleep(time.Duration(c.random.IntN(300)) * time.Millisecond)
@@ -161,11 +161,11 @@
 
 // recordBroken records a request without a whole answer. What the checkers can't tell is
 // judged here: they don't know whether the proxy had read it.
-func (c *soakClient) recordBroken(record *checker.Record, err error, isWhole bool, after time.Duration, isBegun bool) {
+func (c *soakClient) recordBroken(record *checker.Record, err error, isComplete bool, after time.Duration, isBegun bool) {
 	record.Outcome, record.Note = checker.OutcomeBroken, err.Error()
 	name := fmt.Sprintf("%s call %s at %s", record.Service, record.CallID, c.machine.Name)
 	closed := closeUnknown
-	if isWhole && !isBegun && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if isComplete && !isBegun && !errors.Is(err, os.ErrDeadlineExceeded) {
 		closed = closeKindOf(c.conn)
 	}
 	switch {
@@ -173,13 +173,13 @@
 		c.soak.fail("%s: no answer for %s", name, after)
 	case isBegun:
 		c.soak.fail("%s: the answer is cut off: %v", name, err)
-	case isWhole && after > c.slack && !errors.Is(err, syscall.ECONNRESET):
+	case isComplete && after > c.slack && !errors.Is(err, syscall.ECONNRESET):
 		// A reset says that some of the request was left unread.
 		c.soak.fail("%s: the connection ended %s after its last byte without an answer (close: %s): %v", name, after, closed, err)
 	case closed == closeRead:
 		c.soak.fail("%s: the proxy read the request and closed the connection %s after its last byte without an answer: %v", name, after, err)
 	default:
-		c.soak.logf("%s: crossed the proxy's close: all written %v, ended %s later (close: %s): %v", name, isWhole, after, closed, err)
+		c.soak.logf("%s: crossed the proxy's close: all written %v, ended %s later (close: %s): %v", name, isComplete, after, closed, err)
 	}
 }
 
--- a/internal/simulator/contact_test.go
+++ b/internal/simulator/contact_test.go
@@ -110,7 +110,7 @@
 	f.cutQuorumContact(m, direction)
 	time.Sleep(contactLossNoticed)
 	other := f.Machine("proxy2")
-	operator := standin.NewOperator(f.Network.HostAt(f.clientHost(2)), f.History, other.APIAddress())
+	operator := f.newOperator(2, other)
 	view, err := operator.Epoch(f.ctx)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/simulator/distribution_test.go
+++ b/internal/simulator/distribution_test.go
@@ -22,7 +22,6 @@
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/membership"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
-	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 const lateBound = 2 * time.Second
@@ -30,7 +29,7 @@
 // submitted has a change set accepted, and tells its epoch.
 func submitted(t *testing.T, f *Fleet, name string) ids.Epoch {
 	t.Helper()
-	operator := standin.NewOperator(f.Network.HostAt(f.clientHost(4)), f.History, f.Cores()[0].APIAddress())
+	operator := f.newOperator(4, f.Cores()[0])
 	var epoch ids.Epoch
 	if !f.WaitUntil(20*time.Second, func() bool {
 		view, err := operator.Epoch(f.ctx)
--- a/internal/simulator/faults_compound.go
+++ b/internal/simulator/faults_compound.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if isChange {
-		operator := standin.NewOperator(f.Network.HostAt(f.clientHost(70)), f.History, proxyNode.APIAddress())
+		operator := f.newOperator(70, proxyNode)
 		if view, err := operator.Epoch(f.ctx); err == nil {
 			operator.Submit(f.ctx, f.newChange(fmt.Sprint("a-", f.changeCount.Add(1)), view.Epoch))
 		}
--- a/internal/simulator/idempotency_test.go
+++ b/internal/simulator/idempotency_test.go
@@ -24,7 +24,7 @@
 		if first.Outcome != "ran" {
 			t.Fatalf("%+v", first)
 		}
-		operator := standin.NewOperator(f.Network.HostAt(f.clientHost(4)), f.History, f.Cores()[0].APIAddress())
+		operator := f.newOperator(4, f.Cores()[0])
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -47,7 +47,7 @@
 	inFleet(t, Small(), func(t *testing.T, f *Fleet) {
 		proxyNode := f.Machine("proxy1")
 		client := standin.NewAPIClient(f.Network.HostAt(f.clientHost(4)), proxyNode.APIAddress())
-		operator := standin.NewOperator(f.Network.HostAt(f.clientHost(4)), f.History, proxyNode.APIAddress())
+		operator := f.newOperator(4, proxyNode)
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/simulator/load_changesets.go
+++ b/internal/simulator/load_changesets.go
@@ -131,10 +131,7 @@
 		})
 	}
 	for i := range n {
-		var operators []*standin.Operator
-		for _, m := range f.Machines {
-			operators = append(operators, standin.NewOperator(f.Network.HostAt(f.clientHost(50+i)), f.History, m.APIAddress()))
-		}
+		operators := f.operatorsOfEveryNode(50 + i)
 		caller := f.newClient(50 + i)
 		f.goTask(func(r *rand.Rand) {
 			pause(r, mean)
--- a/internal/simulator/load_clients.go
+++ b/internal/simulator/load_clients.go
@@ -97,9 +97,22 @@
 	return config
 }
 
+// newOperator returns an operator at a client's host who calls one node.
+func (f *Fleet) newOperator(host int, node *Machine) *standin.Operator {
+	return standin.NewOperator(f.Network.HostAt(f.clientHost(host)), f.History, node.APIAddress())
+}
+
+// operatorsOfEveryNode returns an operator for each node, all at one client's host.
+func (f *Fleet) operatorsOfEveryNode(host int) (operators []*standin.Operator) {
+	for _, m := range f.Machines {
+		operators = append(operators, f.newOperator(host, m))
+	}
+	return operators
+}
+
 func (f *Fleet) submitInitial() bool {
 	config := f.initialConfiguration()
-	operator := standin.NewOperator(f.Network.HostAt(f.clientHost(40)), f.History, f.Cores()[0].APIAddress())
+	operator := f.newOperator(40, f.Cores()[0])
 	_, err := operator.Submit(f.ctx, &api.Change{ID: "first", Whole: api.NewOptBool(true), Put: api.NewOptConfig(config)})
 	return err == nil
 }
@@ -108,10 +121,7 @@
 // left unknown is asked for by id, once.
 func (f *Fleet) StartOperators(n int, mean time.Duration) {
 	for i := range n {
-		operators := []*standin.Operator{}
-		for _, m := range f.Machines {
-			operators = append(operators, standin.NewOperator(f.Network.HostAt(f.clientHost(41+i)), f.History, m.APIAddress()))
-		}
+		operators := f.operatorsOfEveryNode(41 + i)
 		f.goTask(func(r *rand.Rand) {
 			pause(r, mean)
 			o := operators[r.IntN(len(operators))]
--- a/internal/simulator/proxy_handover_test.go
+++ b/internal/simulator/proxy_handover_test.go
@@ -37,7 +37,7 @@
 		defer conn.Close()
 		fmt.Fprintf(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\n%s: slow\r\nContent-Length: 2\r\n\r\nx", standin.HeaderCall)
 		time.Sleep(100 * time.Millisecond)
-		operator := standin.NewOperator(f.Network.HostAt(f.clientHost(40)), f.History, f.Cores()[0].APIAddress())
+		operator := f.newOperator(40, f.Cores()[0])
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/checker"
-	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // Result is what a run came to.
@@ -77,7 +76,7 @@
 
 // verifyFinalState asks after every change set, and reads the configuration at the end.
 func (f *Fleet) verifyFinalState() {
-	operator := standin.NewOperator(f.Network.HostAt(f.clientHost(92)), f.History, f.Cores()[0].APIAddress())
+	operator := f.newOperator(92, f.Cores()[0])
 	asked := map[string]bool{}
 	for _, r := range f.History.Records() {
 		if r.Kind == checker.ChangeSubmitted && !asked[r.Name] {
--- a/internal/simulator/slide_test.go
+++ b/internal/simulator/slide_test.go
@@ -43,7 +43,7 @@
 		if !f.WaitUntil(time.Second, func() bool { fresh = leaderOf(f, ids.ConfigShard, old); return fresh != nil }) {
 			t.Fatal("nobody took the configuration part over")
 		}
-		operator := standin.NewOperator(f.Network.HostAt(f.clientHost(4)), f.History, fresh.APIAddress())
+		operator := f.newOperator(4, fresh)
 		view, err := operator.Epoch(f.ctx)
 		if err != nil {
 			t.Fatal(err)
