--- a/internal/environment/host.go
+++ b/internal/environment/host.go
@@ -22,6 +22,9 @@
 	// SuspendedTime returns for how long the machine has been suspended so far; nil is for
 	// a machine that never is.
 	SuspendedTime func() time.Duration
+	// Waits returns what the kernel tells of this process's waits; nil is for one that tells
+	// nothing.
+	Waits func() Waits
 }
 
 // keepAlive lets a node know within some ten seconds that a peer has gone silent, also on
@@ -47,5 +50,6 @@
 		OpenStorage:   func(folder string) (storage.Storage, error) { return storage.OpenFile(folder, false) },
 		Rename:        os.Rename,
 		SuspendedTime: suspendedTime,
+		Waits:         readWaits,
 	}
 }
--- /dev/null
+++ b/internal/environment/waits_test.go
@@ -0,0 +1,34 @@
+package environment
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+func TestWaits_AreReadAsTheKernelWritesThem(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	if got := readRunDelay(write("schedstat", "12345 2000000 7\n")); got != 2*time.Millisecond {
+		t.Error(got)
+	}
+	if got := readDiskWait(write("io", "some avg10=0.00 avg60=0.58 avg300=0.35 total=1771850\nfull avg10=0.00 avg60=0.55 avg300=0.34 total=3\n")); got != 1771850*time.Microsecond {
+		t.Error(got)
+	}
+	for _, path := range []string{filepath.Join(folder, "none"), write("strange", "x")} {
+		if readRunDelay(path) != 0 || readDiskWait(path) != 0 {
+			t.Error("what can't be read is not zero:", path)
+		}
+	}
+	before := Waits{Processor: 3 * time.Second, Disk: time.Second}
+	if got := (Waits{Processor: time.Second, Disk: 4 * time.Second}).Since(before); got != (Waits{Disk: 3 * time.Second}) {
+		t.Error(got)
+	}
+}
