--- a/internal/eventlog/async.go
+++ b/internal/eventlog/async.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -16,69 +17,78 @@
 // node waits for a disk or a pipe. Lines that come while queueLines wait are dropped and counted.
 // Close must be called at the end.
 func NewAsync(out io.Writer, level string, node string) *Log {
-	writer := &asyncWriter{queue: &log.AsyncWriter{Writer: &log.IOWriter{Writer: out}, ChannelSize: queueLines, DiscardOnFull: true}}
-	l := newLog(writer, level, node)
-	l.async = writer
+	queue := newLineQueue(out)
+	l := newLog(&log.IOWriter{Writer: queue}, level, node)
+	l.queue = queue
 	return l
 }
 
 // Close ends the writing of lines; what waits is written if that takes no longer than the limit.
 // Events are kept and counted as before.
 func (l *Log) Close(limit time.Duration) {
-	if l.async == nil {
+	if l.queue == nil {
 		return
 	}
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		l.async.close()
-	}()
+	l.queue.close()
 	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	select {
-	case <-written:
+	case <-l.queue.written:
 	case <-timeout.C:
 	}
 }
 
 // DroppedLines is how many lines were not written since too many waited.
 func (l *Log) DroppedLines() uint64 {
-	if l.async == nil {
+	if l.queue == nil {
 		return 0
 	}
-	return l.async.dropped.Load()
+	return l.queue.dropped.Load()
 }
 
-// asyncWriter is a queue of lines that is closed once, whoever still writes.
-type asyncWriter struct {
-	queue   *log.AsyncWriter
+// lineQueue stands between those who write lines and the task that hands them to a writer.
+type lineQueue struct {
+	lines   chan []byte
 	dropped atomic.Uint64
+	written chan struct{} // closed when the queue is closed and every line was handed over
 
 	mu       sync.RWMutex // guards isClosed
 	isClosed bool
 }
 
-// WriteEntry queues a line. It never waits for the lines before it.
-func (w *asyncWriter) WriteEntry(entry *log.Entry) (int, error) {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	if w.isClosed {
+// newLineQueue starts the task that writes to out, which ends with the queue.
+func newLineQueue(out io.Writer) *lineQueue {
+	q := &lineQueue{lines: make(chan []byte, queueLines), written: make(chan struct{})}
+	go func() {
+		defer close(q.written)
+		for line := range q.lines {
+			out.Write(line) // a log that can't be written has nowhere to say so
+		}
+	}()
+	return q
+}
+
+// Write queues a copy of a line. It never waits for the lines before it.
+func (q *lineQueue) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.isClosed {
 		return 0, io.ErrClosedPipe
 	}
-	n, err := w.queue.WriteEntry(entry)
-	if err != nil {
-		w.dropped.Add(1)
+	select {
+	case q.lines <- bytes.Clone(line):
+	default:
+		q.dropped.Add(1)
 	}
-	return n, err
+	return len(line), nil
 }
 
-// close returns when every queued line was written.
-func (w *asyncWriter) close() {
-	w.mu.Lock()
-	wasClosed := w.isClosed
-	w.isClosed = true
-	w.mu.Unlock()
-	if !wasClosed {
-		w.queue.Close() // whether the last line was written, nobody is left to be told
+// close takes no more lines.
+func (q *lineQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.isClosed {
+		q.isClosed = true
+		close(q.lines)
 	}
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,7 +32,7 @@
 // Log is the event log of one process.
 type Log struct {
 	logger *log.Logger
-	async  *asyncWriter // nil for a log whose events are written by whoever emits them
+	queue  *lineQueue // nil for a log whose events are written by whoever emits them
 
 	mu      sync.Mutex // guards the three below
 	seq     uint64
