A node that reads its settings again still heeds SIGTERM

What callers of a node saw, by reading, not yet in the field: a planned stop that never began, where SIGHUP or a change of the settings file came before it and the file could not be read to its end.

Cause: one task heeded both signals and read the file itself. Why it works: the file is read by a task of its own, which nobody waits for.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -81,20 +81,34 @@
 	}
 }
 
-// runUntilStopped heeds signals and changes of the settings file.
+// runUntilStopped heeds signals until one stops the node, or its disk fails.
 func (n *Node) runUntilStopped(options RunConfig) error {
 	var diskFailed <-chan struct{} // never, without a disk
 	if n.Store != nil {
 		diskFailed = n.Store.Corrupted()
 	}
+	// Nobody waits for this task: a file that is being read can't be given up.
+	go n.reloadSettings(options)
+	select {
+	case <-options.Signals.stop:
+		n.Stop()
+		return nil
+	case <-diskFailed:
+		n.Env.Shutdown()
+		return errcode.New(errcode.StorageBroken, "%s", n.Env.Config.DataFolder)
+	}
+}
+
+// reloadSettings reads the settings again at each signal to do so, and when their file has changed,
+// until the environment ends.
+func (n *Node) reloadSettings(options RunConfig) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	modified := modificationTime(options.SettingsFile)
 	for {
 		select {
-		case <-options.Signals.stop:
-			n.Stop()
-			return nil
+		case <-n.Env.Done():
+			return
 		case <-options.Signals.reload:
 			options.Reload(n)
 		case <-poll.C:
@@ -102,9 +116,6 @@
 				modified = now
 				options.Reload(n)
 			}
-		case <-diskFailed:
-			n.Env.Shutdown()
-			return errcode.New(errcode.StorageBroken, "%s", n.Env.Config.DataFolder)
 		}
 	}
 }
