A test of httpserver lost the word of a read that came before it waited

Cause, by the goroutine dump of the hung process: the test's listener dropped its word of the read where nobody waited for it yet. TestShutdown_AnswersRequestReadButNotParsed had the same gap. Ruled out: a fault of the server, which waited for the rest of the request as it should. The word now has room of its own, and the read that it is of is named before the data is sent; what the tests ask of the server is as it was.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -23,31 +23,43 @@
 	"time"
 )
 
-// gatedListener hands out connections whose reads, once they have data, wait at a gate.
+// gatedListener hands out connections of which the first read that has data after watchNextRead
+// waits at a gate.
 type gatedListener struct {
 	net.Listener
-	hasRead chan struct{} // gets a value at each read that has data
-	gate    chan struct{} // is closed to let them go on
+	isWatching atomic.Bool
+	hasRead    chan struct{} // gets a value at that read; it has room for it, whoever comes first
+	gate       chan struct{} // is closed to let the read go on
 }
 
-func (l gatedListener) Accept() (net.Conn, error) {
+func newGatedListener() *gatedListener {
+	return &gatedListener{hasRead: make(chan struct{}, 1), gate: make(chan struct{})}
+}
+
+// wrap takes the connections of a listener.
+func (l *gatedListener) wrap(listener net.Listener) net.Listener {
+	l.Listener = listener
+	return l
+}
+
+// watchNextRead is called before the data is sent that is to be read.
+func (l *gatedListener) watchNextRead() { l.isWatching.Store(true) }
+
+func (l *gatedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	return gatedConn{conn, l}, err
 }
 
 type gatedConn struct {
 	net.Conn
-	listener gatedListener
+	listener *gatedListener
 }
 
 func (c gatedConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	if n > 0 {
-		select {
-		case c.listener.hasRead <- struct{}{}:
-			<-c.listener.gate
-		default:
-		}
+	if n > 0 && c.listener.isWatching.CompareAndSwap(true, false) {
+		c.listener.hasRead <- struct{}{}
+		<-c.listener.gate
 	}
 	return n, err
 }
@@ -107,9 +119,10 @@
 }
 
 func TestShutdown_AnswersRequestReadButNotParsed(t *testing.T) {
-	gated := gatedListener{hasRead: make(chan struct{}), gate: make(chan struct{})}
-	server, address := start(t, func(l net.Listener) net.Listener { gated.Listener = l; return gated }, greeting)
+	gated := newGatedListener()
+	server, address := start(t, gated.wrap, greeting)
 	conn, reader := dial(t, address)
+	gated.watchNextRead()
 	answered := make(chan error, 1)
 	var response *http.Response
 	go func() {
@@ -142,12 +155,11 @@
 // read.
 func TestShutdown_AnswersRequestReadWhileTheHandlerWasNotBack(t *testing.T) {
 	for _, stopsFirst := range []bool{true, false} {
-		open := make(chan struct{})
-		close(open)
-		read := gatedListener{hasRead: make(chan struct{}), gate: open}
+		watched := newGatedListener()
+		close(watched.gate)
 		release := make(chan struct{})
 		finished := make(chan struct{}, 2)
-		server, address := start(t, func(l net.Listener) net.Listener { read.Listener = l; return read }, Config{
+		server, address := start(t, watched.wrap, Config{
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Content-Length", "5")
 				greet(w, r)
@@ -158,10 +170,11 @@
 		})
 		conn, reader := dial(t, address)
 		const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+		watched.watchNextRead()
 		if _, err := io.WriteString(conn, request[:1]); err != nil {
 			t.Fatal(err)
 		}
-		<-read.hasRead
+		<-watched.hasRead
 		stopped := make(chan struct{})
 		stop := func() {
 			go func() {
