A stand-in server asks for the kernel's times of receipt before it listens

Two causes: - the option was set on the listener after it listened, and a connection that came between inherited nothing: accepted connections ask for themselves now; - the kernel begins to note times some time after the first socket asks (it switches the code from a work queue), and what comes before has none: a server process waits for a first time of its own before it listens. Ruled out as the only cause: the first.

TestRunServer is unchanged; TestQueuedFor sent before anybody had asked, so its set-up asks first now, and what it checks is as it was. Only the trace of arrivals uses these times; no rule goes by them.

--- a/internal/harness/server_process.go
+++ b/internal/harness/server_process.go
@@ -38,6 +38,10 @@
 	if err := decoder.Decode(&config); err != nil {
 		return errcode.New(errcode.InvalidCall, "the server's description: %v", err)
 	}
+	// Without the kernel's times a history only has no times of receipt.
+	if stop, err := standin.StartTimestamps(); err == nil {
+		defer stop()
+	}
 	history := checker.JoinHistory(config.HistoryStart)
 	server := &standin.Server{
 		Network:     environment.NewHost(""),
--- a/internal/standin/arrival.go
+++ b/internal/standin/arrival.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,9 +10,6 @@
 	"sync"
 	"syscall"
 	"time"
-	"unsafe"
-
-	"golang.org/x/sys/unix"
 )
 
 // timestampedListener hands out connections that know when the kernel received the first bytes of
@@ -29,11 +27,8 @@
 	if err != nil {
 		return listener
 	}
-	// The connections have it from their listener: data may come before they are accepted.
-	failed := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
-	})
-	if failed != nil || err != nil {
+	// Connections inherit it from their listener.
+	if err := enableTimestamps(raw); err != nil {
 		return listener
 	}
 	return timestampedListener{tcp}
@@ -49,6 +44,10 @@
 	if err != nil {
 		return conn, nil
 	}
+	// One that came before its listener had the option has inherited nothing.
+	if err := enableTimestamps(raw); err != nil {
+		return conn, nil
+	}
 	return &timestampedConn{TCPConn: conn, raw: raw, isAwaiting: true}, nil
 }
 
@@ -69,22 +68,17 @@
 	if len(buffer) == 0 {
 		return 0, nil
 	}
-	var n, controlSize int
-	var err error
-	control := make([]byte, unix.CmsgSpace(int(unsafe.Sizeof(unix.Timespec{}))))
-	failed := c.raw.Read(func(fd uintptr) bool {
-		n, controlSize, _, _, err = unix.Recvmsg(int(fd), buffer, control, 0)
-		return err != unix.EAGAIN && err != unix.EINTR
-	})
+	n, control, err := receive(c.raw, buffer)
+	var number syscall.Errno
 	switch {
-	case failed != nil:
-		return 0, failed
+	case errors.As(err, &number):
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvmsg", number)}
 	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvmsg", err)}
+		return 0, err
 	case n == 0:
 		return 0, io.EOF
 	}
-	c.noteReceived(kernelAge(control[:controlSize]))
+	c.noteReceived(kernelAge(control))
 	return n, nil
 }
 
@@ -108,28 +102,6 @@
 	c.isAwaiting = true
 }
 
-// kernelAge reads from the control messages that came beside data how long ago the kernel received
-// it; false if they don't tell.
-func kernelAge(control []byte) (time.Duration, bool) {
-	messages, err := unix.ParseSocketControlMessage(control)
-	if err != nil {
-		return 0, false
-	}
-	for _, m := range messages {
-		isTime := m.Header.Level == unix.SOL_SOCKET && m.Header.Type == unix.SO_TIMESTAMPNS
-		if !isTime || len(m.Data) < int(unsafe.Sizeof(unix.Timespec{})) {
-			continue
-		}
-		received := (*unix.Timespec)(unsafe.Pointer(&m.Data[0]))
-		var now unix.Timespec
-		if unix.ClockGettime(unix.CLOCK_REALTIME, &now) != nil {
-			return 0, false
-		}
-		return time.Duration(now.Nano() - received.Nano()), true
-	}
-	return 0, false
-}
-
 // followIdle tells a connection when its next request is awaited.
 func followIdle(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*timestampedConn); ok && state == http.StateIdle {
--- a/internal/standin/arrival_test.go
+++ b/internal/standin/arrival_test.go
@@ -13,6 +13,11 @@
 // A request's age counts from its first bytes, whatever comes behind them.
 func TestQueuedFor_CountsFromTheFirstBytesOfTheRequest(t *testing.T) {
 	const pause = 150 * time.Millisecond
+	stop, err := StartTimestamps()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
