Loops make no timer for a moment that has passed: three sites ended the race run of the simulator

Cause: rip 0x41c729 is the load of the slot in __tsan::SlotLock of that binary, with rbx (the slot) zero: a thread state of the race detector that two threads use at once. A program of ten lines (16 goroutines that read time.After(0) in one bubble) ends so within 0.05 s, 3 of 3, by the same or a neighbouring check of the detector. environment.Sleep has avoided this since it was met there; the other sites were not looked for.

Evidence of where: a trial with a copy of the Go runtime that prints the callers. Ruled out by reading: the end of a P's timers when GOMAXPROCS changes, contexts of cleanups, a goroutine's status after its end.

Why it works: environment.WaitUntil makes a timer only for a moment that is to come, and waits for it at once. The loops keep their pace: due moments are as far away as the timers were.

--- a/internal/consensus/heartbeat.go
+++ b/internal/consensus/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/environment"
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
 )
@@ -93,24 +94,24 @@
 	return false
 }
 
+// runHeartbeats sends heartbeats to a peer until the context ends.
 func (n *Node) runHeartbeats(ctx context.Context, peer rpc.Peer, h *heartbeater) {
-	timer := time.NewTimer(1)
-	defer timer.Stop()
+	due := time.Now().Add(1)
 	for {
-		pause := n.env.Config.ConsensusHeartbeatPeriod
-		select {
-		case <-ctx.Done():
+		isKicked, err := environment.WaitUntil(ctx, due, h.kick)
+		if err != nil {
 			return
-		case <-h.kick:
-			// Kicks come about as often as the timer fires. The next one is waited for a
+		}
+		pause := n.env.Config.ConsensusHeartbeatPeriod
+		if isKicked {
+			// Kicks come about as often as heartbeats fall due. The next one is waited for a
 			// little longer, or there would be two messages for each.
 			pause = pause * 3 / 2
-		case <-timer.C:
 		}
 		if !n.isVoterOfLedShard(peer) {
 			pause = n.env.Config.ConsensusHeartbeatPeriod * idleHeartbeatFactor
 		}
-		timer.Reset(pause)
+		due = time.Now().Add(pause)
 		n.sendHeartbeat(ctx, peer, h)
 	}
 }
--- a/internal/controlplane/planner.go
+++ b/internal/controlplane/planner.go
@@ -99,14 +99,10 @@
 
 // run plans when it is triggered, and once in the time of the setting plan.poll.
 func (p *Planner) run() {
-	wakeup := time.NewTimer(1)
-	defer wakeup.Stop()
+	due := time.Now().Add(1)
 	for {
-		select {
-		case <-p.env.Done():
+		if _, err := environment.WaitUntil(p.env, due, p.trigger); err != nil {
 			return
-		case <-p.trigger:
-		case <-wakeup.C:
 		}
 		// What is triggered together is planned together.
 		if !p.env.Sleep(p.env.Config.ControlplaneBatchDelay) {
@@ -116,7 +112,7 @@
 		case <-p.trigger:
 		default:
 		}
-		wakeup.Reset(p.env.Config.ControlplanePollInterval)
+		due = time.Now().Add(p.env.Config.ControlplanePollInterval)
 		if term, _, isServing := p.replica.LeadershipSince(); isServing {
 			p.collectReports(term)
 			// What keeps an epoch from being planned now may be over by the next round; until
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/environment"
 	"github.com/sumactrestle/sumactrestle/internal/errcode"
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
@@ -43,8 +44,7 @@
 // of so many milliseconds is over or the caller has gone. It polls at each change of the
 // shard, and ends when this node does not lead the shard any more.
 func (s *shard) longPoll(ctx context.Context, wait int64, poll func() (response *rpc.CoordinationResponse, ready bool)) (*rpc.CoordinationResponse, error) {
-	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timeout.Stop()
+	due := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	for {
 		changed := s.replica.Changed() // before poll, so that no change falls in between
 		response, ready := poll()
@@ -54,11 +54,7 @@
 		if !s.replica.IsServing() {
 			return nil, errcode.New(errcode.NotLeader, "shard %d changed its leader", s.id)
 		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return response, nil
-		case <-ctx.Done():
+		if isChanged, err := environment.WaitUntil(ctx, due, changed); err != nil || !isChanged {
 			return response, nil
 		}
 	}
--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// WaitUntil waits for a moment or a signal, whichever comes first, and tells whether it was the
+// signal; the error is that of a context that ended. It makes a timer only for a moment that is
+// still to come: one that expires while nobody waits for it ends the process as Sleep's would.
+func WaitUntil(ctx context.Context, due time.Time, signal <-chan struct{}) (isSignalled bool, err error) {
+	left := time.Until(due)
+	if left <= 0 {
+		select {
+		case <-signal:
+			return true, ctx.Err()
+		default:
+			return false, ctx.Err()
+		}
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-signal:
+		return true, nil
+	case <-timer.C:
+		return false, nil
+	}
+}
+
 // Jitter returns a pause spread evenly by a quarter to both sides, so that nodes that
 // began together don't go on together.
 func Jitter(pause time.Duration) time.Duration {
--- a/internal/environment/environment_test.go
+++ b/internal/environment/environment_test.go
@@ -1,6 +1,7 @@
 package environment
 
 import (
+	"context"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,63 @@
 	})
 }
 
+func TestWaitUntil_EndsAtTheMomentTheSignalOrTheContext(t *testing.T) {
+	const pause = time.Second
+	for _, c := range []struct {
+		name               string
+		left               time.Duration // to the moment
+		signalled, ended   time.Duration // when these come; at once if negative
+		waited             time.Duration
+		isSignalled, fails bool
+	}{
+		{"the moment", pause, 2 * pause, 3 * pause, pause, false, false},
+		{"the signal", 2 * pause, pause, 3 * pause, pause, true, false},
+		{"the context", 3 * pause, 2 * pause, pause, pause, false, true},
+		{"a moment that has passed", -pause, pause, pause, 0, false, false},
+		{"a signal beside it", -pause, -1, pause, 0, true, false},
+		{"an end beside it", -pause, pause, -1, 0, false, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			signal := make(chan struct{}, 1)
+			after := func(pause time.Duration, act func()) {
+				if pause < 0 {
+					act()
+				} else {
+					time.AfterFunc(pause, act)
+				}
+			}
+			after(c.signalled, func() { signal <- struct{}{} })
+			after(c.ended, cancel)
+			began := time.Now()
+			isSignalled, err := WaitUntil(ctx, began.Add(c.left), signal)
+			if waited := time.Since(began); isSignalled != c.isSignalled || (err != nil) != c.fails || waited != c.waited {
+				t.Errorf("%s: signalled %v, error %v, after %s", c.name, isSignalled, err, waited)
+			}
+			time.Sleep(3 * pause)
+		})
+	}
+}
+
+// Under the race detector a timer that expires while its task works ends the process; see
+// WaitUntil.
+func TestWaitUntil_MakesNoTimerForAMomentThatHasPassed(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			var waiters sync.WaitGroup
+			for range 50 {
+				waiters.Go(func() {
+					for range 200 {
+						WaitUntil(t.Context(), time.Now(), nil)
+					}
+				})
+			}
+			waiters.Wait()
+		})
+	}
+}
+
 func TestShutdown_WaitsForTasksStartedMeanwhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newEnvironment(t, Host{})
