Soak: a stop that is not seen in time tells of the process's end and of the harness's own tasks

What was seen of the listed late stops: a listing of the process's threads was empty, which an error of the listing gives as well. Now it tells whether the process is running, has ended unseen (state Z), or is gone, with the error of /proc where there is one; how long its end took to be seen once it was killed; and what every task of the harness did then. No check is changed.

--- a/internal/harness/soak_work.go
+++ b/internal/harness/soak_work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -58,8 +59,7 @@
 	select {
 	case <-ended:
 	case <-time.After(time.Until(began.Add(stopTimeout))):
-		s.fail("%s did not stop within %s; its threads: %s", m.Name, stopTimeout, threadStates(m.PID()))
-		m.Kill()
+		s.failLateStop(m)
 	}
 	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
 	s.startMachine(m)
@@ -67,3 +67,16 @@
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 	}
 }
+
+// failLateStop tells of a process whose end was not seen in time, and of what it and this
+// process do, and ends it.
+func (s *soak) failLateStop(m *Machine) {
+	state := processState(m.PID())
+	path := filepath.Join(s.Folder, m.Name+".late-stop")
+	if err := writeGoroutines(path); err != nil {
+		s.fail("%v", err)
+	}
+	began := time.Now()
+	m.Kill()
+	s.fail("%s did not stop within %s; its process: %s; its end was seen %s after it was killed; this process: %s", m.Name, stopTimeout, state, time.Since(began), path)
+}
