--- a/internal/harness/command/command.go
+++ b/internal/harness/command/command.go
@@ -121,7 +121,7 @@
 			ProfileDir:      cmd.String("profile"),
 		}
 		err := inFolder(cmd, func(folder string) error {
-			options.Folder = folder
+			options.Folder = seedFolder(folder, seed, first == last)
 			return harness.Run(ctx, options)
 		})
 		if err != nil {
@@ -202,3 +202,12 @@
 	}
 	return os.RemoveAll(folder)
 }
+
+// seedFolder is where the run of a seed has its data and logs: in a folder of its own unless it is
+// the only run, as its fleet would go on with the data of the run before.
+func seedFolder(folder string, seed uint64, isOnly bool) string {
+	if isOnly {
+		return folder
+	}
+	return filepath.Join(folder, fmt.Sprintf("seed-%d", seed))
+}
--- a/internal/harness/command/command_test.go
+++ b/internal/harness/command/command_test.go
@@ -35,3 +35,15 @@
 		"report testdata/small.json",
 	})
 }
+
+// A second run in the folder of the first broke racing-changes 132 times: its core nodes had the
+// change sets of the first.
+func TestSeedFolder_KeepsRunsApart(t *testing.T) {
+	first, second := seedFolder("f", 1, false), seedFolder("f", 2, false)
+	if first == second || first == "f" || second == "f" {
+		t.Error(first, second)
+	}
+	if only := seedFolder("f", 1, true); only != "f" {
+		t.Error(only)
+	}
+}
--- a/internal/harness/command/soak.go
+++ b/internal/harness/command/soak.go
@@ -60,7 +60,7 @@
 		err := inFolder(cmd, func(folder string) error {
 			return harness.Soak(ctx, harness.SoakOptions{
 				Binary:   cmd.String("sumac"),
-				Folder:   folder,
+				Folder:   seedFolder(folder, seed, first == last),
 				Output:   os.Stdout,
 				History:  history.Writer,
 				Seed:     seed,
