--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -31,7 +31,7 @@
 // maxSequence is above every number that an instance gives its heartbeats.
 const maxSequence = 1 << 62
 
-// Heartbeat takes a target's heartheartbeat. The address returned is the API of the node that
+// Heartbeat takes a target's heartbeat. The address returned is the API of the node that
 // takes later ones without forwarding them; it is empty if that is this one, or not known.
 func (n *Node) Heartbeat(ctx context.Context, heartbeat *rpc.TargetHeartbeat) (betterAddress string, err error) {
 	n.heartbeats.Add(1)
