Soak: a stop is timed by a process that does nothing else, not by when the busy soak notices the end

Cause: the soak itself was held up. Ruled out: a thread of the process in state D (none was left), the listing's own failure (the error is "no such file").

The bound stays 6 s after SIGTERM and holds for the process's end, which harness ends notes. No word of an end is a failure. An end that was noticed together with the bound was judged at random before and is not now.

--- a/internal/harness/command/command.go
+++ b/internal/harness/command/command.go
@@ -72,6 +72,7 @@
 			}, Action: deployment},
 			soakCommand(binary, folder),
 			serverCommand(),
+			endWatchCommand(),
 			upgradeCommand(folder),
 			reportCommand(),
 		},
--- a/internal/harness/command/soak.go
+++ b/internal/harness/command/soak.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// endWatchCommand is the command of the process that notes when a soak's nodes end.
+func endWatchCommand() *cli.Command {
+	return &cli.Command{Name: harness.EndWatchCommand, Hidden: true, Usage: "when processes end, as standard input names them, until that ends",
+		Action: func(context.Context, *cli.Command) error { return harness.WatchEnds(os.Stdin, os.Stdout) },
+	}
+}
+
 func soak(ctx context.Context, cmd *cli.Command) error {
 	first, last, err := seedsOf(cmd.String("seeds"))
 	if err != nil {
--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -62,6 +62,7 @@
 type soak struct {
 	*run
 	clients int
+	ends    *endWatch
 	// corePermit is held while a core node is stopped, so that a majority stays.
 	corePermit sync.Mutex
 
@@ -107,6 +108,13 @@
 	if err != nil {
 		return err
 	}
+	if s.ends, err = newEndWatch(); err != nil {
+		return err
+	}
+	defer s.ends.close()
+	for _, m := range s.fleet.Machines {
+		s.watchEnd(m)
+	}
 	time.Sleep(registrationTime)
 	s.logf("the fleet is ready")
 	if s.ThrottleCPU {
--- a/internal/harness/soak_work.go
+++ b/internal/harness/soak_work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"path/filepath"
 	"syscall"
@@ -46,7 +47,7 @@
 func (s *soak) stopInSeries(m *Machine, random *rand.Rand) {
 	s.recordFault("stop %s", m.Name)
 	s.history.Add(checker.Record{Kind: checker.PlannedStop, Proxy: m.ProxyAddress()})
-	ended := m.process.Load().done
+	stopping := m.process.Load()
 	for range random.IntN(4) {
 		m.signal(syscall.SIGHUP)
 	}
@@ -56,27 +57,46 @@
 		time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
 		m.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[random.IntN(2)])
 	}
+	seenLate := ""
 	select {
-	case <-ended:
+	case <-stopping.done:
 	case <-time.After(time.Until(began.Add(stopTimeout))):
-		s.failLateStop(m)
+		seenLate = s.describeLateStop(m)
+		m.Kill()
 	}
+	s.checkStop(m, stopping.cmd.Process.Pid, began, seenLate)
 	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
 	s.startMachine(m)
+	s.watchEnd(m)
 	if random.IntN(3) > 0 {
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 	}
 }
 
-// failLateStop tells of a process whose end was not seen in time, and of what it and this
-// process do, and ends it.
-func (s *soak) failLateStop(m *Machine) {
+// checkStop fails if a process that has ended took too long over its stop. How it went on when this
+// process had not seen its end in time is told in any case.
+func (s *soak) checkStop(m *Machine, pid int, told time.Time, seenLate string) {
+	if late := s.ends.lateStop(pid, told); late != "" {
+		s.fail("%s did not stop within %s: %s; %s", m.Name, stopTimeout, late, seenLate)
+	} else if seenLate != "" {
+		s.logf("%s stopped in time, which was seen late: %s", m.Name, seenLate)
+	}
+}
+
+// describeLateStop tells what a process does whose end was not seen in time, and where it is
+// written what this process does.
+func (s *soak) describeLateStop(m *Machine) string {
 	state := processState(m.PID())
 	path := filepath.Join(s.Folder, m.Name+".late-stop")
 	if err := writeGoroutines(path); err != nil {
-		s.fail("%v", err)
+		path = err.Error()
+	}
+	return fmt.Sprintf("its process: %s; this process: %s", state, path)
+}
+
+// watchEnd has the end of a machine's process noted.
+func (s *soak) watchEnd(m *Machine) {
+	if err := s.ends.watch(m.PID()); err != nil {
+		s.fail("%s: its end is not watched: %v", m.Name, err)
 	}
-	began := time.Now()
-	m.Kill()
-	s.fail("%s did not stop within %s; its process: %s; its end was seen %s after it was killed; this process: %s", m.Name, stopTimeout, state, time.Since(began), path)
 }
