--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -249,10 +249,12 @@
 }
 
 func TestShutdown_NewConnectionMaySendItsFirstRequest(t *testing.T) {
-	accepted := make(chan struct{}, 1)
+	accepted := make(chan struct{})
+	// Looking whether the server listens makes connections too, which must not hold up Accept.
+	accept := sync.OnceFunc(func() { close(accepted) })
 	server, address := start(t, asItIs, Config{
 		Handler:           greeting.Handler,
-		PrepareConnection: func(net.Conn) { accepted <- struct{}{} },
+		PrepareConnection: func(net.Conn) { accept() },
 	})
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
