Simulator: a process may stand still right before a write

The network holds the next write of a machine to an address at its beginning, after the look at the connection's deadline and before the system takes the bytes; or it has the whole machine stand still from there on (reads, accepts, dials, writes and datagrams). A machine's process can also be frozen at once: what comes is acknowledged by its system, so TCP_USER_TIMEOUT doesn't give it up, and is read when the time is over. Timers of a frozen process run on.

--- a/internal/simulator/conn.go
+++ b/internal/simulator/conn.go
@@ -127,6 +127,7 @@
 
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		thawedAt := c.network.awaitThaw(c.localHost)
 		isClosed, by, _, deadline := c.status()
 		if isClosed {
 			return 0, net.ErrClosed
@@ -148,7 +149,8 @@
 		case isBlocked:
 		case len(h.segments) > 0:
 			first := &h.segments[0]
-			if !first.expiresAt.IsZero() && time.Now().After(first.expiresAt) {
+			isAcknowledged := first.deliverAt.Before(thawedAt) // by the system of a process that stood still
+			if !first.expiresAt.IsZero() && time.Now().After(first.expiresAt) && !isAcknowledged {
 				h.broken = true
 				h.broadcast()
 				h.mu.Unlock()
@@ -178,7 +180,7 @@
 }
 
 func (c *conn) Write(p []byte) (int, error) {
-	for {
+	for hasBegun := false; ; {
 		isClosed, _, by, deadline := c.status()
 		if isClosed {
 			return 0, net.ErrClosed
@@ -186,6 +188,10 @@
 		if !by.IsZero() && !time.Now().Before(by) {
 			return 0, os.ErrDeadlineExceeded
 		}
+		if !hasBegun {
+			c.network.beginWrite(c.localHost, c.remoteAddress)
+			hasBegun = true
+		}
 		c.mu.Lock()
 		patience := c.userTimeout
 		c.mu.Unlock()
--- a/internal/simulator/listener.go
+++ b/internal/simulator/listener.go
@@ -16,6 +16,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.queue:
+		l.w.awaitThaw(hostOf(l.address))
 		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -30,6 +30,8 @@
 	paused      map[string]bool
 	generations map[string]int // a killed process of a machine counts up its generation
 	suspended   map[string]time.Duration
+	frozenUntil map[string]time.Time
+	standstills map[writeDirection]*standstill // armed, each for one write
 	links       map[string]*link
 	disks       map[string]*Disk
 	lossRate    float64 // share of the datagrams that are lost
@@ -54,6 +56,8 @@
 		paused:      map[string]bool{},
 		generations: map[string]int{},
 		suspended:   map[string]time.Duration{},
+		frozenUntil: map[string]time.Time{},
+		standstills: map[writeDirection]*standstill{},
 		links:       map[string]*link{},
 		disks:       map[string]*Disk{},
 		listeners:   map[string]*listener{},
@@ -251,6 +255,7 @@
 func (n *Network) dial(ctx context.Context, ip, address string, isAlive func() bool) (net.Conn, error) {
 	to := hostOf(address)
 	for {
+		n.awaitThaw(ip)
 		n.mu.Lock()
 		if !isAlive() {
 			n.mu.Unlock()
--- a/internal/simulator/packet_conn.go
+++ b/internal/simulator/packet_conn.go
@@ -27,6 +27,7 @@
 			if d := time.Until(got.due); d > 0 {
 				waitForEvent(time.Time{}, got.due, p.closed)
 			}
+			p.w.awaitThaw(hostOf(p.address))
 			p.w.mu.Lock()
 			isBlocked := p.w.blocked(hostOf(got.from), hostOf(p.address))
 			p.w.mu.Unlock()
@@ -47,6 +48,7 @@
 	default:
 	}
 	w, from := p.w, hostOf(p.address)
+	w.awaitThaw(from)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.countBytes(from, hostOf(to.String()), len(b)+28)
