Targets refuse requests whose epoch is long past: the epoch is a fencing token

Callers saw: a request handled under an epoch over two seconds after a newer one was acknowledged (old-plan), or by a target over two seconds after its drain (late-hand-over). Cause: a process that stands still between the proxy's check and its write, or between the target's socket and its handler; one process checks the fact and another acts on it.

The answer to a heartbeat names the epoch in force and the age of that confirmation; a target refuses what names an older epoch than the oldest confirmation of the last 1.9 s, all while it has none, and all that comes 1.9 s after it said that it drains. The proxy answers 1002, not run, at once and holds nothing against the target. It works because whoever was held up, the one that acts asks last: a change acknowledged over 2 s ago was in force at each of these confirmations. Additive on the wire: two optional fields in the answer to a heartbeat; without them nothing is fenced, as with distribution.offline_grace. The check of old-plan is as it was.

Ruled out: a check after the write (can't take back), a time in the head (one clock for two machines), a shorter age (a smaller moment, not none), TCP_USER_TIMEOUT (counts from the write).

--- a/internal/api/oas_json_gen.go
+++ b/internal/api/oas_json_gen.go
@@ -3531,10 +3531,24 @@
 		e.FieldStart("again")
 		e.Int(s.Again)
 	}
+	{
+		if s.Epoch.Set {
+			e.FieldStart("epoch")
+			s.Epoch.Encode(e)
+		}
+	}
+	{
+		if s.Age.Set {
+			e.FieldStart("age")
+			s.Age.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfTaken = [1]string{
+var jsonFieldsNameOfTaken = [3]string{
 	0: "again",
+	1: "epoch",
+	2: "age",
 }
 
 // Decode decodes Taken from json.
@@ -3558,6 +3572,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"again\"")
 			}
+		case "epoch":
+			if err := func() error {
+				s.Epoch.Reset()
+				if err := s.Epoch.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"epoch\"")
+			}
+		case "age":
+			if err := func() error {
+				s.Age.Reset()
+				if err := s.Age.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"age\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/api/oas_schemas_gen.go
+++ b/internal/api/oas_schemas_gen.go
@@ -1713,6 +1713,11 @@
 type Taken struct {
 	// Milliseconds until the next beat.
 	Again int `json:"again"`
+	// The epoch in force, by which a server refuses requests that name an older one; 0 where it is not
+	// known, absent where proxies may go on out of touch.
+	Epoch OptUint64 `json:"epoch"`
+	// Milliseconds for which that has been confirmed, before this response.
+	Age OptInt64 `json:"age"`
 }
 
 // GetAgain returns the value of Again.
@@ -1720,11 +1725,31 @@
 	return s.Again
 }
 
+// GetEpoch returns the value of Epoch.
+func (s *Taken) GetEpoch() OptUint64 {
+	return s.Epoch
+}
+
+// GetAge returns the value of Age.
+func (s *Taken) GetAge() OptInt64 {
+	return s.Age
+}
+
 // SetAgain sets the value of Again.
 func (s *Taken) SetAgain(val int) {
 	s.Again = val
 }
 
+// SetEpoch sets the value of Epoch.
+func (s *Taken) SetEpoch(val OptUint64) {
+	s.Epoch = val
+}
+
+// SetAge sets the value of Age.
+func (s *Taken) SetAge(val OptInt64) {
+	s.Age = val
+}
+
 // Ref: #/components/schemas/Target
 type Target struct {
 	Instance string `json:"instance"`
--- a/internal/distribution/server.go
+++ b/internal/distribution/server.go
@@ -178,6 +178,15 @@
 	return s.relay.get(ctx)
 }
 
+// Confirmation tells which epoch is in force, and how long ago that was confirmed.
+func (s *Server) Confirmation(ctx context.Context) (ids.Epoch, time.Duration, error) {
+	response, err := s.pulse(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	return response.Epoch, time.Duration(response.AgeMicros) * time.Microsecond, nil
+}
+
 // pulseLeader asks the configuration shard's leader for the ages of its confirmations.
 func (s *Server) pulseLeader() (*rpc.FreshnessResponse, error) {
 	name, ok := s.consensus.Leader(ids.ConfigShard)
--- a/internal/node/api.go
+++ b/internal/node/api.go
@@ -25,7 +25,12 @@
 	if _, err := h.n.Heartbeat(ctx, beat); err != nil {
 		return nil, err
 	}
-	return &api.Taken{Again: int(h.n.Env.Config.ControlplaneHeartbeatPeriod.Milliseconds())}, nil
+	taken := &api.Taken{Again: int(h.n.Env.Config.ControlplaneHeartbeatPeriod.Milliseconds())}
+	if h.n.fencesTargets() {
+		epoch, age := h.n.confirmedEpoch(ctx)
+		taken.Epoch, taken.Age = api.NewOptUint64(uint64(epoch)), api.NewOptInt64(age.Milliseconds()+1)
+	}
+	return taken, nil
 }
 
 func (h *apiHandler) Submit(ctx context.Context, req *api.Change) (*api.ChangeReceipt, error) {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -42,7 +42,7 @@
 	n.Coordination = coordination.NewService(n.Env, n.Consensus, n.Stores)
 	n.Targets = controlplane.NewTargetRegistry(controlplane.RegistryConfig{Env: n.Env, Consensus: n.Consensus, Stores: n.Stores, State: n.Plan, OnChange: n.notifyPlanner})
 	n.Planner = controlplane.NewPlanner(controlplane.PlannerConfig{Env: n.Env, Transport: n.RPC, Members: n.Members, Consensus: n.Consensus, State: n.Plan})
-	distribution.NewServer(distribution.ServerConfig{
+	n.configServer = distribution.NewServer(distribution.ServerConfig{
 		Environment: n.Env,
 		Transport:   n.RPC,
 		Members:     n.Members,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	Plan         *controlplane.ConfigState
 	Targets      *controlplane.TargetRegistry
 	Planner      *controlplane.Planner
+	configServer *distribution.Server
 
 	// A proxy has these; they are nil on any other node.
 	Distribution *distribution.Client
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -188,6 +188,8 @@
 	case misdirected:
 		to.Bar()
 		return attemptResult{response: response, wrote: true, err: errcode.New(errcode.TargetRejected, "%s: another instance has the address", to.Target.Instance)}
+	case notRun && header.Get(p.environment.Config.HeaderNotExecuted) == NotRunSuperseded:
+		return attemptResult{response: response, wrote: true, err: errcode.New(errcode.NotFresh, "%s: the target refuses the epoch", to.Target.Instance)}
 	case notRun:
 		to.RecordRefusal(now, plan.endpoints.TypicalLatency())
 		return attemptResult{response: response, wrote: true, err: errcode.New(errcode.TargetRejected, "%s: %d", to.Target.Instance, status)}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -20,3 +20,7 @@
 	HeaderProxy          = headerPrefix + "Proxy"
 	HeaderIdempotencyKey = idempotency.HeaderKey
 )
+
+// NotRunSuperseded is the value of the setting header.not_executed's header by which a target says
+// that it refuses the epoch of a request and not the request itself.
+const NotRunSuperseded = "superseded"
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -58,6 +58,9 @@
 		s.rejectEarly(w, r)
 		return
 	}
+	if !s.Opaque && s.rejectSuperseded(w, r) {
+		return
+	}
 	if s.HeadDelay > 0 {
 		time.Sleep(s.HeadDelay)
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/fencing"
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/environment"
@@ -54,6 +55,7 @@
 	CancelsOnDisconnect bool
 	Cancelled           atomic.Int64
 
+	fence        fencing.Fence
 	sequence     atomic.Uint64 // of heartbeats
 	requestCount atomic.Int64
 	state        atomic.Value // string, as reported in heartbeats
@@ -120,14 +122,29 @@
 func (s *Server) heartbeat(ctx context.Context, client *api.Client, state string) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	_, err := client.Beat(ctx, &api.Beat{Service: s.Service, Instance: s.Instance, Seq: s.sequence.Add(1), Address: s.Address, Zone: api.NewOptString(s.Zone), Weight: api.NewOptInt(weight), State: api.BeatState(state)})
-	return err
+	sentAt := time.Now()
+	taken, err := client.Beat(ctx, &api.Beat{Service: s.Service, Instance: s.Instance, Seq: s.sequence.Add(1), Address: s.Address, Zone: api.NewOptString(s.Zone), Weight: api.NewOptInt(weight), State: api.BeatState(state)})
+	if err != nil {
+		return err
+	}
+	switch epoch, ok := taken.Epoch.Get(); {
+	case !ok:
+		s.fence.Lift()
+	case epoch > 0:
+		s.fence.Confirm(epoch, sentAt.Add(-time.Duration(taken.Age.Or(0))*time.Millisecond))
+	}
+	return nil
 }
 
 // Announce sends heartbeats with a state until one is acknowledged, and records that the
 // state is known from then on. It returns false if the context ended first.
 func (s *Server) Announce(ctx context.Context, state string) bool {
 	s.state.Store(state)
+	if state == stateServing {
+		s.fence.Serve()
+	} else {
+		s.fence.Drain(time.Now())
+	}
 	for i := 0; ctx.Err() == nil; i++ {
 		client := NewAPIClient(s.Network, s.Nodes[i%len(s.Nodes)])
 		if s.heartbeat(ctx, client, state) == nil {
