A drain is acknowledged only by a leader that still is one

Callers would see: a target that drains is told so and gets requests on. Cause: where a departure was on record already, a leader answered from its own state without confirming that it still leads (HandleHeartbeat); a deposed one does so until it notices. The leader confirms its term as of the heartbeat before it looks at the record, as a read does; only heartbeats of targets that drain or leave pay for it.

--- a/internal/controlplane/registry.go
+++ b/internal/controlplane/registry.go
@@ -87,6 +87,12 @@
 		r.logRefusal(heartbeat, "no such service")
 		return errcode.New(errcode.UnknownService, "%q", heartbeat.Service)
 	}
+	if heartbeat.State != StateServing {
+		// What is known of its departure may be answered from here only by a leader that still is one.
+		if err := replica.ConfirmLeadership(ctx, r.env.Now()); err != nil {
+			return err
+		}
+	}
 	departure, hasDeparture := r.stores[shard].Get(coordination.KindInstanceState, heartbeat.Service+"/"+heartbeat.Instance)
 	outdated, changed := r.record(shard, term, heartbeat, hasDeparture && heartbeat.Sequence < departure.Sequence)
 	if outdated && heartbeat.State == StateServing {
