The answer to a repeat waits as long as the first

Callers saw: the repeat of a drain or of a change set (its first answer late or lost) is acknowledged before proxies were given controlplane.acknowledge_delay to hear of it; what comes after that word may still act on what was before. Cause: only the call that made the entry waited. A repeat, and the question what became of a change set, which acknowledges it too, wait for the whole delay: it is never too short, whoever took the first. Without that setting nothing changes.

--- a/internal/controlplane/registry.go
+++ b/internal/controlplane/registry.go
@@ -113,8 +113,9 @@
 	if entry != nil || changed {
 		r.notifyChange()
 	}
-	if entry != nil && heartbeat.State != StateServing {
-		// The proxies hear of it before whoever goes may count on it.
+	if heartbeat.State != StateServing {
+		// The proxies hear of it before whoever goes may count on it. The answer to a repeat may
+		// come before that to the first, so it waits for as long.
 		waitForPropagation(ctx, r.env)
 	}
 	return nil
--- a/internal/controlplane/submit.go
+++ b/internal/controlplane/submit.go
@@ -19,43 +19,44 @@
 // not lead the configuration shard, and errcode.ChangeUnknown that the set may or may not
 // have been accepted: ChangeStatus will tell.
 func (p *Planner) Submit(ctx context.Context, change *rpc.ChangeSet) (*rpc.ChangeResult, error) {
-	result, isNew, err := p.submit(ctx, change)
-	if isNew {
+	result, err := p.submit(ctx, change)
+	if err == nil {
+		// Also where it is a repeat: its answer may come before that to the first.
 		waitForPropagation(ctx, p.env)
 	}
 	return result, err
 }
 
-func (p *Planner) submit(ctx context.Context, change *rpc.ChangeSet) (result *rpc.ChangeResult, isNew bool, err error) {
+func (p *Planner) submit(ctx context.Context, change *rpc.ChangeSet) (*rpc.ChangeResult, error) {
 	p.planning.Lock()
 	defer p.planning.Unlock()
 	if err := p.replica.ConfirmLeadership(ctx, p.env.Now()); err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	encoded, err := json.Marshal(change)
 	if err != nil {
-		return nil, false, errcode.New(errcode.InvalidCall, "%v", err)
+		return nil, errcode.New(errcode.InvalidCall, "%v", err)
 	}
 	digest := Digest(encoded)
 	first, merged, err := p.checkChange(change, digest)
 	if first != nil {
-		return first, false, nil
+		return first, nil
 	}
 	if err != nil {
 		if !errors.Is(err, errcode.ChangeReused) {
 			p.env.Events.Emit(eventlog.ChangeRejected, "id", change.ID, "code", errcode.From(err).Code.Number)
 		}
-		return nil, false, err
+		return nil, err
 	}
-	result = &rpc.ChangeResult{ID: change.ID, State: stateAccepted, Digest: digest, Version: change.Version}
+	result := &rpc.ChangeResult{ID: change.ID, State: stateAccepted, Digest: digest, Version: change.Version}
 	if err := p.commitEpoch(ctx, &acceptedChange{result: result, config: merged}); err != nil {
 		if errors.Is(err, errcode.NotLeader) {
-			return nil, false, err
+			return nil, err
 		}
-		return nil, false, errcode.New(errcode.ChangeUnknown, "%v", err)
+		return nil, errcode.New(errcode.ChangeUnknown, "%v", err)
 	}
 	p.env.Events.Emit(eventlog.ChangeAccepted, "id", change.ID, "epoch", uint64(result.Epoch))
-	return result, true, nil
+	return result, nil
 }
 
 // checkChange holds a change set against the epoch in force. It returns the first result of
@@ -81,6 +82,14 @@
 // that it was not. It waits for all that is in the log, so that an absence can't be followed
 // by a late acceptance.
 func (p *Planner) ChangeStatus(ctx context.Context, id string) (*rpc.ChangeResult, error) {
+	result, err := p.changeStatus(ctx, id)
+	if err == nil {
+		waitForPropagation(ctx, p.env) // it acknowledges the change set as Submit does
+	}
+	return result, err
+}
+
+func (p *Planner) changeStatus(ctx context.Context, id string) (*rpc.ChangeResult, error) {
 	p.planning.Lock()
 	defer p.planning.Unlock()
 	if err := p.replica.Barrier(ctx); err != nil {
