Event 805 and the soak tell what the host withheld from the machine

Seen: hold-ups of several seconds of which event 805 told the wait for a processor and for a disk, and not whether it was a processor of this machine or one that its host had withheld. Cause of the gap: steal was not read.

The whole packages were not run for this commit.

--- a/internal/harness/soak_stalls.go
+++ b/internal/harness/soak_stalls.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/environment"
 	"github.com/sumactrestle/sumactrestle/internal/eventlog"
 )
 
@@ -17,6 +18,8 @@
 type stall struct {
 	machine    *Machine
 	start, end time.Duration // since the run's begin
+	waits      environment.Waits
+	within     time.Duration // before its end, in which the process and its machine had these waits
 }
 
 func (s stall) length() time.Duration { return s.end - s.start }
@@ -26,6 +29,19 @@
 	Time         time.Time `json:"time"`
 	Event        int       `json:"event"`
 	Milliseconds int64     `json:"ms"`
+	Processor    int64     `json:"processor_wait_ms"`
+	Disk         int64     `json:"disk_wait_ms"`
+	Stolen       int64     `json:"stolen_ms"`
+	Within       int64     `json:"within_ms"`
+}
+
+// waits is what the process and its machine waited for within the time that the entry names.
+func (e stallEntry) waits() environment.Waits {
+	return environment.Waits{
+		Processor: time.Duration(e.Processor) * time.Millisecond,
+		Disk:      time.Duration(e.Disk) * time.Millisecond,
+		Stolen:    time.Duration(e.Stolen) * time.Millisecond,
+	}
 }
 
 // readStalls reads the stalls of every process from the logs. A log that can't be read tells
@@ -50,7 +66,10 @@
 			continue
 		}
 		end := entry.Time.Sub(r.startedAt)
-		stalls = append(stalls, stall{m, end - time.Duration(entry.Milliseconds)*time.Millisecond, end})
+		stalls = append(stalls, stall{
+			machine: m, start: end - time.Duration(entry.Milliseconds)*time.Millisecond, end: end,
+			waits: entry.waits(), within: time.Duration(entry.Within) * time.Millisecond,
+		})
 	}
 	return stalls
 }
@@ -75,5 +94,6 @@
 		return
 	}
 	worst := slices.MaxFunc(stalls, func(a, b stall) int { return int(a.length() - b.length()) })
-	r.logf("processes were held up %d times, %s by %s at the most", len(stalls), worst.machine.Name, worst.length().Round(time.Millisecond))
+	r.logf("processes were held up %d times, %s by %s at the most; within %s its threads waited %s for a processor, its machine %s for a disk, and the host withheld %s",
+		len(stalls), worst.machine.Name, worst.length().Round(time.Millisecond), worst.within, worst.waits.Processor, worst.waits.Disk, worst.waits.Stolen)
 }
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -55,7 +55,8 @@
 	w.readWaits()
 	waits := w.waits.Since(before)
 	w.env.Events.Emit(eventlog.ProcessStalled, "ms", delay.Milliseconds(),
-		"processor_wait_ms", waits.Processor.Milliseconds(), "disk_wait_ms", waits.Disk.Milliseconds(), "within_ms", since.Milliseconds())
+		"processor_wait_ms", waits.Processor.Milliseconds(), "disk_wait_ms", waits.Disk.Milliseconds(),
+		"stolen_ms", waits.Stolen.Milliseconds(), "within_ms", since.Milliseconds())
 }
 
 // readWaits asks the kernel for the process's waits so far.
--- a/internal/node/stall_test.go
+++ b/internal/node/stall_test.go
@@ -13,16 +13,16 @@
 
 func TestStallWatch_TellsByHowMuchTheProcessWasHeldUp(t *testing.T) {
 	var log bytes.Buffer
-	waits := environment.Waits{Processor: time.Second, Disk: time.Second}
+	waits := environment.Waits{Processor: time.Second, Disk: time.Second, Stolen: time.Second}
 	w := &stallWatch{env: environment.New(t.Context(), &config.Settings{}, eventlog.New(&log, "info", "n"), environment.Host{Waits: func() environment.Waits { return waits }})}
 	w.readWaits()
 	w.observe(minStall - time.Millisecond)
 	if log.Len() > 0 || w.stalledFor() != 0 {
 		t.Error("a short delay was reported:", log.String())
 	}
-	waits = environment.Waits{Processor: time.Second + 250*time.Millisecond, Disk: time.Second + 40*time.Millisecond}
+	waits = environment.Waits{Processor: time.Second + 250*time.Millisecond, Disk: time.Second + 40*time.Millisecond, Stolen: time.Second + 30*time.Millisecond}
 	w.observe(300 * time.Millisecond)
-	if !strings.Contains(log.String(), `"processor_wait_ms":250,"disk_wait_ms":40,`) {
+	if !strings.Contains(log.String(), `"processor_wait_ms":250,"disk_wait_ms":40,"stolen_ms":30,`) {
 		t.Error(log.String())
 	}
 	w.observe(200 * time.Millisecond)
