Soak: the end of a process is noted with the last look that saw it run

Fix: the watch looks at all its processes in one system call, every 10 ms at the latest, and notes beside each end when it last saw the process run. A late stop names both: far apart, the watch was held up. The verdict is as before: the time at which the end was seen, against 6 s.

The test of a process that had ended goes through WatchEnds now, as does the harness, and asks for a note with its ID.

--- a/internal/harness/end_watch.go
+++ b/internal/harness/end_watch.go
@@ -22,18 +22,25 @@
 // endNoteTimeout bounds the wait for word of a process's end once it is known to have ended.
 const endNoteTimeout = 10 * time.Second
 
-// processEnd tells when a process ended.
+// endLookInterval is how long a look at the processes that are watched waits for an end.
+const endLookInterval = 10 * time.Millisecond
+
+// processEnd tells when a process ended: after RunningAt, when it was last seen to run, and not after
+// At. Where they lie far apart, the one who watched was itself held up. RunningAt is zero if the
+// process was never seen to run.
 type processEnd struct {
-	PID int
-	At  time.Time
+	PID       int
+	RunningAt time.Time
+	At        time.Time
 }
 
 // WatchEnds notes when processes end, until input ends: input names each by its ID, and output gets
 // a processEnd for each. It does nothing else, so that a busy harness does not make it late.
 func WatchEnds(input io.Reader, output io.Writer) error {
 	decoder := json.NewDecoder(input)
-	var writing sync.Mutex
-	encoder := json.NewEncoder(output)
+	added := make(chan *watchedProcess)
+	defer close(added)
+	go lookForEnds(added, json.NewEncoder(output))
 	for {
 		var pid int
 		if err := decoder.Decode(&pid); errors.Is(err, io.EOF) {
@@ -41,47 +48,77 @@
 		} else if err != nil {
 			return errcode.New(errcode.InvalidCall, "a process's ID: %v", err)
 		}
-		descriptor, err := openProcess(pid)
+		process, err := openProcess(pid)
 		if err != nil {
 			return err
 		}
-		go func() {
-			awaitEnd(descriptor)
-			end := processEnd{PID: pid, At: time.Now()}
-			writing.Lock()
-			defer writing.Unlock()
-			encoder.Encode(end) // a harness that is gone needs none
-		}()
+		added <- process
 	}
 }
 
-// openProcess returns a descriptor that becomes readable when the process ends; nil if it has.
-func openProcess(pid int) (*os.File, error) {
-	descriptor, err := unix.PidfdOpen(pid, unix.PIDFD_NONBLOCK)
+// watchedProcess is a process of which the end is to be noted.
+type watchedProcess struct {
+	end        processEnd
+	descriptor int // becomes readable when the process ends; negative if it had ended before
+}
+
+// openProcess opens the descriptor of a process.
+func openProcess(pid int) (*watchedProcess, error) {
+	descriptor, err := unix.PidfdOpen(pid, 0)
 	if errors.Is(err, unix.ESRCH) {
-		return nil, nil
-	}
-	if err != nil {
+		descriptor = -1
+	} else if err != nil {
 		return nil, errcode.New(errcode.Internal, "process %d: %v", pid, os.NewSyscallError("pidfd_open", err))
 	}
-	return os.NewFile(uintptr(descriptor), "process"), nil
+	return &watchedProcess{end: processEnd{PID: pid}, descriptor: descriptor}, nil
 }
 
-// awaitEnd waits for the end of a process, and closes its descriptor.
-func awaitEnd(process *os.File) {
-	if process == nil {
-		return
+// lookForEnds looks at the processes that are added, look after look, until no more are.
+func lookForEnds(added <-chan *watchedProcess, notes *json.Encoder) {
+	var running []*watchedProcess
+	for {
+		select {
+		case process, isOpen := <-added:
+			if !isOpen {
+				return
+			}
+			running = append(running, process)
+		default:
+			running = noteEnds(running, notes)
+		}
 	}
-	defer process.Close()
-	raw, err := process.SyscallConn()
-	if err != nil {
-		return
+}
+
+// noteEnds looks at processes once, for endLookInterval or until one ends. It notes those that have
+// ended and returns the others.
+func noteEnds(processes []*watchedProcess, notes *json.Encoder) []*watchedProcess {
+	polled := make([]unix.PollFd, len(processes))
+	interval := endLookInterval
+	for i, process := range processes {
+		polled[i] = unix.PollFd{Fd: int32(process.descriptor), Events: unix.POLLIN}
+		if process.descriptor < 0 {
+			interval = 0
+		}
+	}
+	lookedAt := time.Now()
+	if _, err := unix.Poll(polled, int(interval.Milliseconds())); err != nil {
+		return processes // it was interrupted
 	}
-	raw.Read(func(fd uintptr) bool {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled, 0)
-		return err == nil && n > 0
-	})
+	now := time.Now()
+	var running []*watchedProcess
+	for i, process := range processes {
+		if process.descriptor >= 0 && polled[i].Revents == 0 {
+			process.end.RunningAt = lookedAt
+			running = append(running, process)
+			continue
+		}
+		process.end.At = now
+		notes.Encode(process.end) // a harness that is gone needs none
+		if process.descriptor >= 0 {
+			unix.Close(process.descriptor)
+		}
+	}
+	return running
 }
 
 // endWatch knows when processes ended, by a process of its own that watches them.
@@ -91,7 +128,7 @@
 	closed  chan struct{} // closed when no more word comes
 
 	mu   sync.Mutex // guards ends, and that a process is named whole
-	ends map[int]chan time.Time
+	ends map[int]chan processEnd
 }
 
 // newEndWatch starts the process that watches, by the program of this one.
@@ -100,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &endWatch{command: exec.Command(program, EndWatchCommand), closed: make(chan struct{}), ends: map[int]chan time.Time{}}
+	w := &endWatch{command: exec.Command(program, EndWatchCommand), closed: make(chan struct{}), ends: map[int]chan processEnd{}}
 	w.command.Stderr = os.Stderr
 	w.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if w.input, err = w.command.StdinPipe(); err != nil {
@@ -121,7 +158,7 @@
 func (w *endWatch) watch(pid int) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ends[pid] = make(chan time.Time, 1)
+	w.ends[pid] = make(chan processEnd, 1)
 	return json.NewEncoder(w.input).Encode(pid)
 }
 
@@ -138,26 +175,26 @@
 		noted := w.ends[end.PID]
 		w.mu.Unlock()
 		if noted != nil {
-			noted <- end.At
+			noted <- end
 		}
 	}
 }
 
-// endOf returns when a process ended that is known to have ended; false if no word of it came.
-func (w *endWatch) endOf(pid int) (time.Time, bool) {
+// endOf returns the end of a process that is known to have ended; false if no word of it came.
+func (w *endWatch) endOf(pid int) (processEnd, bool) {
 	w.mu.Lock()
 	noted := w.ends[pid]
 	w.mu.Unlock()
 	if noted == nil {
-		return time.Time{}, false
+		return processEnd{}, false
 	}
 	select {
-	case at := <-noted:
-		return at, true
+	case end := <-noted:
+		return end, true
 	case <-w.closed:
 	case <-time.After(endNoteTimeout):
 	}
-	return time.Time{}, false
+	return processEnd{}, false
 }
 
 // lateStop tells what was wrong with the stop of a process that was told to stop at a time, and has
@@ -167,12 +204,20 @@
 	if !isKnown {
 		return "no word of its end"
 	}
-	if took := end.Sub(told); took > stopTimeout {
-		return fmt.Sprintf("it ended after %s", took)
+	if took := end.At.Sub(told); took > stopTimeout {
+		return fmt.Sprintf("it ended after %s%s", took, end.lastSeen(told))
 	}
 	return ""
 }
 
+// lastSeen tells how long after a moment the process was last seen to run.
+func (e processEnd) lastSeen(after time.Time) string {
+	if e.RunningAt.IsZero() {
+		return ", and was never seen to run"
+	}
+	return fmt.Sprintf(" and was last seen to run after %s", e.RunningAt.Sub(after))
+}
+
 // close ends the process that watches.
 func (w *endWatch) close() {
 	w.input.Close()
--- a/internal/harness/end_watch_test.go
+++ b/internal/harness/end_watch_test.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -42,6 +43,9 @@
 		if lasted := end.At.Sub(process.at); !isWatched || lasted < process.lasted || end.At.After(time.Now()) {
 			t.Errorf("process %d ended after %s, not %s", end.PID, lasted, process.lasted)
 		}
+		if !end.RunningAt.After(process.at) || !end.RunningAt.Before(end.At) {
+			t.Errorf("process %d, begun at %s, ran at %s and ended at %s", end.PID, process.at, end.RunningAt, end.At)
+		}
 		delete(watched, end.PID)
 	}
 	names.Close()
@@ -55,11 +59,49 @@
 	if err := command.Run(); err != nil {
 		t.Fatal(err)
 	}
-	descriptor, err := openProcess(command.Process.Pid)
-	if err != nil || descriptor != nil {
-		t.Fatal(descriptor, err)
+	input, names := io.Pipe()
+	notes, output := io.Pipe()
+	go WatchEnds(input, output)
+	defer names.Close()
+	if err := json.NewEncoder(names).Encode(command.Process.Pid); err != nil {
+		t.Fatal(err)
+	}
+	var end processEnd
+	if err := json.NewDecoder(notes).Decode(&end); err != nil || end.PID != command.Process.Pid || end.At.IsZero() || !end.RunningAt.IsZero() {
+		t.Error(end, err)
+	}
+}
+
+// One look before and one after a time in which the watch itself stood still: the process ended
+// somewhere between.
+func TestNoteEnds_TellsBetweenWhichLooksAProcessEnded(t *testing.T) {
+	command := exec.Command("sleep", "100")
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	process, err := openProcess(command.Process.Pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var notes bytes.Buffer
+	running := noteEnds([]*watchedProcess{process}, json.NewEncoder(&notes))
+	lookedAt := time.Now()
+	if len(running) != 1 || notes.Len() > 0 {
+		t.Fatal(running, notes.String())
+	}
+	command.Process.Kill()
+	command.Wait()
+	endedBy := time.Now()
+	if running = noteEnds(running, json.NewEncoder(&notes)); len(running) > 0 {
+		t.Error("its end was not seen")
+	}
+	var end processEnd
+	if err := json.Unmarshal(notes.Bytes(), &end); err != nil {
+		t.Fatal(err)
+	}
+	if end.RunningAt.After(lookedAt) || end.At.Before(endedBy) {
+		t.Errorf("%+v, looked at %s, ended by %s", end, lookedAt, endedBy)
 	}
-	awaitEnd(descriptor)
 }
 
 // A soak of 160 clients beside others was held up by 2.9 s, and saw the end of a process 6.7 s
@@ -76,11 +118,11 @@
 		{"after it", began.Add(stopTimeout + time.Millisecond), true},
 		{"no word of its end", time.Time{}, true},
 	} {
-		w := &endWatch{closed: make(chan struct{}), ends: map[int]chan time.Time{7: make(chan time.Time, 1)}}
+		w := &endWatch{closed: make(chan struct{}), ends: map[int]chan processEnd{7: make(chan processEnd, 1)}}
 		if c.end.IsZero() {
 			close(w.closed)
 		} else {
-			w.ends[7] <- c.end
+			w.ends[7] <- processEnd{At: c.end, RunningAt: c.end.Add(-time.Second)}
 		}
 		if text := w.lateStop(7, began); (text != "") != c.isLate {
 			t.Errorf("%s: %q", c.name, text)
