--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -49,6 +49,16 @@
 	done chan struct{} // closed when it has ended
 }
 
+// endsBy waits until the process has ended or a moment has come, and tells whether it has ended.
+func (p *process) endsBy(moment time.Time) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(time.Until(moment)):
+		return false
+	}
+}
+
 func newMachine(f *Fleet, name string, role role, zone, host int) *Machine {
 	return &Machine{
 		Name:     name,
