Soak: a reset is not timed by the last segment before it

Cause: a reset changes neither age of TCP_INFO, so that the last acknowledgment is that of the request. Shown by a trial: a connection that was reset 500 ms before gave 800 ms, the age of what was sent to it. Ruled out: that a verdict was wrong by it; a reset is not judged by its time. Only what the soak printed was.

For a reset the time is that at which it was seen, as before. The same trial on ends that are no resets, closed 500, 805 and 801 ms before: 500, 808 (the request crossed the close), and 500 where the other side had acknowledged since, which is the upper bound that is meant. tcpi_last_data_recv told 1,004, 1,008 and 1,000 ms, the age of the last data.

Test RecordBroken_TakesNoOtherSegmentForAReset; with RecordBroken, LastReceipt and SoakClient under the race detector, twice each: passed.

--- a/internal/harness/soak_client.go
+++ b/internal/harness/soak_client.go
@@ -166,6 +166,9 @@
 // some time after the request's last byte, and came no later than the lateness before that, in which
 // this process may have been held up.
 func (c *soakClient) recordBroken(record *checker.Record, err error, isComplete bool, seenAfter, lateness time.Duration, isBegun bool) {
+	if errors.Is(err, syscall.ECONNRESET) {
+		lateness = 0 // a reset acknowledges nothing: the kernel does not tell when it came
+	}
 	after := seenAfter - lateness
 	record.Outcome, record.Note = checker.OutcomeBroken, err.Error()
 	name := fmt.Sprintf("%s call %s at %s", record.Service, record.CallID, c.machine.Name)
--- a/internal/harness/soak_close_test.go
+++ b/internal/harness/soak_close_test.go
@@ -1,8 +1,11 @@
 package harness
 
 import (
+	"bytes"
 	"io"
 	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -138,3 +141,14 @@
 		}
 	}
 }
+
+func TestRecordBroken_TakesNoOtherSegmentForAReset(t *testing.T) {
+	var output bytes.Buffer
+	near, _ := net.Pipe()
+	s := &soak{run: &run{Options: Options{Output: &output}, history: checker.NewHistory(nil)}}
+	client := &soakClient{soak: s, slack: unreadSlack, machine: &Machine{fleet: &Fleet{}}, conn: near}
+	client.recordBroken(&checker.Record{}, syscall.ECONNRESET, true, 400*time.Millisecond, 390*time.Millisecond, false)
+	if !strings.Contains(output.String(), "ended 400ms later") {
+		t.Error(output.String())
+	}
+}
