Soak: routes in use are led elsewhere, dropped and put again, and change sets race on one epoch

Before, each change set of the soak added a route that no client used, so that a proxy could serve any old route unseen. A quarter of the requests now goes to three routes that the operators move, and a quarter of the change sets comes as three at once against one epoch, through different nodes.

--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/checker"
-	"github.com/sumactrestle/sumactrestle/internal/environment"
-	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 const (
@@ -20,10 +18,7 @@
 	soakDrain = time.Second
 	// soakSettling is between the last planned stop and the verdict.
 	soakSettling = 2 * time.Second
-	// soakChangePause is the longest pause between two change sets of one operator.
-	soakChangePause = 500 * time.Millisecond
-	soakOperators   = 3
-	soakStream      = 11 // of random numbers
+	soakStream   = 11 // of random numbers
 	// latenessInterval is between two looks at how late this process is.
 	latenessInterval = 10 * time.Millisecond
 	longLateness     = 200 * time.Millisecond // is told each time
@@ -178,18 +173,6 @@
 	return rand.New(rand.NewPCG(s.Seed, soakStream+uint64(task)))
 }
 
-// submitInSeries submits change sets, each as soon as the last one is answered or a moment
-// later, through different nodes. What is refused is tried no more.
-func (s *soak) submitInSeries(ctx context.Context, operator int) {
-	random := s.random(operator + 1_000_000)
-	for i := 0; ctx.Err() == nil; i++ {
-		node := s.fleet.CoreMachines()[random.IntN(s.Shape.Cores)]
-		client := standin.NewOperator(environment.NewHost(""), s.history, node.APIAddress())
-		s.submitRoute(ctx, client, fmt.Sprintf("soak%d-%d", operator, i))
-		pause(ctx, time.Duration(random.Int64N(int64(soakChangePause))))
-	}
-}
-
 // fail notes what breaks a rule.
 func (s *soak) fail(format string, args ...any) {
 	s.mu.Lock()
--- a/internal/harness/soak_client.go
+++ b/internal/harness/soak_client.go
@@ -98,17 +98,12 @@
 
 // exchange sends one request and records how it ended.
 func (c *soakClient) exchange() {
-	load := c.soak.Shape.Loads[c.random.IntN(len(c.soak.Shape.Loads))]
-	body := []byte(strings.Repeat("x", load.BodyBytes))
-	method, path := http.MethodPost, "/"+load.Service+"/x"
-	if load.Idempotent {
+	record, body := c.request()
+	method := http.MethodPost
+	if record.Idempotent {
 		method = http.MethodGet
 	}
-	record := checker.Record{
-		Kind: checker.RequestCompleted, Start: c.soak.history.Now(), CallID: ids.NewID(), Proxy: c.machine.ProxyAddress(),
-		Service: load.Service, Path: path, Idempotent: load.Idempotent, Digest: standin.Digest(body),
-	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, path, standin.HeaderCall, record.CallID, len(body))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, record.Path, standin.HeaderCall, record.CallID, len(body))
 	isComplete := c.write([]byte(head), body)
 	sentAt := time.Now()
 	c.conn.SetReadDeadline(sentAt.Add(soakAnswerTimeout))
@@ -125,6 +120,22 @@
 	c.soak.history.Add(record)
 }
 
+// request draws a request: for one of the loads, or for a route that is moved meanwhile, whose
+// service the answer tells.
+func (c *soakClient) request() (record checker.Record, body []byte) {
+	record = checker.Record{Kind: checker.RequestCompleted, Start: c.soak.history.Now(), CallID: ids.NewID(), Proxy: c.machine.ProxyAddress()}
+	length := movedBodyBytes
+	if c.random.IntN(4) == 0 {
+		record.Path = "/" + movedRoute(c.random) + "/x"
+	} else {
+		load := c.soak.Shape.Loads[c.random.IntN(len(c.soak.Shape.Loads))]
+		record.Service, record.Path, record.Idempotent, length = load.Service, "/"+load.Service+"/x", load.Idempotent, load.BodyBytes
+	}
+	body = []byte(strings.Repeat("x", length))
+	record.Digest = standin.Digest(body)
+	return record, body
+}
+
 // write writes a request, sometimes in pieces with pauses between them, and tells whether all
 // of it was written.
 func (c *soakClient) write(head, body []byte) bool {
@@ -163,7 +174,7 @@
 // judged here: they don't know whether the proxy had read it.
 func (c *soakClient) recordBroken(record *checker.Record, err error, isComplete bool, after time.Duration, isBegun bool) {
 	record.Outcome, record.Note = checker.OutcomeBroken, err.Error()
-	name := fmt.Sprintf("%s call %s at %s", record.Service, record.CallID, c.machine.Name)
+	name := fmt.Sprintf("%s call %s at %s", record.Path, record.CallID, c.machine.Name)
 	closed := closeUnknown
 	if isComplete && !isBegun && !errors.Is(err, os.ErrDeadlineExceeded) {
 		closed = closeKindOf(c.conn)
@@ -195,7 +206,12 @@
 		return
 	}
 	var answer standin.Response
-	if json.Unmarshal(body, &answer) != nil || answer.Call != record.CallID || answer.Digest != record.Digest || answer.Service != record.Service {
+	isRead := json.Unmarshal(body, &answer) == nil
+	if record.Service == "" {
+		// Where a moved route leads is judged by the epoch that the server was told.
+		record.Service = answer.Service
+	}
+	if !isRead || answer.Call != record.CallID || answer.Digest != record.Digest || answer.Service != record.Service {
 		record.Note = "wrong answer: " + string(body)
 	}
 }
--- a/internal/harness/soak_verdict.go
+++ b/internal/harness/soak_verdict.go
@@ -67,9 +67,9 @@
 		switch {
 		case r.Kind != checker.RequestCompleted:
 		case r.Outcome == checker.OutcomeBroken && executed[r.CallID]:
-			v.fail("%s call %s was handed to a server and got no answer: %s%s", r.Service, r.CallID, r.Note, v.noteOn(r))
+			v.fail("%s call %s was handed to a server and got no answer: %s%s", r.Path, r.CallID, r.Note, v.noteOn(r))
 		case r.Outcome == checker.OutcomeUnknown && r.At-r.Start < soakLeastTime:
-			v.fail("%s call %s was given up %s after its beginning: %s%s", r.Service, r.CallID, r.At-r.Start, r.Note, v.noteOn(r))
+			v.fail("%s call %s was given up %s after its beginning: %s%s", r.Path, r.CallID, r.At-r.Start, r.Note, v.noteOn(r))
 		}
 	}
 }
