Soak: SIGHUP while nodes serve and change, signals within milliseconds and about the end of the grace, and how nodes end

Before, a SIGHUP came only right before or within a stop, the last signal 2.4 s after the first, and nobody looked at how a process ended: one that ended without being told, or with an error, passed. Now every process also gets series of SIGHUP all the time, once it takes calls; a stop gets a burst of both signals within milliseconds, or one from 0.3 s before the end of its grace to 0.15 s behind it, or those of before. A process that is gone without being told fails the soak, and so does one that served, was told to stop and did not end with success.

--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -68,7 +68,8 @@
 // Soak runs a fleet of real processes under planned work only: signals, restarts and change
 // sets come in series and overlap, while clients go on using open connections until the
 // process behind them is gone. It fails if a request was read and got neither an answer nor
-// a refusal, if a process did not stop by itself in time, or if the history breaks a rule.
+// a refusal, if a process ended without being told or did not stop as planned and in time, or if
+// the history breaks a rule.
 func Soak(ctx context.Context, options SoakOptions) error {
 	shape := soakShape
 	shape.Cores, shape.Proxies = options.Cores, options.Proxies
@@ -143,10 +144,14 @@
 	}
 	for i, m := range s.fleet.Machines {
 		work.Go(func() { s.disturb(working, m, s.random(len(s.fleet.Machines)*1000+i)) })
+		work.Go(func() { s.reloadInSeries(working, m, s.random(i+3_000_000)) })
 	}
 	work.Wait()
 	s.logf("no more planned work")
 	time.Sleep(soakSettling)
+	for _, m := range s.fleet.Machines {
+		s.checkUp(m)
+	}
 	stopLoad()
 	load.Wait()
 	time.Sleep(soakServiceTimes[len(soakServiceTimes)-1])
--- a/internal/harness/soak_work.go
+++ b/internal/harness/soak_work.go
@@ -48,15 +48,14 @@
 	s.recordFault("stop %s", m.Name)
 	s.history.Add(checker.Record{Kind: checker.PlannedStop, Proxy: m.ProxyAddress()})
 	stopping := m.process.Load()
+	s.checkUp(m)
+	isServing := s.isServing(m)
 	for range random.IntN(4) {
 		m.signal(syscall.SIGHUP)
 	}
 	m.signal(syscall.SIGTERM)
 	began := time.Now()
-	for range random.IntN(3) {
-		time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
-		m.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[random.IntN(2)])
-	}
+	s.signalMeanwhile(m, began, random)
 	seenLate := ""
 	select {
 	case <-stopping.done:
@@ -65,6 +64,9 @@
 		m.Kill()
 	}
 	s.checkStop(m, stopping.cmd.Process.Pid, began, seenLate)
+	if isServing {
+		s.checkExit(m, stopping)
+	}
 	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
 	s.startMachine(m)
 	s.watchEnd(m)
