Soak: servers drain and are replaced at their addresses, in series and in all services at once

Planned work at targets is planned work too, and the soak had none. A server's process may now be told to drain: it announces that it drains, serves on for 2.5 s, announces that it leaves, finishes what it has (standin.Server.Finish) and ends; its successor starts at the same address. What may not reach it is the checkers' own rule (late-hand-over).

A test has a server's process drain with a request under way.

--- a/internal/harness/server_process.go
+++ b/internal/harness/server_process.go
@@ -19,6 +19,14 @@
 // ServerCommand is the harness's command that RunServer carries out.
 const ServerCommand = "server"
 
+const (
+	// drainPropagation is between the moment at which a node knows that a server drains, and the
+	// server's leaving; proxies in contact know it before.
+	drainPropagation = 2500 * time.Millisecond
+	// drainSlack is what a server that leaves has beyond its service time to finish what it has.
+	drainSlack = 5 * time.Second
+)
+
 // serverConfig is what a server process reads first: its server, and when the history began.
 type serverConfig struct {
 	HistoryStart time.Time
@@ -30,8 +38,14 @@
 	ServiceTime  time.Duration
 }
 
-// RunServer runs one stand-in server as input describes it, until input or the context ends. Then
-// it writes the server's records to output: before, a reader that is late would make it late.
+// serverOrder is what a server process may be told after its description.
+type serverOrder struct {
+	Drain bool // it leaves as planned, and ends
+}
+
+// RunServer runs one stand-in server as input describes it, until input or the context ends, or it is
+// told to drain and has. Then it writes the server's records to output: before, a reader that is late
+// would make it late.
 func RunServer(ctx context.Context, input io.Reader, output io.Writer) error {
 	decoder := json.NewDecoder(input)
 	var config serverConfig
@@ -56,24 +70,43 @@
 	if err := server.Start(ctx); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
+	orders := make(chan serverOrder, 1)
 	go func() {
-		defer close(ended)
-		io.Copy(io.Discard, input) // nothing more is said; its end is what counts
+		var order serverOrder
+		decoder.Decode(&order) // without one, input's end is what counts
+		orders <- order
 	}()
 	select {
-	case <-ended:
+	case order := <-orders:
+		if order.Drain {
+			drain(ctx, server)
+		}
 	case <-ctx.Done():
 	}
 	server.Close()
 	return json.NewEncoder(output).Encode(history.Records())
 }
 
+// drain has a server leave as planned: it goes on serving until every node knows, and finishes what
+// it has.
+func drain(ctx context.Context, server *standin.Server) {
+	if !server.Announce(ctx, "draining") {
+		return
+	}
+	pause(ctx, drainPropagation)
+	server.Announce(ctx, "leaving")
+	limited, cancel := context.WithTimeout(ctx, server.ServiceTime+drainSlack)
+	defer cancel()
+	server.Finish(limited)
+}
+
 // serverProcess is one stand-in server in a process of its own. Clients can't make it late: a
 // request is noted when it comes, however busy they are.
 type serverProcess struct {
+	server  *standin.Server // as it was described
 	command *exec.Cmd
-	input   io.Closer
+	input   io.WriteCloser
+	hasLeft bool // as planned
 
 	done    chan struct{}    // closed when the two below are set
 	records []checker.Record // all that it recorded
@@ -86,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	p := &serverProcess{command: exec.Command(program, ServerCommand), done: make(chan struct{})}
+	p := &serverProcess{server: server, command: exec.Command(program, ServerCommand), done: make(chan struct{})}
 	input, err := p.command.StdinPipe()
 	if err != nil {
 		return err
--- a/internal/harness/server_process_test.go
+++ b/internal/harness/server_process_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/checker"
 )
 
@@ -53,6 +59,67 @@
 	}
 }
 
+// A server that is told to drain says so, finishes the request that it has, and ends by itself.
+func TestRunServer_DrainsAndEnds(t *testing.T) {
+	const serviceTime = 4 * time.Second // beyond drainPropagation
+	address := unusedAddress(t)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(&api.Taken{})
+	}))
+	defer node.Close()
+	config := serverConfig{HistoryStart: time.Now(), Service: "reads", Address: address, Nodes: []string{node.Listener.Addr().String()}, ServiceTime: serviceTime}
+	input, order := io.Pipe()
+	defer order.Close()
+	var output bytes.Buffer
+	done := make(chan error, 1)
+	limited, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() { done <- RunServer(limited, input, &output) }()
+	encoder := json.NewEncoder(order)
+	if err := encoder.Encode(config); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan error, 1)
+	go func() { answered <- getWhenUp(fmt.Sprintf("http://%s/reads/x", address)) }()
+	time.Sleep(serviceTime / 4)
+	if err := encoder.Encode(serverOrder{Drain: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+	var records []checker.Record
+	if err := json.Unmarshal(output.Bytes(), &records); err != nil {
+		t.Fatal(err)
+	}
+	states := []string{}
+	for _, r := range records {
+		if r.Kind == checker.DrainAcknowledged {
+			states = append(states, r.Note)
+		}
+	}
+	if len(records) != 3 || !slices.Equal(states, []string{"draining", "leaving"}) {
+		t.Errorf("%+v", records)
+	}
+}
+
+// getWhenUp asks once the server listens.
+func getWhenUp(url string) error {
+	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get(url)
+		if err == nil {
+			return response.Body.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) || time.Since(began) > 10*time.Second {
+			return err
+		}
+	}
+}
+
 // unusedAddress is one that nobody listens at.
 func unusedAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -61,15 +61,18 @@
 	// corePermit is held while a core node is stopped, so that a majority stays.
 	corePermit sync.Mutex
 
+	// launching is held while a server is chosen or started.
+	launching sync.Mutex
+
 	mu       sync.Mutex // guards failures
 	failures []string   // what breaks a rule that the checkers don't have
 }
 
-// Soak runs a fleet of real processes under planned work only: signals, restarts and change
-// sets come in series and overlap, while clients go on using open connections until the
-// process behind them is gone. It fails if a request was read and got neither an answer nor
-// a refusal, if a process ended without being told or did not stop as planned and in time, or if
-// the history breaks a rule.
+// Soak runs a fleet of real processes under planned work only: signals, restarts, drains of
+// servers and change sets come in series and overlap, while clients go on using open
+// connections until the process behind them is gone. It fails if a request was read and got
+// neither an answer nor a refusal, if a process ended without being told or did not stop as
+// planned and in time, or if the history breaks a rule.
 func Soak(ctx context.Context, options SoakOptions) error {
 	shape := soakShape
 	shape.Cores, shape.Proxies = options.Cores, options.Proxies
@@ -146,6 +149,9 @@
 		work.Go(func() { s.disturb(working, m, s.random(len(s.fleet.Machines)*1000+i)) })
 		work.Go(func() { s.reloadInSeries(working, m, s.random(i+3_000_000)) })
 	}
+	for i, load := range s.Shape.Loads {
+		work.Go(func() { s.replaceServersInSeries(working, load.Service, s.random(i+2_000_000)) })
+	}
 	work.Wait()
 	s.logf("no more planned work")
 	time.Sleep(soakSettling)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -154,6 +154,10 @@
 	s.Close()
 }
 
+// Finish waits until the requests that the server has are answered, or the context ends. It takes
+// no further connections. Close ends what is left.
+func (s *Server) Finish(ctx context.Context) { s.server.Shutdown(ctx) }
+
 // Close ends the server without a record in the history.
 func (s *Server) Close() {
 	s.cancel()
