--- a/internal/harness/soak.go
+++ b/internal/harness/soak.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/checker"
-	"github.com/sumactrestle/sumactrestle/internal/environment"
-	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 const (
@@ -20,10 +18,7 @@
 	soakDrain = time.Second
 	// soakSettling is between the last planned stop and the verdict.
 	soakSettling = 2 * time.Second
-	// soakChangePause is the longest pause between two change sets of one operator.
-	soakChangePause = 500 * time.Millisecond
-	soakOperators   = 3
-	soakStream      = 11 // of random numbers
+	soakStream   = 11 // of random numbers
 	// latenessInterval is between two looks at how late this process is.
 	latenessInterval = 10 * time.Millisecond
 	longLateness     = 200 * time.Millisecond // is told each time
@@ -66,14 +61,18 @@
 	// corePermit is held while a core node is stopped, so that a majority stays.
 	corePermit sync.Mutex
 
+	// launching is held while a server is chosen or started.
+	launching sync.Mutex
+
 	mu       sync.Mutex // guards failures
 	failures []string   // what breaks a rule that the checkers don't have
 }
 
-// Soak runs a fleet of real processes under planned work only: signals, restarts and change
-// sets come in series and overlap, while clients go on using open connections until the
-// process behind them is gone. It fails if a request was read and got neither an answer nor
-// a refusal, if a process did not stop by itself in time, or if the history breaks a rule.
+// Soak runs a fleet of real processes under planned work only: signals, restarts, drains of
+// servers and change sets come in series and overlap, while clients go on using open
+// connections until the process behind them is gone. It fails if a request was read and got
+// neither an answer nor a refusal, if a process ended without being told or did not stop as
+// planned and in time, or if the history breaks a rule.
 func Soak(ctx context.Context, options SoakOptions) error {
 	shape := soakShape
 	shape.Cores, shape.Proxies = options.Cores, options.Proxies
@@ -148,10 +147,17 @@
 	}
 	for i, m := range s.fleet.Machines {
 		work.Go(func() { s.disturb(working, m, s.random(len(s.fleet.Machines)*1000+i)) })
+		work.Go(func() { s.reloadInSeries(working, m, s.random(i+3_000_000)) })
+	}
+	for i, load := range s.Shape.Loads {
+		work.Go(func() { s.replaceServersInSeries(working, load.Service, s.random(i+2_000_000)) })
 	}
 	work.Wait()
 	s.logf("no more planned work")
 	time.Sleep(soakSettling)
+	for _, m := range s.fleet.Machines {
+		s.checkUp(m)
+	}
 	stopLoad()
 	load.Wait()
 	time.Sleep(soakServiceTimes[len(soakServiceTimes)-1])
@@ -178,18 +184,6 @@
 	return rand.New(rand.NewPCG(s.Seed, soakStream+uint64(task)))
 }
 
-// submitInSeries submits change sets, each as soon as the last one is answered or a moment
-// later, through different nodes. What is refused is tried no more.
-func (s *soak) submitInSeries(ctx context.Context, operator int) {
-	random := s.random(operator + 1_000_000)
-	for i := 0; ctx.Err() == nil; i++ {
-		node := s.fleet.CoreMachines()[random.IntN(s.Shape.Cores)]
-		client := standin.NewOperator(environment.NewHost(""), s.history, node.APIAddress())
-		s.submitRoute(ctx, client, fmt.Sprintf("soak%d-%d", operator, i))
-		pause(ctx, time.Duration(random.Int64N(int64(soakChangePause))))
-	}
-}
-
 // fail notes what breaks a rule.
 func (s *soak) fail(format string, args ...any) {
 	s.mu.Lock()
