Answers that are owed at a stop are waited for by what the process did, not by the clock

Cause: from the moment at which requests are given up their answers had 0.5 s by the clock, whether or not this process ran in it. Fix: httpserver.Finish waits for what is owed and counts its own looks, which a process makes only when it runs: 100 for a client that takes nothing, 400 for all.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -10,6 +10,10 @@
 // back yet, that the client has gone. What such a read brings is the first byte of the next request.
 const backgroundReadSize = 1
 
+// writeSize is how much is written at once, in bytes, so that a client that takes a long response
+// slowly is told from one that takes nothing.
+const writeSize = 64 << 10
+
 // past is a deadline that ends a read at once.
 func past() time.Time { return time.Now().Add(-time.Second) }
 
@@ -17,8 +21,11 @@
 // losing a request of which a byte was read.
 type connection struct {
 	net.Conn
+	server     *Server
 	acceptedAt time.Time
 
+	client clientWait
+
 	mu        sync.Mutex // guards all that follows
 	isWaiting bool       // nothing of the next request was read
 	isEnding  bool       // it waits for no other request
@@ -32,6 +39,10 @@
 // Read reads what the client sent. The first bytes of a request end the wait for it, also where
 // they come before the wait.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if len(buffer) != backgroundReadSize {
+		c.client.begin()
+		defer c.client.end()
+	}
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
 		c.noteEarly(len(buffer))
@@ -40,6 +51,31 @@
 	return n, err
 }
 
+// Write writes a part of a response.
+func (c *connection) Write(data []byte) (written int, err error) {
+	for {
+		n, err := c.writePart(data[written:min(written+writeSize, len(data))])
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+// writePart waits until the client takes a few bytes.
+func (c *connection) writePart(data []byte) (int, error) {
+	c.client.begin()
+	defer c.client.end()
+	return c.Conn.Write(data)
+}
+
+// Close closes the connection. The server waits for it no more.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	c.server.forget(c)
+	return err
+}
+
 // noteEarly notes a byte that was read while a request is being served.
 func (c *connection) noteEarly(size int) {
 	c.mu.Lock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -7,7 +7,7 @@
 // closed, or with the first bytes of a request, and that request is served.
 //
 // The invariant: once a byte of a request was read, the connection is closed only after its
-// response was written, or by Close. A client that sends a request before it has its predecessor's
+// response was written, or by Close. Finish tells when Close may be called. A client that sends a request before it has its predecessor's
 // whole response (pipelining) has no such promise (RFC 9112, section 9.3.2).
 package httpserver
 
@@ -76,8 +76,8 @@
 }
 
 // Shutdown takes no new connections, ends the idle ones, and waits until every request that
-// was read is answered and its connection closed, or until the context ends. Close must be
-// called after it.
+// was read is answered and its connection closed, or until the context ends. Finish waits for
+// what is given up then, and Close must be called after both.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.end()
 	poll := time.NewTicker(shutdownPollInterval)
@@ -129,13 +129,16 @@
 		c.beginRequest()
 	case http.StateIdle:
 		c.awaitRequest()
-	case http.StateClosed, http.StateHijacked:
-		s.mu.Lock()
-		delete(s.connections, c)
-		s.mu.Unlock()
 	}
 }
 
+// forget takes a closed connection off. One that a handler took over is kept until then.
+func (s *Server) forget(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
 // trackingListener hands out the connections of a server.
 type trackingListener struct {
 	net.Listener
@@ -151,7 +154,7 @@
 	if prepare := l.server.config.PrepareConnection; prepare != nil {
 		prepare(conn)
 	}
-	c := &connection{Conn: conn, acceptedAt: time.Now(), isWaiting: true}
+	c := &connection{Conn: conn, server: l.server, acceptedAt: time.Now(), isWaiting: true}
 	l.server.mu.Lock()
 	l.server.connections[c] = true
 	l.server.mu.Unlock()
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -81,20 +81,26 @@
 	return n.serve(n.Env.Config.APIAddress, "api.address", http.MaxBytesHandler(n.withMetrics(server), maxAPIBody))
 }
 
-// shutdownServers finishes the requests in flight and closes every server, until the contexts
-// end: that of the proxy's clients, and that of all others.
-func (n *Node) shutdownServers(clients, others context.Context) {
+// shutdownServers finishes the requests in flight and ends every connection. Those of the proxy's
+// clients end once everything is given up and answered, the others with their context. It returns
+// how many clients' connections are left, with requests that get no answer.
+func (n *Node) shutdownServers(givenUp, others context.Context) (unanswered int) {
 	n.mu.Lock()
 	servers := n.servers
 	n.mu.Unlock()
 	var all sync.WaitGroup
 	for _, server := range servers {
-		ctx := others
-		if server.key == proxyAddressKey {
-			ctx = clients
-		}
 		all.Add(1)
-		n.Env.Go(func() { defer all.Done(); server.Shutdown(ctx) })
+		n.Env.Go(func() {
+			defer all.Done()
+			if server.key != proxyAddressKey {
+				server.Shutdown(others)
+				return
+			}
+			server.Shutdown(givenUp)
+			unanswered = server.Finish() // one server at most is the proxy's
+		})
 	}
 	all.Wait()
+	return unanswered
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -232,31 +232,11 @@
 	return nil
 }
 
-// answerTime is what a planned stop leaves for the answers of requests that were given up at
-// its end, from the moment at which they were.
-const answerTime = 500 * time.Millisecond
-
-// untilAnswered returns a context that ends answerTime after everything in flight was given up.
-// It goes by that and not by the clock: where the machine holds this process up over the end of
-// its grace, everything is due at once when it runs again, and a connection that is closed first
-// takes its answer with it.
-func untilAnswered(env *environment.Environment, givenUp <-chan struct{}) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(env)
-	env.Go(func() {
-		select {
-		case <-givenUp:
-			env.Sleep(answerTime)
-			cancel()
-		case <-ctx.Done():
-		}
-	})
-	return ctx, cancel
-}
-
 // Stop stops the node as planned, within shutdown.grace_period: it hands over the shards
 // that it leads; a proxy says that it is not ready and serves on for proxy.drain_delay
 // whoever has not heard, and then takes nothing new; requests in flight are finished, and
-// the others are told that it leaves. It ends the environment.
+// the others are told that it leaves. What is not finished then is given up, answered, and only
+// after that are connections closed, however late this process comes to it. It ends the environment.
 func (n *Node) Stop() {
 	n.Env.Events.Emit(eventlog.NodeStopping)
 	n.stopping.Store(true)
@@ -275,10 +255,7 @@
 	if n.Proxy == nil {
 		n.shutdownServers(ctx, ctx)
 	} else {
-		answering, endAnswering := untilAnswered(n.Env, n.Proxy.GivenUp())
-		defer endAnswering()
-		n.shutdownServers(answering, ctx)
-		if count := n.Proxy.InFlight(); count > 0 {
+		if count := n.shutdownServers(n.Proxy.GivenUp(), ctx); count > 0 {
 			n.Env.Events.Emit(eventlog.RequestsCutOff, "requests", count)
 		}
 		n.Proxy.Close()
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -57,8 +57,8 @@
 	})
 }
 
-// GivenUp is closed when everything in flight is given up, and its answers go out.
-func (p *Proxy) GivenUp() <-chan struct{} { return p.lifecycle.forwards.Done() }
+// GivenUp is done when everything in flight is given up, and its answers go out.
+func (p *Proxy) GivenUp() context.Context { return p.lifecycle.forwards }
 
 // Stop rejects all requests from now on.
 func (p *Proxy) Stop() { p.lifecycle.stopping.Store(true) }
