--- a/internal/harness/soak_verdict.go
+++ b/internal/harness/soak_verdict.go
@@ -32,6 +32,7 @@
 	s.logf("%s", checker.MeasureAvailability(v.records))
 	s.printStalls(v.stalls)
 	v.printQueued()
+	v.printFenced()
 	v.findDropped()
 	v.printUnknown()
 	err := s.run.judge()
@@ -53,6 +54,18 @@
 	v.logf("requests waited for their server's process for %s at the most", longest.Round(time.Millisecond))
 }
 
+// printFenced tells how many requests their servers refused because of their epochs, which tells of
+// processes that stood still for longer than the rules allow.
+func (v *soakVerdict) printFenced() {
+	count := 0
+	for _, r := range v.records {
+		if r.Kind == checker.RequestRejected {
+			count++
+		}
+	}
+	v.logf("servers refused %d requests under superseded epochs", count)
+}
+
 // findDropped finds requests that a server executed and that got no whole answer, and those
 // that were answered with an unknown outcome although there was time to wait, whether their
 // proxy was stopping or not.
--- a/tools/mutate/fit_test.go
+++ b/tools/mutate/fit_test.go
@@ -26,7 +26,9 @@
 		t.Fatal(err)
 	}
 	tests := testsUnder(t, filepath.Join(root, "internal"))
-	maps.Copy(tests, testsUnder(t, filepath.Join(root, "cmd")))
+	for _, folder := range []string{"cmd", "fencing"} {
+		maps.Copy(tests, testsUnder(t, filepath.Join(root, folder)))
+	}
 	for _, m := range mutants {
 		if m.Test != "" && !tests[m.Test] {
 			t.Errorf("%s: there is no test %s", m.Name, m.Test)
