A hedged request of which one attempt may have run is not told "not run"

Callers saw: "not run" (1019, 1002) for a read that a target had executed, where the other of its two attempts was refused. Cause: awaitResponse let the attempt that ended last speak for both. The attempt that says most is taken now: final response, response, may have run, refusal. Found by the review of the fence; only with proxy.hedge_percent above its default of 0.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -34,6 +34,9 @@
 // isFinal reports whether no other target could do better.
 func (a attemptResult) isFinal() bool { return a.err == nil && a.response.HTTP.StatusCode < 500 }
 
+// mayHaveRun reports whether a target may have run the request and nobody says so.
+func (a attemptResult) mayHaveRun() bool { return a.wrote && a.response == nil && !a.withheld }
+
 // attempt writes the request to one target, once at most, and awaits the response. index is
 // the number of the attempt, from zero.
 func (p *Proxy) attempt(ctx context.Context, plan *requestPlan, r *http.Request, to *endpoint.Endpoint, openBody func() io.Reader, index int) attemptResult {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -65,7 +65,7 @@
 			sent++
 			continue
 		}
-		mayHaveRun := result.wrote && result.response == nil && !result.withheld
+		mayHaveRun := result.mayHaveRun()
 		written = written || mayHaveRun
 		if result.wrote {
 			sent++
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -46,15 +46,17 @@
 		overdue = wakeup.C
 	}
 	var hedge <-chan attemptResult
+	var hedged attemptResult // what the hedge came to, once it has ended without a final response
 	for {
 		select {
 		case response := <-sent.responses:
 			first := p.finishAttempt(plan, sent, &response)
 			sent.end()
 			if hedge != nil && !first.isFinal() {
-				if second := <-hedge; second.isFinal() || first.err != nil {
-					first = second
-				}
+				hedged = <-hedge
+			}
+			if hedged.says() > first.says() {
+				first = hedged
 			}
 			return attemptResult{response: first.response, wrote: true, err: first.err}
 		case <-overdue:
@@ -74,6 +76,7 @@
 				p.environment.Go(func() { p.awaitAbandoned(plan, sent, typical) })
 				return attemptResult{response: second.response, wrote: true}
 			}
+			hedged = second
 		case <-ctx.Done():
 			sent.connection.Abort()
 			sent.end()
@@ -128,3 +131,20 @@
 		}
 	}
 }
+
+// says ranks what an attempt tells of a request that was sent to two targets: a final response,
+// then another response of one that ran it, then that one may have run it; only then a
+// refusal, and last an attempt of which nothing can run.
+func (a attemptResult) says() int {
+	switch {
+	case a.response != nil && a.isFinal():
+		return 4
+	case a.response != nil && a.err == nil:
+		return 3
+	case a.mayHaveRun():
+		return 2
+	case a.response != nil:
+		return 1
+	}
+	return 0
+}
--- a/internal/simulator/hedge_test.go
+++ b/internal/simulator/hedge_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
@@ -97,3 +98,53 @@
 		}
 	})
 }
+
+// A hedged read that one target ran and lost the answer of, and that the other refused, was told "not
+// run".
+func TestProxy_HedgedReadOfWhichOneAttemptIsLostHasNotSurelyNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second string
+		firstTakes    time.Duration
+	}{
+		{"the hedge is lost, then the first target refuses", standin.RejectedLate, standin.CloseUnanswered, 500 * time.Millisecond},
+		{"the first attempt is lost, then the hedge refuses", standin.CloseUnanswered, standin.RejectedLate, 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			shape := one()
+			shape.Targets = map[string]int{"rates": 2, "bookings": 1}
+			shape.Settings["proxy.hedge_percent"] = "50"
+			inFleet(t, shape, func(t *testing.T, f *Fleet) {
+				caller := f.newClient(5)
+				defer caller.Close()
+				call := func() checker.Record {
+					return caller.Call(f.ctx, f.Machine("proxy1").ProxyAddress(), "GET", "/rates", "rates", nil)
+				}
+				for _, s := range f.Targets("rates") {
+					s.ServiceTime = 50 * time.Millisecond
+				}
+				for range 1600 {
+					call()
+				}
+				attempts := 0
+				for _, s := range f.Targets("rates") {
+					s.Misbehavior = func(int64) string {
+						if attempts++; attempts == 1 {
+							s.ServiceTime = c.firstTakes
+							return c.first
+						}
+						s.ServiceTime = 200 * time.Millisecond
+						return c.second
+					}
+				}
+				record := call()
+				if attempts != 2 || len(executions(f, record.CallID)) != 1 {
+					t.Fatalf("%d attempts, %d executions", attempts, len(executions(f, record.CallID)))
+				}
+				if record.Outcome != checker.OutcomeUnknown {
+					t.Errorf("told %q, %d", record.Outcome, record.Code)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -14,10 +14,15 @@
 	if err != nil || s.fence.Check(epoch, time.Now()) == nil {
 		return false
 	}
+	s.rejectSealed(w, r, proxy.NotRunSuperseded)
+	return true
+}
+
+// rejectSealed says, under the server's seal, that a request was not executed, and why.
+func (s *Server) rejectSealed(w http.ResponseWriter, r *http.Request, reason string) {
 	const status = http.StatusServiceUnavailable
 	requestID := s.recordRejection(r, status)
-	w.Header().Set(HeaderNotRun, proxy.NotRunSuperseded)
+	w.Header().Set(HeaderNotRun, reason)
 	w.Header().Set(proxy.HeaderSeal, proxy.Seal(s.SealKey, requestID, s.Service, s.Instance, status, nil))
 	w.WriteHeader(status)
-	return true
 }
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -74,6 +74,10 @@
 	if !s.work(r) {
 		return
 	}
+	if misbehavior == RejectedLate {
+		s.rejectSealed(w, r, RejectedLate)
+		return
+	}
 	if misbehavior == Slow {
 		time.Sleep(slowness)
 	}
--- a/internal/standin/misbehavior.go
+++ b/internal/standin/misbehavior.go
@@ -18,5 +18,6 @@
 	Failing             = "failing"  // answers that it failed
 	Slow                = "slow"     // takes two seconds more
 	Overloaded          = "full"     // does not execute it, and says so
+	RejectedLate        = "late"     // does not execute it, and says so after the time of a request
 	RejectedEarly       = "early"    // does not execute it, says so before the body came, and reads no more
 )
