--- a/fencing/fence.go
+++ b/fencing/fence.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// MaxConfirmationAge bounds how old the confirmation may be by which a request is judged. It
-// stays below the two seconds after which a superseded epoch must not be used any more.
+// MaxConfirmationAge bounds how old the confirmation may be by which a request is judged, and how
+// long after the word of its drain a target takes requests. It stays below the two seconds after which a superseded epoch must not be used any more.
 const MaxConfirmationAge = 1900 * time.Millisecond
 
 // A request for which Check returns one of these errors must not be executed. Neither error
@@ -35,16 +35,21 @@
 	asOf  time.Time
 }
 
-// Fence judges requests by the epochs that they name. The zero value lets every request pass
-// until the first confirmation. It is safe for concurrent use.
+// Fence judges requests by the epochs that they name. The zero value lets every request pass until
+// Announce. It is safe for concurrent use. All times must be of one clock that goes on while the
+// machine is suspended (CLOCK_BOOTTIME on Linux).
 //
-// The invariant: a request that passes at a time t names an epoch that no acknowledged epoch had
+// The invariant, for a target that was answered with an epoch: a request that passes at a time t names an epoch that no acknowledged epoch had
 // superseded at t - MaxConfirmationAge, and comes no later than MaxConfirmationAge after the target
 // said that it drains.
 type Fence struct {
 	mu sync.Mutex
 	// confirmations are in the order of their times, the oldest first.
 	confirmations []confirmation
+	// announcedAt is when the target began to send its first heartbeat; no epoch that names it is
+	// older. isUnanswered is set from then until the first answer.
+	announcedAt   time.Time
+	isUnanswered  bool
 	drainingSince time.Time // zero while the target does not drain
 }
 
@@ -57,16 +62,25 @@
 		return
 	}
 	f.confirmations = append(f.confirmations, confirmation{epoch, asOf})
-	f.dropExpired(asOf) // it is now, or before
+	f.isUnanswered = false
+	f.dropExpired(asOf) // it is not later than now
 }
 
-// Lift says that a gateway answered a heartbeat without naming an epoch: nothing is judged by the
-// confirmations so far. A build that knows no fence answers so, and one whose proxies may go on
-// under an older epoch.
+// Announce says that the target began to send its first heartbeat at a time. Only the first counts.
+func (f *Fence) Announce(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announcedAt.IsZero() {
+		f.announcedAt, f.isUnanswered = at, true
+	}
+}
+
+// Lift says that a gateway answered a heartbeat without naming an epoch. Nothing is refused then
+// until the next confirmation, but for what comes long after a drain.
 func (f *Fence) Lift() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirmations = nil
+	f.confirmations, f.isUnanswered = nil, false
 }
 
 // Drain says that the target told, or began to tell, the gateway at a time that it drains or leaves.
@@ -94,6 +108,9 @@
 		return ErrDraining
 	}
 	if len(f.confirmations) == 0 {
+		if f.isUnanswered && now.Sub(f.announcedAt) > MaxConfirmationAge {
+			return ErrUnconfirmed
+		}
 		return nil
 	}
 	f.dropExpired(now)
--- a/fencing/fence_test.go
+++ b/fencing/fence_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// A new target that stands still between its first heartbeat and the answer to it.
+func TestFence_RefusesWhatWaitedWhileTheFirstHeartbeatWasUnanswered(t *testing.T) {
+	var fence Fence
+	fence.Announce(at(1000))
+	fence.Announce(at(2000)) // the next heartbeat
+	if err := fence.Check(7, at(2900)); err != nil {
+		t.Error(err)
+	}
+	if err := fence.Check(7, at(2901)); !errors.Is(err, ErrUnconfirmed) {
+		t.Error(err)
+	}
+	for _, answer := range []func(){fence.Lift, func() { fence.Confirm(7, at(2950)) }} {
+		answer()
+		if err := fence.Check(7, at(3000)); err != nil {
+			t.Error("after an answer:", err)
+		}
+	}
+}
+
 // In a fleet of two builds only some of the answers to heartbeats name an epoch.
 func TestFence_JudgesNothingWhereTheGatewayNamesNoEpoch(t *testing.T) {
 	var fence Fence
--- a/internal/distribution/pulse_relay.go
+++ b/internal/distribution/pulse_relay.go
@@ -57,6 +57,22 @@
 	if pulse.err != nil {
 		return nil, pulse.err
 	}
+	return r.aged(pulse), nil
+}
+
+// last returns the leader's last answer, however old, with its age; nil if there was none.
+func (r *pulseRelay) last() *rpc.FreshnessResponse {
+	r.mu.Lock()
+	pulse := r.lastAnswered
+	r.mu.Unlock()
+	if pulse == nil {
+		return nil
+	}
+	return r.aged(pulse)
+}
+
+// aged is the answer to a pulse, older by the time since it was sent.
+func (r *pulseRelay) aged(pulse *relayedPulse) *rpc.FreshnessResponse {
 	elapsed := r.env.Since(pulse.sent).Microseconds() + 1
 	response := *pulse.response
 	response.AgeMicros += elapsed
@@ -66,7 +82,7 @@
 			response.ShardAgeMicros[i] = age + elapsed
 		}
 	}
-	return &response, nil
+	return &response
 }
 
 // join returns the pulse to wait for, and sees to it that it is sent.
--- a/internal/distribution/server.go
+++ b/internal/distribution/server.go
@@ -182,7 +182,9 @@
 func (s *Server) Confirmation(ctx context.Context) (ids.Epoch, time.Duration, error) {
 	response, err := s.pulse(ctx)
 	if err != nil {
-		return 0, 0, err
+		if response = s.relay.last(); response == nil {
+			return 0, 0, err
+		}
 	}
 	return response.Epoch, time.Duration(response.AgeMicros) * time.Microsecond, nil
 }
--- a/internal/environment/clock.go
+++ b/internal/environment/clock.go
@@ -9,11 +9,14 @@
 // Now returns the time by which ages and leases count: the monotonic clock, which stands
 // still while a machine is suspended, and for how long it stood still. Only ages made of
 // it may be used, or sent to other nodes; it is no time of day.
-func (e *Environment) Now() time.Time {
-	if e.Host.SuspendedTime == nil {
+func (e *Environment) Now() time.Time { return e.Host.Now() }
+
+// Now is Environment.Now for what has a host and no environment.
+func (h Host) Now() time.Time {
+	if h.SuspendedTime == nil {
 		return time.Now()
 	}
-	return time.Now().Add(e.Host.SuspendedTime())
+	return time.Now().Add(h.SuspendedTime())
 }
 
 // Since returns the age of a time that Now gave.
--- a/internal/simulator/fence_test.go
+++ b/internal/simulator/fence_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sumactrestle/sumactrestle/internal/checker"
 	"github.com/sumactrestle/sumactrestle/internal/proxy"
 	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
@@ -86,3 +87,75 @@
 		}
 	})
 }
+
+// Heartbeats that are seldom leave a target without a confirmation, which must not refuse for it.
+func TestTarget_RefusesNothingWhereHeartbeatsAreRare(t *testing.T) {
+	shape := one()
+	shape.Settings["controlplane.heartbeat_period"] = "2s"
+	shape.Settings["controlplane.heartbeat_timeout"] = "6s"
+	shape.Settings["controlplane.takeover_delay"] = "5s"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		for _, s := range f.Targets("rates") {
+			s.HeartbeatPeriod, s.FailureTimeout = 2*time.Second, 6*time.Second
+		}
+		time.Sleep(10 * time.Second)
+		caller := f.newClient(5)
+		defer caller.Close()
+		for range 300 {
+			if got := caller.Call(f.ctx, f.Machine("proxy1").ProxyAddress(), "GET", "/rates", "rates", nil); got.Outcome != checker.OutcomeRan {
+				t.Fatalf("%+v", got)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// A machine that was suspended holds its last confirmation for young, by a clock that stood still.
+func TestTarget_RefusesAllAfterItsMachineWasSuspended(t *testing.T) {
+	inFleet(t, one(), func(t *testing.T, f *Fleet) {
+		target := f.Targets("rates")[0]
+		view, err := f.newOperator(40, f.Cores()[0]).Epoch(f.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range f.Machines {
+			f.Network.Partition(m.IP, hostOf(target.Address))
+		}
+		f.Network.Suspend(hostOf(target.Address), time.Minute)
+		if status, notRun := f.askUnder(t, view.Epoch, target); status != http.StatusServiceUnavailable || notRun != proxy.NotRunSuperseded {
+			t.Errorf("%d %q", status, notRun)
+		}
+	})
+}
+
+// A target that was named in an epoch stands still before the answer to its first heartbeat comes.
+func TestTarget_NewTargetThatStoodStillKeepsToNewerEpoch(t *testing.T) {
+	// After its start: the first heartbeat is sent, and not answered yet.
+	for _, heldAfter := range []time.Duration{4 * time.Millisecond, 6 * time.Millisecond, 8 * time.Millisecond} {
+		t.Run(heldAfter.String(), func(t *testing.T) { holdNewTarget(t, heldAfter) })
+	}
+}
+
+func holdNewTarget(t *testing.T, heldAfter time.Duration) {
+	inStandstill(t, 1, func(p *standstillPlay) {
+		previous := p.Targets("rates")[0]
+		p.RemoveTarget(previous)
+		previous.Crash()
+		time.Sleep(3 * time.Second)
+		target := p.StartTarget("rates", "", 0)
+		time.Sleep(heldAfter)
+		p.Network.Freeze(hostOf(target.Address), 2900*time.Millisecond)
+		if !p.WaitUntil(800*time.Millisecond, func() bool { return len(p.proxy.Node().Distribution.Cache.Snapshot().Targets["rates"]) == 1 }) {
+			t.Fatal("no epoch names the new target")
+		}
+		done := p.begin("GET", "/rates", nil)
+		time.Sleep(20 * time.Millisecond)
+		view, err := p.operator.Epoch(p.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.view = view
+		p.makeNewerEpoch()
+		p.checkBounds(<-done)
+	})
+}
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/proxy"
 )
@@ -11,7 +10,7 @@
 // rejectSuperseded answers a request whose epoch is too old to be executed.
 func (s *Server) rejectSuperseded(w http.ResponseWriter, r *http.Request) bool {
 	epoch, err := strconv.ParseUint(r.Header.Get(proxy.HeaderEpoch), 10, 64)
-	if err != nil || s.fence.Check(epoch, time.Now()) == nil {
+	if err != nil || s.fence.Check(epoch, s.Network.Now()) == nil {
 		return false
 	}
 	s.rejectSealed(w, r, proxy.NotRunSuperseded)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -122,7 +122,8 @@
 func (s *Server) heartbeat(ctx context.Context, client *api.Client, state string) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := s.Network.Now()
+	s.fence.Announce(sentAt)
 	taken, err := client.Beat(ctx, &api.Beat{Service: s.Service, Instance: s.Instance, Seq: s.sequence.Add(1), Address: s.Address, Zone: api.NewOptString(s.Zone), Weight: api.NewOptInt(weight), State: api.BeatState(state)})
 	if err != nil {
 		return err
@@ -139,12 +140,12 @@
 // Announce sends heartbeats with a state until one is acknowledged, and records that the
 // state is known from then on. It returns false if the context ended first.
 func (s *Server) Announce(ctx context.Context, state string) bool {
-	s.state.Store(state)
 	if state == stateServing {
 		s.fence.Serve()
 	} else {
-		s.fence.Drain(time.Now())
+		s.fence.Drain(s.Network.Now()) // before a heartbeat can tell it
 	}
+	s.state.Store(state)
 	for i := 0; ctx.Err() == nil; i++ {
 		client := NewAPIClient(s.Network, s.Nodes[i%len(s.Nodes)])
 		if s.heartbeat(ctx, client, state) == nil {
