--- a/internal/simulator/fence_test.go
+++ b/internal/simulator/fence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -130,20 +131,13 @@
 
 // A target that was named in an epoch stands still before the answer to its first heartbeat comes.
 func TestTarget_NewTargetThatStoodStillKeepsToNewerEpoch(t *testing.T) {
-	// After its start: the first heartbeat is sent, and not answered yet.
-	for _, heldAfter := range []time.Duration{4 * time.Millisecond, 6 * time.Millisecond, 8 * time.Millisecond} {
-		t.Run(heldAfter.String(), func(t *testing.T) { holdNewTarget(t, heldAfter) })
-	}
-}
-
-func holdNewTarget(t *testing.T, heldAfter time.Duration) {
 	inStandstill(t, 1, func(p *standstillPlay) {
 		previous := p.Targets("rates")[0]
 		p.RemoveTarget(previous)
 		previous.Crash()
 		time.Sleep(3 * time.Second)
 		target := p.StartTarget("rates", "", 0)
-		time.Sleep(heldAfter)
+		p.awaitHeartbeat(target) // whose answer is on its way
 		p.Network.Freeze(hostOf(target.Address), 2900*time.Millisecond)
 		if !p.WaitUntil(800*time.Millisecond, func() bool { return len(p.proxy.Node().Distribution.Cache.Snapshot().Targets["rates"]) == 1 }) {
 			t.Fatal("no epoch names the new target")
@@ -159,3 +153,11 @@
 		p.checkBounds(<-done)
 	})
 }
+
+// awaitHeartbeat waits until a leader has taken a target's first heartbeat.
+func (p *standstillPlay) awaitHeartbeat(target *standin.Server) {
+	isKnown := func(m *Machine) bool { return m.Node().Targets.ServiceOf(target.Instance) != "" }
+	for !slices.ContainsFunc(p.Cores(), isKnown) {
+		time.Sleep(50 * time.Microsecond)
+	}
+}
--- a/tools/mutate/fit_test.go
+++ b/tools/mutate/fit_test.go
@@ -25,8 +25,8 @@
 	if err := yaml.Unmarshal(raw, &mutants); err != nil {
 		t.Fatal(err)
 	}
-	tests := testsUnder(t, filepath.Join(root, "internal"))
-	for _, folder := range []string{"cmd", "fencing"} {
+	tests := map[string]bool{}
+	for _, folder := range testFolders {
 		maps.Copy(tests, testsUnder(t, filepath.Join(root, folder)))
 	}
 	for _, m := range mutants {
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
@@ -33,6 +34,12 @@
 	Test                     string // a test that must fail, in place of a scenario
 }
 
+// testFolders hold the tests that judge mutants; the code of a mutant needs otherFolders as well.
+var (
+	testFolders  = []string{"cmd", "fencing", "internal"}
+	otherFolders = []string{"go.mod", "go.sum", "platform"}
+)
+
 func main() {
 	only := flag.String("only", "", "part of the name of the mutants to try")
 	seeds := flag.String("seeds", "1:16", "first and last seed")
@@ -73,7 +80,7 @@
 	tree := filepath.Join(folder, "tree")
 	must(os.RemoveAll(tree))
 	must(os.MkdirAll(tree, 0o755))
-	for _, name := range []string{"go.mod", "go.sum", "internal", "cmd", "platform"} {
+	for _, name := range slices.Concat(testFolders, otherFolders) {
 		must(exec.Command("cp", "-r", name, tree).Run())
 	}
 	for _, change := range append([]replacement{m.replacement}, m.More...) {
@@ -88,7 +95,11 @@
 		must(os.WriteFile(path, []byte(string(text[:at])+change.New+string(text[at+len(change.Old):])), 0o644))
 	}
 	if m.Test != "" {
-		run := exec.Command("go", "test", "./internal/...", "./cmd/...", "-v", "-run", "^"+m.Test+"$", "-count=1", "-timeout", "240s")
+		arguments := []string{"test", "-v", "-run", "^" + m.Test + "$", "-count=1", "-timeout", "240s"}
+		for _, name := range testFolders {
+			arguments = append(arguments, "./"+name+"/...")
+		}
+		run := exec.Command("go", arguments...)
 		run.Dir = tree
 		out, err := run.CombinedOutput()
 		if err == nil || !isFailed(string(out), m.Test) {
