Harness: all proxies of a large fleet have addresses; the line leaves the list

Fix: hosts that the last byte has no room for go on in the next network (127.2, ...).

TestNewFleet_GivesEachMachineAnAddressOfItsOwn failed before, from proxy157 on. Clients, checks and bounds are as they were.

--- a/internal/harness/machine.go
+++ b/internal/harness/machine.go
@@ -18,6 +18,8 @@
 	defaultCapacity = 100
 	// stopTimeout is how long a node may take over a planned stop before it is killed.
 	stopTimeout = 6 * time.Second
+	// hostsPerNetwork is how many addresses differ in their last byte alone, without 0 and 255.
+	hostsPerNetwork = 254
 )
 
 // role is what a machine's node does.
@@ -59,11 +61,18 @@
 	}
 }
 
+// loopbackAddress is the address of a host of a zone. Hosts are counted from 1; those that the last
+// byte has no room for go on in the next network.
+func loopbackAddress(zone, host int) string {
+	network := 1 + (host-1)/hostsPerNetwork
+	return fmt.Sprintf("127.%d.%d.%d", network, zone+1, 1+(host-1)%hostsPerNetwork)
+}
+
 func newMachine(f *Fleet, name string, role role, zone, host int) *Machine {
 	return &Machine{
 		Name:     name,
 		Zone:     fmt.Sprintf("zone%d", zone+1),
-		IP:       fmt.Sprintf("127.1.%d.%d", zone+1, host),
+		IP:       loopbackAddress(zone, host),
 		Capacity: defaultCapacity,
 		fleet:    f,
 		role:     role,
--- a/internal/harness/machine_test.go
+++ b/internal/harness/machine_test.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -68,6 +69,21 @@
 	}
 }
 
+// Proxies from 157 on had addresses such as 127.1.2.269, and never started.
+func TestNewFleet_GivesEachMachineAnAddressOfItsOwn(t *testing.T) {
+	names := map[string]string{}
+	for _, m := range NewFleet(FleetConfig{Port: 10000, Cores: 99, Proxies: 500, Zones: 3}).Machines {
+		ip := net.ParseIP(m.IP)
+		if ip == nil || !ip.IsLoopback() {
+			t.Errorf("%s: %s is no loopback address", m.Name, m.IP)
+		}
+		if other := names[m.IP]; other != "" {
+			t.Errorf("%s and %s have the address %s", other, m.Name, m.IP)
+		}
+		names[m.IP] = m.Name
+	}
+}
+
 func TestMachine_Settings(t *testing.T) {
 	for _, test := range []struct {
 		name            string
