--- a/internal/simulator/fence_test.go
+++ b/internal/simulator/fence_test.go
@@ -95,10 +95,8 @@
 	shape.Settings["controlplane.heartbeat_period"] = "2s"
 	shape.Settings["controlplane.heartbeat_timeout"] = "6s"
 	shape.Settings["controlplane.takeover_delay"] = "5s"
+	shape.HeartbeatPeriod, shape.FailureTimeout = 2*time.Second, 6*time.Second
 	inFleet(t, shape, func(t *testing.T, f *Fleet) {
-		for _, s := range f.Targets("rates") {
-			s.HeartbeatPeriod, s.FailureTimeout = 2*time.Second, 6*time.Second
-		}
 		time.Sleep(10 * time.Second)
 		caller := f.newClient(5)
 		defer caller.Close()
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -31,6 +31,9 @@
 	Settings map[string]string
 	// ServiceTime is how long a target works on a request at most; a moment if zero.
 	ServiceTime time.Duration
+	// HeartbeatPeriod is of the targets, and FailureTimeout how long they may be silent; the
+	// stand-in's defaults if zero.
+	HeartbeatPeriod, FailureTimeout time.Duration
 	// PlatformMode runs the fleet as the users' platform does; see platform_mode.go.
 	PlatformMode bool
 }
--- a/internal/simulator/platform_mode.go
+++ b/internal/simulator/platform_mode.go
@@ -1,8 +1,8 @@
-// The second manner of fleets, as the users' platform runs them: proxies out of
-// touch go on with their last epoch, new owners keep the epoch's targets while they
-// listen, beats come seldom, and servers speak the plain manner. What a proxy acts
-// on is then told beside each request by the network made here, and the history
-// tells which proxies are in touch, for only those are bound by the bounds on time.
+// Fleets as the users' platform runs them: proxies out of touch go on with their
+// last epoch, a new leader keeps the epoch's targets until it has heard them,
+// heartbeats are rare, and servers know no epochs. The network made here records
+// the epoch that a proxy acts on, and the history tells which proxies are in touch,
+// as only those are bound by the bounds on time.
 
 package simulator
 
@@ -27,9 +27,10 @@
 	connectivityInterval     = 10 * time.Millisecond
 )
 
-// platformShape is a shape in the second manner.
+// platformShape is a shape in platform mode.
 func platformShape(s Shape) Shape {
 	s.PlatformMode = true
+	s.HeartbeatPeriod, s.FailureTimeout = platformHeartbeatPeriod, platformHeartbeatTimeout
 	settings := map[string]string{
 		"distribution.offline_grace": "24h", "distribution.renewal_interval": "1s", "controlplane.keep_targets_on_takeover": "true", "controlplane.accept_unknown_services": "true",
 		"controlplane.heartbeat_period": platformHeartbeatPeriod.String(), "controlplane.heartbeat_timeout": platformHeartbeatTimeout.String(), "controlplane.takeover_delay": (2*platformHeartbeatPeriod + 500*time.Millisecond).String(),
@@ -49,11 +50,10 @@
 	return caller
 }
 
-// configureTarget gives a server the fleet's manner.
+// configureTarget sets what the fleet's shape says of targets, before the target starts.
 func (f *Fleet) configureTarget(s *standin.Server) *standin.Server {
-	if f.Shape.PlatformMode {
-		s.Opaque, s.HeartbeatPeriod, s.FailureTimeout = true, platformHeartbeatPeriod, platformHeartbeatTimeout
-	}
+	s.Opaque = f.Shape.PlatformMode
+	s.HeartbeatPeriod, s.FailureTimeout = f.Shape.HeartbeatPeriod, f.Shape.FailureTimeout
 	return s
 }
 
--- a/internal/simulator/scenarios.go
+++ b/internal/simulator/scenarios.go
@@ -88,6 +88,6 @@
 	Start  func(f *Fleet)
 	// PlannedOnly marks scenarios of planned stops only.
 	PlannedOnly bool
-	// PlatformMode runs it in the second manner of fleets.
+	// PlatformMode runs it on a fleet in platform mode.
 	PlatformMode bool
 }
