--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// The zones and their core machines are those of the site quoteline-kol.
+// The zones are those of the site quoteline-kol.
 var zones = []string{"salt-lake", "new-town", "howrah"}
 
 // machine is one machine of the deployment. At most one process runs on it.
@@ -36,15 +36,16 @@
 	port         int    // the first of the internal range; the other ports follow
 	variable     string // the environment variable with the path of the settings file
 	settings     *template.Template
+	losses       int // machines that may be lost at once
 	machines     []*machine
 	record       *record
 }
 
 func (f *fleet) controlAddress(m *machine) string { return fmt.Sprintf("%s:%d", m.ip, f.port+20) }
 
-// newFleet reads the commands of the deploy file and lays out five core machines and one front
-// machine per zone.
-func newFleet(root, folder, wire, variable string, r *record) (*fleet, error) {
+// newFleet reads the commands of the deploy file and lays out core machines and one front machine
+// per zone.
+func newFleet(root, folder, wire, variable string, coresPerZone []int, losses int, r *record) (*fleet, error) {
 	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
 	if err != nil {
 		return nil, err
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{root: root, folder: folder, variable: variable, settings: settings, record: r}
+	f := &fleet{root: root, folder: folder, variable: variable, settings: settings, losses: losses, record: r}
 	add := func(class, role, zone string, number, host int) {
 		f.machines = append(f.machines, &machine{
 			name: fmt.Sprintf("%s-%s-%d", class, zone, number), class: class, zone: zone,
@@ -69,11 +70,11 @@
 		})
 	}
 	for i, zone := range zones {
-		add("core", "core", zone, 1, 10+i)
-		add("front", "gate", zone, 1, 30+i)
+		for number := range coresPerZone[i] {
+			add("core", "core", zone, number+1, 10+10*number+i)
+		}
+		add("front", "gate", zone, 1, 200+i)
 	}
-	add("core", "core", "salt-lake", 2, 20)
-	add("core", "core", "new-town", 2, 21)
 	if f.port, err = f.freePorts(); err != nil {
 		return nil, err
 	}
@@ -144,7 +145,7 @@
 	return f.settings.Execute(file, map[string]any{
 		"Name": m.name, "Role": role, "Class": m.class, "Serves": serves, "IP": m.ip, "Zone": m.zone,
 		"Port": f.port, "LastPort": f.port + 15, "Seeds": strings.Join(seeds, ","), "First": firstStart,
-		"IsCore": m.class == "core", "Data": data, "Control": f.controlAddress(m),
+		"IsCore": m.class == "core", "Losses": f.losses, "CatchUp": catchUp, "Data": data, "Control": f.controlAddress(m),
 		"Front": fmt.Sprintf("%s:%d", m.ip, f.port+21), "Readiness": fmt.Sprintf("%s:%d", m.ip, f.port+22),
 	})
 }
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,7 +26,6 @@
 const (
 	coreShare  = 0.24             // processorShare of a core machine
 	freezeTime = 4 * time.Second  // at most 5 s, the default of for_s
-	catchUp    = 4 * time.Second  // a machine counts as lost for so long after its return
 	recovery   = 15 * time.Second // bound of the site
 	// settled is how long after a restart of the core the callers ask for everything again.
 	settled = 4 * time.Second
@@ -34,16 +34,25 @@
 	// endCheck is how long each call at the end is repeated; the users' page says 3 s at least.
 	endCheck = 4 * time.Second
 	// lastKill is the latest time at which the core is killed.
-	lastKill = 88 * time.Second
+	lastKill = 80 * time.Second
 )
 
+// catchUp is the bound of the site.
+var catchUp = 4 * time.Second
+
 func main() {
 	root := flag.String("root", "", "the repository's root")
 	dir := flag.String("dir", "", "the folder of the case, for the record")
 	wire := flag.String("wire", "", "the folder with the settings template and the first configuration")
 	variable := flag.String("variable", "", "the environment variable that names the settings file")
 	replacePath := flag.String("replace", "", "the path of the call that replaces the configuration")
+	readPath := flag.String("read", "", "the path of the call that reads the configuration back; checked if given")
+	cores := flag.String("cores", "2,2,1", "the number of core machines in each zone")
+	losses := flag.Int("losses", 1, "the core machines that may be lost at once")
+	flag.DurationVar(&catchUp, "catchup", catchUp, "a machine counts as lost for so long after its return")
+	frozen := flag.String("frozen", "core-salt-lake-1,core-howrah-1", "the core machines that stand still, one after another; a plus sign joins those that do so at once")
 	trouble := flag.Bool("trouble", true, "play the disruption")
+	flag.DurationVar(&shareCycle, "cycle", shareCycle, "the cycle in which a core process gets its share of a processor; 0: all processes run freely")
 	keep := flag.Bool("keep", false, "keep the temporary folder, with the logs of all processes")
 	flag.Parse()
 	file, err := os.Create(filepath.Join(*dir, "record.txt"))
@@ -54,8 +63,16 @@
 	if err != nil {
 		fail(err)
 	}
+	var perZone []int
+	for _, count := range strings.Split(*cores, ",") {
+		n, err := strconv.Atoi(count)
+		if err != nil {
+			fail(err)
+		}
+		perZone = append(perZone, n)
+	}
 	r := &record{file: file, began: time.Now()}
-	f, err := newFleet(*root, folder, *wire, *variable, r)
+	f, err := newFleet(*root, folder, *wire, *variable, perZone, *losses, r)
 	if err != nil {
 		fail(err)
 	}
@@ -63,8 +80,11 @@
 	if err != nil {
 		fail(err)
 	}
-	stopLimits := f.limitProcessors("core", coreShare)
-	code := run(f, configuration, *replacePath, *trouble)
+	stopLimits := func() {}
+	if shareCycle > 0 {
+		stopLimits = f.limitProcessors("core", coreShare)
+	}
+	code := run(f, configuration, *replacePath, *readPath, *frozen, *trouble)
 	stopLimits()
 	f.close()
 	file.Close()
@@ -82,7 +102,7 @@
 }
 
 // run plays the case and returns the exit code.
-func run(f *fleet, configuration []byte, replacePath string, trouble bool) int {
+func run(f *fleet, configuration []byte, replacePath, readPath, frozen string, trouble bool) int {
 	r := f.record
 	for _, m := range f.machines {
 		if err := f.writeSettings(m, true); err != nil {
@@ -114,13 +134,17 @@
 		r.printf("could not run: no answer before the disruption: %v", before.missing)
 		return 2
 	}
-	for _, name := range []string{"core-salt-lake-1", "core-howrah-1"} {
-		if trouble {
-			f.freeze(f.machine(name))
+	for _, names := range strings.Split(frozen, ",") {
+		for _, name := range strings.Split(names, "+") {
+			if trouble {
+				f.freeze(f.machine(name))
+			}
 		}
 		time.Sleep(freezeTime)
-		if trouble {
-			f.thaw(f.machine(name))
+		for _, name := range strings.Split(names, "+") {
+			if trouble {
+				f.thaw(f.machine(name))
+			}
 		}
 		time.Sleep(catchUp + time.Second)
 	}
@@ -131,12 +155,17 @@
 		}
 		time.Sleep(time.Until(restarted.Add(settled)))
 		isLast := time.Since(r.began) > lastKill || !trouble && kills == 3
-		if early := useAll(c, askTime); len(early.missing) == 0 && !isLast {
+		isRead := readPath == "" || readBack(c, readPath, askTime)
+		if early := useAll(c, askTime); isRead && len(early.missing) == 0 && !isLast {
 			continue
 		}
 		r.printf("nothing is disturbed any more")
 		time.Sleep(time.Until(restarted.Add(recovery)))
 		r.printf("the end of the day: every key is read back, every number and lock is asked for")
+		if readPath != "" && !readBack(c, readPath, endCheck) {
+			r.printf("RULE BROKEN (CONFIG) after %d restarts of the core: no configuration is read back within %v, from %v after all core processes were back", kills, endCheck, recovery)
+			return 1
+		}
 		after := useAll(c, endCheck)
 		if broken := after.compare(before); broken != "" {
 			r.printf("RULE BROKEN (LOST) after %d restarts of the core: %s", kills, broken)
@@ -149,6 +178,12 @@
 	}
 }
 
+// readBack reports whether the configuration is read back in time.
+func readBack(c *caller, path string, within time.Duration) bool {
+	a := c.call(http.MethodGet, path, nil, within)
+	return a != nil && a.status == http.StatusOK
+}
+
 // restartCore kills every process of the core at the same moment; all are started again within a
 // second. It returns the time of the last start.
 func (f *fleet) restartCore() time.Time {
--- a/review/driver/share.go
+++ b/review/driver/share.go
@@ -8,9 +8,9 @@
 )
 
 // A machine of the deployment has a share of one processor. The stand-in of the platform gives it
-// in slices, as the project's own harness does: a process may run for its share of each cycle, 12 ms
-// of 50 ms, and waits for the rest.
-const shareCycle = 50 * time.Millisecond
+// in slices, as the project's own harness does: a process may run for its share of each cycle, and
+// waits for the rest.
+var shareCycle = 50 * time.Millisecond
 
 // limitProcessor gives the machine's processes their share until done is closed.
 func (m *machine) limitProcessor(share float64, done <-chan struct{}) {
