--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -27,13 +27,12 @@
 	coreShare  = 0.24             // processorShare of a core machine
 	freezeTime = 4 * time.Second  // at most 5 s, the default of for_s
 	recovery   = 15 * time.Second // bound of the site
-	// settled is how long after a restart of the core the callers ask for everything again.
-	settled = 4 * time.Second
 	// askTime is how long the callers then repeat a call before the script stops disturbing.
 	askTime = 1500 * time.Millisecond
 	// endCheck is how long each call at the end is repeated; the users' page says 3 s at least.
 	endCheck = 4 * time.Second
-	// lastKill is the latest time at which the core is killed.
+	// lastKill is the time after which the core is not killed any more. Between two kills the core
+	// is left alone for catchUp at least.
 	lastKill = 80 * time.Second
 )
 
@@ -153,7 +152,7 @@
 		if trouble {
 			restarted = f.restartCore()
 		}
-		time.Sleep(time.Until(restarted.Add(settled)))
+		time.Sleep(time.Until(restarted.Add(catchUp)))
 		isLast := time.Since(r.began) > lastKill || !trouble && kills == 3
 		isRead := readPath == "" || readBack(c, readPath, askTime)
 		if early := useAll(c, askTime); isRead && len(early.missing) == 0 && !isLast {
