--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -124,7 +124,7 @@
 }
 
 // writeSettings writes the settings file of a machine from the template of a small deployment.
-func (f *fleet) writeSettings(m *machine, firstStart bool) error {
+func (f *fleet) writeSettings(m *machine, isFirst bool) error {
 	var seeds []string
 	for _, zone := range zones {
 		seeds = append(seeds, fmt.Sprintf("%q", f.controlAddress(f.machine("core-"+zone+"-1"))))
@@ -144,7 +144,7 @@
 	defer file.Close()
 	return f.settings.Execute(file, map[string]any{
 		"Name": m.name, "Role": role, "Class": m.class, "Serves": serves, "IP": m.ip, "Zone": m.zone,
-		"Port": f.port, "LastPort": f.port + 15, "Seeds": strings.Join(seeds, ","), "First": firstStart,
+		"Port": f.port, "LastPort": f.port + 15, "Seeds": strings.Join(seeds, ","), "First": isFirst,
 		"IsCore": m.class == "core", "Losses": f.losses, "CatchUp": catchUp, "Data": data, "Control": f.controlAddress(m),
 		"Front": fmt.Sprintf("%s:%d", m.ip, f.port+21), "Readiness": fmt.Sprintf("%s:%d", m.ip, f.port+22),
 	})
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	coreShare  = 0.24             // processorShare of a core machine
+	coreShare  = 0.24             // of a processor, for a core machine
 	freezeTime = 4 * time.Second  // at most 5 s, the default of for_s
 	recovery   = 15 * time.Second // bound of the site
 	// askTime is how long the callers then repeat a call before the script stops disturbing.
@@ -122,7 +122,7 @@
 		r.printf("could not run: the first configuration was not acknowledged")
 		return 2
 	}
-	for _, m := range f.machines { // firstStart is true only at the first start
+	for _, m := range f.machines { // later starts are not the first one
 		if err := f.writeSettings(m, false); err != nil {
 			return 2
 		}
