--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of review/4 to review/8 start.
 set -e
-cd "$(dirname "$0")/standins-2"
-go build -o ../../target/reviewstandins .
+cd "$(dirname "$0")/4/standins"
+go build -o ../../../target/reviewstandins .
