Debug events for the grants, releases and revocations of locks

Events 318 to 321 carry the holder, the fencing token and the index of the log entry, by which the events of several leaders can be ordered. They are emitted only if the log's level is debug, so they don't displace other events in the memory of a node. No change of behaviour; a release goes through its own function at the leader for this.

--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/errcode"
+	"github.com/sumactrestle/sumactrestle/internal/eventlog"
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
 )
@@ -90,6 +91,7 @@
 	if err != nil || granted.Code != 0 {
 		return granted, err
 	}
+	s.logAcquired(request, granted)
 	extended, err := s.extendLease(request.Name, granted.FencingToken, granted.TTL)
 	if err != nil || extended.Code != 0 {
 		return extended, err
@@ -97,6 +99,15 @@
 	return granted, nil
 }
 
+// release frees a lock at the request of its holder.
+func (s *shard) release(ctx context.Context, request *rpc.CoordinationRequest) (*rpc.CoordinationResponse, error) {
+	response, err := s.propose(ctx, request)
+	if err == nil && response.Code == 0 {
+		s.logLock(eventlog.LockReleased, request.Name, "holder", request.Holder, "fence", uint64(request.FencingToken), "index", uint64(response.Index))
+	}
+	return response, err
+}
+
 // conflict checks whether another holder has the lock. If its lease is valid, conflict returns
 // the rejection. If its lease has expired, conflict starts to revoke it and returns a channel
 // that is closed when the attempt has ended. Otherwise it returns nil, also if the term has
@@ -188,7 +199,10 @@
 		ctx, cancel := context.WithTimeout(s.env, maintenanceTimeout)
 		defer cancel()
 		if current, _, isServing := s.replica.LeadershipSince(); isServing && current == term {
-			s.replica.Propose(ctx, &rpc.CoordinationRequest{Operation: OpExpire, Name: lock.Name, FencingToken: lock.FencingToken})
+			response, err := s.propose(ctx, &rpc.CoordinationRequest{Operation: OpExpire, Name: lock.Name, FencingToken: lock.FencingToken})
+			if err == nil && response.Code == 0 {
+				s.logLock(eventlog.LockRevoked, lock.Name, "holder", lock.Holder, "fence", uint64(lock.FencingToken), "index", uint64(response.Index))
+			}
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/coordination/operation.go
+++ b/internal/coordination/operation.go
@@ -82,7 +82,7 @@
 
 	OpAcquire: {write: (*shard).acquire, validate: validateAcquire},
 	OpRenew:   {read: (*shard).renew, validate: validateRenew},
-	OpRelease: {validate: validateHolder},
+	OpRelease: {write: (*shard).release, validate: validateHolder},
 	OpExpire:  {},
 
 	OpReserve:           {write: (*shard).reserve},
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -78,6 +78,10 @@
 	line.Msg(e.Text)
 }
 
+// Writes reports whether the log's level includes an event. Frequent events that only help to
+// debug are emitted only then, so that they don't displace others among the most recent events.
+func (l *Log) Writes(e Event) bool { return log.ParseLevel(e.Level) >= l.logger.Level }
+
 // Counts returns the number of events by name, including those below the log's level.
 func (l *Log) Counts() map[string]uint64 {
 	l.mu.Lock()
--- a/internal/eventlog/events_gen.go
+++ b/internal/eventlog/events_gen.go
@@ -28,6 +28,10 @@
 	ReplacementFailed          = Event{Number: 315, Name: "ReplacementFailed", Level: "warn", Text: "a voter could not be added or replaced; the leader will retry"}
 	ShardLeaderless            = Event{Number: 316, Name: "ShardLeaderless", Level: "error", Text: "this voter has no contact with a leader of the shard"}
 	ShardLeaderContactRestored = Event{Number: 317, Name: "ShardLeaderHeard", Level: "warn", Text: "this voter has contact with a leader of the shard again"}
+	LockGranted                = Event{Number: 318, Name: "LockGranted", Level: "debug", Text: "lock granted"}
+	LockReacquired             = Event{Number: 319, Name: "LockReacquired", Level: "debug", Text: "the holder of a lock acquired it again; its fencing token is unchanged"}
+	LockReleased               = Event{Number: 320, Name: "LockReleased", Level: "debug", Text: "lock released by its holder"}
+	LockRevoked                = Event{Number: 321, Name: "LockRevoked", Level: "debug", Text: "lock revoked, as its lease expired"}
 	EpochCommitted             = Event{Number: 401, Name: "EpochCommitted", Level: "info", Text: "epoch committed"}
 	ChangeAccepted             = Event{Number: 402, Name: "ChangeAccepted", Level: "info", Text: "change set accepted"}
 	ChangeRejected             = Event{Number: 403, Name: "ChangeRefused", Level: "warn", Text: "change set rejected"}
@@ -79,6 +83,10 @@
 	ReplacementFailed,
 	ShardLeaderless,
 	ShardLeaderContactRestored,
+	LockGranted,
+	LockReacquired,
+	LockReleased,
+	LockRevoked,
 	EpochCommitted,
 	ChangeAccepted,
 	ChangeRejected,
