A release no longer frees a lock that its holder has acquired again

What callers saw: two clients held one lock. Cause: a release names the holder and the fencing token; a caller keeps its holder name and gets the same token when it acquires its lock again. Class: a call that its caller gave up undoes what the caller did since.

Fix: the index of a lock's record is that of its latest acquisition, and a release names the acquisition that it ends (`if`, the stamp of that response). A release that names none ends the first one only; a lock that was acquired again ends with its lease then (3011, event 322). Safe under any delay: the order in the log decides, no clock does.

Cost: a lock acquired again stays shut until its lease's end.

--- a/internal/api/oas_schemas_gen.go
+++ b/internal/api/oas_schemas_gen.go
@@ -151,7 +151,7 @@
 	ID    OptString `json:"id"`
 	Name  string    `json:"name"`
 	Value jx.Raw    `json:"value"`
-	// The index that the key must have; 0 for a new key.
+	// The stamp that the key must have, 0 for a new key; in a release, the stamp of the acquisition.
 	If     OptUint64 `json:"if"`
 	Delta  OptInt64  `json:"delta"`
 	Holder OptString `json:"holder"`
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -87,7 +87,9 @@
 			return nil, errcode.New(errcode.NoLeader, "shard %d: the expired lease of the current holder was not revoked in time", s.id)
 		}
 	}
-	granted, err := s.propose(ctx, request)
+	acquire := *request
+	acquire.RecordsAcquisition = true
+	granted, err := s.propose(ctx, &acquire)
 	if err != nil || granted.Code != 0 {
 		return granted, err
 	}
@@ -99,11 +101,18 @@
 	return granted, nil
 }
 
-// release frees a lock at the request of its holder.
+// release frees a lock at the request of its holder. A request that names no acquisition by its
+// index ends the first one, whose index is the fencing token: it can't be told from a release
+// that its caller gave up before it acquired the lock again. Such a lock is freed when its lease
+// expires.
 func (s *shard) release(ctx context.Context, request *rpc.CoordinationRequest) (*rpc.CoordinationResponse, error) {
-	response, err := s.propose(ctx, request)
-	if err == nil && response.Code == 0 {
-		s.logLock(eventlog.LockReleased, request.Name, "holder", request.Holder, "fence", uint64(request.FencingToken), "index", uint64(response.Index))
+	release := *request
+	if release.IfIndex == nil {
+		release.IfIndex = &release.FencingToken
+	}
+	response, err := s.propose(ctx, &release)
+	if err == nil {
+		s.logRelease(&release, response)
 	}
 	return response, err
 }
--- a/internal/coordination/lock_test.go
+++ b/internal/coordination/lock_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/sumactrestle/sumactrestle/internal/errcode"
+	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
 )
 
@@ -59,3 +60,35 @@
 		expect(3000)
 	}
 }
+
+// A release that its caller gave up may be applied after the caller has acquired the lock again.
+func TestLock_ReleaseEndsOnlyTheAcquisitionItNames(t *testing.T) {
+	index := func(i ids.Index) *ids.Index { return &i }
+	for name, test := range map[string]struct {
+		acquisitions []rpc.CoordinationRequest // by holder a, at the indexes 5, 6, ...
+		condition    *ids.Index
+		want         errcode.Code
+	}{
+		"only acquisition":                        {[]rpc.CoordinationRequest{{RecordsAcquisition: true}}, index(5), errcode.Code{}},
+		"first of two acquisitions":               {[]rpc.CoordinationRequest{{RecordsAcquisition: true}, {RecordsAcquisition: true}}, index(5), errcode.LockReacquired},
+		"latest of two acquisitions":              {[]rpc.CoordinationRequest{{RecordsAcquisition: true}, {RecordsAcquisition: true}}, index(6), errcode.Code{}},
+		"entries of earlier builds":               {[]rpc.CoordinationRequest{{}, {}}, nil, errcode.Code{}},
+		"acquired again under an earlier build":   {[]rpc.CoordinationRequest{{}, {}}, index(5), errcode.Code{}},
+		"acquired again since an earlier build":   {[]rpc.CoordinationRequest{{}, {RecordsAcquisition: true}}, index(5), errcode.LockReacquired},
+		"release of an earlier build after these": {[]rpc.CoordinationRequest{{RecordsAcquisition: true}, {RecordsAcquisition: true}}, nil, errcode.Code{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := NewStore()
+			for i, acquire := range test.acquisitions {
+				acquire.Operation, acquire.Name, acquire.Holder, acquire.TTL = "acquire", "l", "a", 1000
+				if got := apply(store, ids.Index(5+i), acquire); got.Code != 0 || got.FencingToken != 5 {
+					t.Fatal(got)
+				}
+			}
+			got := apply(store, 9, rpc.CoordinationRequest{Operation: "release", Name: "l", Holder: "a", FencingToken: 5, IfIndex: test.condition})
+			if _, isHeld := store.Get(KindLock, "l"); got.Code != test.want.Number || isHeld != (test.want.Number != 0) {
+				t.Errorf("got %+v, the lock is held: %v", got, isHeld)
+			}
+		})
+	}
+}
--- a/internal/coordination/operation.go
+++ b/internal/coordination/operation.go
@@ -170,7 +170,7 @@
 	OpAcquire:            (*Store).acquire,
 	opExtendTTL:          (*Store).extend,
 	OpRelease:            (*Store).release,
-	OpExpire:             (*Store).release,
+	OpExpire:             (*Store).expire,
 	opReserveBatch:       (*Store).reserve,
 	OpCancelReservation:  (*Store).cancelReservation,
 	OpComplete:           (*Store).complete,
--- a/internal/errcode/codes_gen.go
+++ b/internal/errcode/codes_gen.go
@@ -36,6 +36,7 @@
 	KeyNotFound       = Code{Number: 3008, Name: "NoKey", Status: 404, Outcome: "", Text: "no such name"}
 	RevisionCompacted = Code{Number: 3009, Name: "StampTooOld", Status: 410, Outcome: "", Text: "the events after that stamp are no longer kept"}
 	StorageFailed     = Code{Number: 3010, Name: "StorageBroken", Status: 503, Outcome: "unknown", Text: "the node's storage failed"}
+	LockReacquired    = Code{Number: 3011, Name: "AcquiredAgain", Status: 409, Outcome: "", Text: "the holder acquired the lock again after the acquisition that the release names; the lock is not released"}
 	InvalidMessage    = Code{Number: 4001, Name: "BadMessage", Status: 400, Outcome: "", Text: "a message between processes can't be read"}
 	MessageTooLong    = Code{Number: 4002, Name: "LineTooLong", Status: 413, Outcome: "", Text: "a message between processes is too long"}
 	Unreachable       = Code{Number: 4003, Name: "Unreached", Status: 503, Outcome: "not run", Text: "the peer can't be reached"}
@@ -85,6 +86,7 @@
 	3008: KeyNotFound,
 	3009: RevisionCompacted,
 	3010: StorageFailed,
+	3011: LockReacquired,
 	4001: InvalidMessage,
 	4002: MessageTooLong,
 	4003: Unreachable,
--- a/internal/eventlog/events_gen.go
+++ b/internal/eventlog/events_gen.go
@@ -32,6 +32,7 @@
 	LockReacquired             = Event{Number: 319, Name: "LockReacquired", Level: "debug", Text: "the holder of a lock acquired it again; its fencing token is unchanged"}
 	LockReleased               = Event{Number: 320, Name: "LockReleased", Level: "debug", Text: "lock released by its holder"}
 	LockRevoked                = Event{Number: 321, Name: "LockRevoked", Level: "debug", Text: "lock revoked, as its lease expired"}
+	LockReleaseIgnored         = Event{Number: 322, Name: "LockReleaseIgnored", Level: "info", Text: "a release was not executed, as the holder acquired the lock again and the release does not name that acquisition"}
 	EpochCommitted             = Event{Number: 401, Name: "EpochCommitted", Level: "info", Text: "epoch committed"}
 	ChangeAccepted             = Event{Number: 402, Name: "ChangeAccepted", Level: "info", Text: "change set accepted"}
 	ChangeRejected             = Event{Number: 403, Name: "ChangeRefused", Level: "warn", Text: "change set rejected"}
@@ -87,6 +88,7 @@
 	LockReacquired,
 	LockReleased,
 	LockRevoked,
+	LockReleaseIgnored,
 	EpochCommitted,
 	ChangeAccepted,
 	ChangeRejected,
--- a/internal/rpc/messages_gen.go
+++ b/internal/rpc/messages_gen.go
@@ -404,22 +404,25 @@
 }
 
 // CoordinationRequest is one call on the locks, counters, keys or watches of a space. TTL
-// and Wait are in milliseconds.
+// and Wait are in milliseconds. RecordsAcquisition is set in an entry that acquires a
+// lock if the entry's index becomes the lock's; builds that did not do so wrote entries
+// without it.
 type CoordinationRequest struct {
-	ID           string               `json:"id,omitempty"`
-	Operation    string               `json:"op"`
-	Name         string               `json:"name"`
-	Value        json.RawMessage      `json:"value,omitempty"`
-	IfIndex      *ids.Index           `json:"if,omitempty"`
-	IfRevision   *ids.Index           `json:"rev,omitempty"`
-	Delta        int64                `json:"delta,omitempty"`
-	Holder       string               `json:"holder,omitempty"`
-	TTL          int64                `json:"ttl,omitempty"`
-	FencingToken ids.Index            `json:"fence,omitempty"`
-	FromIndex    ids.Index            `json:"from,omitempty"`
-	Wait         int64                `json:"hold,omitempty"`
-	Sequence     uint64               `json:"seq,omitempty"`
-	Records      []CoordinationRecord `json:"records,omitempty"`
+	ID                 string               `json:"id,omitempty"`
+	Operation          string               `json:"op"`
+	Name               string               `json:"name"`
+	Value              json.RawMessage      `json:"value,omitempty"`
+	IfIndex            *ids.Index           `json:"if,omitempty"`
+	IfRevision         *ids.Index           `json:"rev,omitempty"`
+	Delta              int64                `json:"delta,omitempty"`
+	Holder             string               `json:"holder,omitempty"`
+	TTL                int64                `json:"ttl,omitempty"`
+	FencingToken       ids.Index            `json:"fence,omitempty"`
+	FromIndex          ids.Index            `json:"from,omitempty"`
+	Wait               int64                `json:"hold,omitempty"`
+	Sequence           uint64               `json:"seq,omitempty"`
+	Records            []CoordinationRecord `json:"records,omitempty"`
+	RecordsAcquisition bool                 `json:"tracked,omitempty"`
 }
 
 // CoordinationResponse is the response to a CoordinationRequest. Code is zero on success.
@@ -448,7 +451,8 @@
 	Deleted  bool            `json:"gone,omitempty"`
 }
 
-// CoordinationRecord is the state of one name: a key, counter or lock.
+// CoordinationRecord is the state of one name: a key, counter or lock. A lock's Index is
+// that of its latest acquisition, its FencingToken that of the first by its holder.
 type CoordinationRecord struct {
 	Name         string          `json:"name"`
 	Kind         string          `json:"kind"`
