--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -202,31 +202,38 @@
 	lockCall := func(op, holder string, at, ttl time.Duration, token uint64) Record {
 		return Record{Kind: CoordinationCall, Start: at, At: at + 9, Op: op, Name: "hold/a", Holder: holder, FencingToken: token, TTL: ttl, Outcome: "done"}
 	}
+	unanswered := func(r Record) Record {
+		r.Outcome, r.At = OutcomeUnknown, r.Start+s
+		return r
+	}
 	for name, c := range map[string]struct {
 		rule   string
 		faults []Record
 	}{
-		"a skipped revision":                                       {"sets", []Record{set(17*s, "v3", 4)}},
-		"a later set with a lower revision":                        {"sets", []Record{set(10*s, "v3", 4), set(17*s, "v4", 3)}},
-		"a conditional set over a later revision":                  {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "set", Name: "sp/c", RequestID: "v3", Digest: "v3", Revision: 3, Outcome: "done"}, conditional}},
-		"a repeated set with a new revision":                       {"counted", []Record{repeated}},
-		"a follower that misses a revision":                        {"sets", []Record{follow(0, 2, []uint64{2}, "sp/a v2")}},
-		"a follower that continues past a missing revision":        {"sets", []Record{follow(1, 3, []uint64{2}, "sp/a v2")}},
-		"a follower that gets a refused set":                       {"sets", []Record{follow(2, 3, []uint64{3}, "sp/a v0")}},
-		"a follower that gets a set of another key":                {"sets", []Record{follow(1, 2, []uint64{2}, "sp/b v2")}},
-		"a follower rejected as too old for a young event":         {"sets", []Record{{Kind: FollowResponse, Start: 17 * s, At: 17*s + 9, Name: "sp/", From: 1, Outcome: "too old"}}},
-		"a read of an older revision":                              {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "look", Name: "sp/a", Digest: "v1", Revision: 1, Outcome: "done"}}},
-		"a read of a value that was not set":                       {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "look", Name: "sp/a", Digest: "v1", Revision: 2, Outcome: "done"}}},
-		"a change over a refused version":                          {"versions", []Record{version(17*s, "w8", 8, 2, "refused"), version(17*s, "w9", 9, 8, "accepted")}},
-		"a change that skips another":                              {"versions", []Record{version(17*s, "w9", 9, 0, "accepted")}},
-		"a refused change in force":                                {"versions", []Record{readBack(2, map[string]string{"w0": "w0", "w1": "w1", "w2": "w2"})}},
-		"a change read back with a different digest":               {"versions", []Record{readBack(2, map[string]string{"w1": "w1", "w2": "w1"})}},
-		"a lost change":                                            {"versions", []Record{readBack(1, allChanges)}},
-		"a version without its change":                             {"versions", []Record{readBack(2, map[string]string{"w1": "w1"})}},
-		"a version in force that was never sent":                   {"versions", []Record{readBack(7, allChanges)}},
-		"a refused change accepted later":                          {"versions", []Record{version(17*s, "w0", 3, 2, "accepted")}},
-		"a lock granted before a longer renewal expires":           {"locks", []Record{lockCall("acquire", "one", 14*s, s/10, 40), lockCall("renew", "one", 14*s+50, 3*s, 40), lockCall("acquire", "two", 16*s, s, 41)}},
-		"a lock granted after a shorter renewal of a longer grant": {"locks", []Record{lockCall("acquire", "one", 14*s, 3*s, 40), lockCall("renew", "one", 14*s+50, s/10, 40), lockCall("acquire", "two", 16*s, s, 41)}},
+		"a skipped revision":                                                                {"sets", []Record{set(17*s, "v3", 4)}},
+		"a later set with a lower revision":                                                 {"sets", []Record{set(10*s, "v3", 4), set(17*s, "v4", 3)}},
+		"a conditional set over a later revision":                                           {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "set", Name: "sp/c", RequestID: "v3", Digest: "v3", Revision: 3, Outcome: "done"}, conditional}},
+		"a repeated set with a new revision":                                                {"counted", []Record{repeated}},
+		"a follower that misses a revision":                                                 {"sets", []Record{follow(0, 2, []uint64{2}, "sp/a v2")}},
+		"a follower that continues past a missing revision":                                 {"sets", []Record{follow(1, 3, []uint64{2}, "sp/a v2")}},
+		"a follower that gets a refused set":                                                {"sets", []Record{follow(2, 3, []uint64{3}, "sp/a v0")}},
+		"a follower that gets a set of another key":                                         {"sets", []Record{follow(1, 2, []uint64{2}, "sp/b v2")}},
+		"a follower rejected as too old for a young event":                                  {"sets", []Record{{Kind: FollowResponse, Start: 17 * s, At: 17*s + 9, Name: "sp/", From: 1, Outcome: "too old"}}},
+		"a read of an older revision":                                                       {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "look", Name: "sp/a", Digest: "v1", Revision: 1, Outcome: "done"}}},
+		"a read of a value that was not set":                                                {"sets", []Record{{Kind: CoordinationCall, Start: 17 * s, At: 17*s + 9, Op: "look", Name: "sp/a", Digest: "v1", Revision: 2, Outcome: "done"}}},
+		"a change over a refused version":                                                   {"versions", []Record{version(17*s, "w8", 8, 2, "refused"), version(17*s, "w9", 9, 8, "accepted")}},
+		"a change that skips another":                                                       {"versions", []Record{version(17*s, "w9", 9, 0, "accepted")}},
+		"a refused change in force":                                                         {"versions", []Record{readBack(2, map[string]string{"w0": "w0", "w1": "w1", "w2": "w2"})}},
+		"a change read back with a different digest":                                        {"versions", []Record{readBack(2, map[string]string{"w1": "w1", "w2": "w1"})}},
+		"a lost change":                                                                     {"versions", []Record{readBack(1, allChanges)}},
+		"a version without its change":                                                      {"versions", []Record{readBack(2, map[string]string{"w1": "w1"})}},
+		"a version in force that was never sent":                                            {"versions", []Record{readBack(7, allChanges)}},
+		"a refused change accepted later":                                                   {"versions", []Record{version(17*s, "w0", 3, 2, "accepted")}},
+		"a lock granted before a longer renewal expires":                                    {"locks", []Record{lockCall("acquire", "one", 14*s, s/10, 40), lockCall("renew", "one", 14*s+50, 3*s, 40), lockCall("acquire", "two", 16*s, s, 41)}},
+		"a lock granted after a shorter renewal of a longer grant":                          {"locks", []Record{lockCall("acquire", "one", 14*s, 3*s, 40), lockCall("renew", "one", 14*s+50, s/10, 40), lockCall("acquire", "two", 16*s, s, 41)}},
+		"a lock granted while its holder has acquired it again after an unanswered release": {"locks", []Record{lockCall("acquire", "one", 14*s, 3*s, 40), unanswered(lockCall("release", "one", 14*s+50, 0, 40)), lockCall("acquire", "one", 15*s+100, 3*s, 40), lockCall("acquire", "two", 16*s, s, 41)}},
+		"a lock granted to another within a holding before the latest":                      {"locks", []Record{lockCall("acquire", "one", 14*s, 9*s, 40), lockCall("acquire", "one", 15*s, s/10, 40), lockCall("acquire", "two", 16*s, s/10, 41), lockCall("acquire", "three", 17*s, s, 42)}},
+		"the token of another holder":                                                       {"locks", []Record{lockCall("acquire", "one", 14*s, s/10, 40), lockCall("acquire", "two", 16*s, s, 40)}},
 		"rejected attempts beyond the budget": {"extra-tries", func() (list []Record) {
 			for i := range 100 {
 				list = append(list, Record{Kind: RequestRejected, At: 15*s + time.Duration(i), CallID: "x", RequestID: "rx", PerAttempt: true, Service: "rates", ServerService: "rates", Instance: "j"})
@@ -241,6 +248,23 @@
 	}
 }
 
+// A client that releases a lock does not hold it from then on, whatever the release's outcome; one
+// that acquires it again may get the same token.
+func TestCheck_LockReleasedAndAcquiredAgainIsValid(t *testing.T) {
+	call := func(op, holder string, at, ttl time.Duration, token uint64, outcome string) Record {
+		return Record{Kind: CoordinationCall, Start: at, At: at + 9, Op: op, Name: "hold/a", Holder: holder, FencingToken: token, TTL: ttl, Outcome: outcome}
+	}
+	v := Check(append(validHistory(),
+		call("acquire", "one", 14*s, 9*s, 40, OutcomeDone),
+		call("release", "one", 15*s, 0, 40, OutcomeUnknown),
+		call("acquire", "one", 16*s, s, 40, OutcomeDone),
+		call("release", "one", 16*s+100, 0, 40, OutcomeRefused),
+		call("acquire", "two", 16*s+200, s, 41, OutcomeDone)))
+	if !v.IsValid() {
+		t.Fatal(v)
+	}
+}
+
 // Requests to a target whose heartbeats stopped for less than its TTL are valid, and so is a
 // "not run" outcome of a retry if outcomes describe single attempts.
 func TestCheck_PerAttemptOutcomesAndTargetTimeoutsAreValid(t *testing.T) {
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -278,3 +278,22 @@
 	}
 	f.WaitUntil(30*time.Second, f.isRepaired)
 }
+
+// standStill stalls one to all core nodes at once for up to three seconds: their processes read and
+// write nothing, while their kernels accept data. In some cases the core is partitioned meanwhile.
+func standStill(f *Fleet) {
+	f.sleepBetween(500*time.Millisecond, 2*time.Second)
+	cores := f.Cores()
+	f.Rand.Shuffle(len(cores), func(i, j int) { cores[i], cores[j] = cores[j], cores[i] })
+	for _, m := range cores[:1+f.Rand.IntN(len(cores))] {
+		length := 300*time.Millisecond + time.Duration(f.Rand.Int64N(int64(2700*time.Millisecond)))
+		f.Logf("%s stands still for %s", m.Name, length)
+		f.Network.Freeze(m.IP, length)
+	}
+	if f.Rand.IntN(3) == 0 {
+		f.Logf("isolate %s", cores[0].Name)
+		f.isolate(cores[:1])
+	}
+	f.sleepBetween(time.Second, 3*time.Second)
+	f.Network.Heal()
+}
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -59,6 +59,7 @@
 	loadTasks   sync.WaitGroup
 	loadRunning atomic.Bool
 	changeCount atomic.Int64
+	lockCallers int // number of lock callers started
 
 	mu        sync.Mutex // guards the three below
 	targets   []*standin.Server
--- a/internal/simulator/load_spaces.go
+++ b/internal/simulator/load_spaces.go
@@ -17,6 +17,7 @@
 	"github.com/sumactrestle/sumactrestle/internal/ids"
 	"github.com/sumactrestle/sumactrestle/internal/node"
 	"github.com/sumactrestle/sumactrestle/internal/rpc"
+	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
 // followedSpace is the prefix of the keys that are written and followed.
@@ -179,3 +180,30 @@
 		})
 	}
 }
+
+// platformLocks are the locks of the platform's lock callers.
+var platformLocks = []string{"lease/a", "lease/b", "lease/c", "lease/d", "lease/e", "lease/f"}
+
+// StartLockCallers starts n applications that use locks as the users' platform does.
+func (f *Fleet) StartLockCallers(n int, mean time.Duration) {
+	var addresses []string
+	for _, m := range f.Machines {
+		addresses = append(addresses, m.APIAddress())
+	}
+	for range n {
+		id := f.lockCallers
+		f.lockCallers++
+		caller := &standin.LockCaller{
+			Host:      f.Network.HostAt(f.clientHost(100 + id)),
+			History:   f.History,
+			Holder:    fmt.Sprint("caller", id),
+			Locks:     platformLocks,
+			Addresses: addresses,
+		}
+		f.goTask(func(r *rand.Rand) {
+			pause(r, mean)
+			caller.Random = r
+			caller.Use(f.ctx)
+		})
+	}
+}
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -40,6 +40,7 @@
 	f.StartApplications(6, 100*time.Millisecond)
 	f.StartSpaceClients(4, 150*time.Millisecond)
 	f.StartTimedLocks(3, 150*time.Millisecond)
+	f.StartLockCallers(5, 100*time.Millisecond)
 	f.StartVersionedOperators(2, 1500*time.Millisecond)
 	f.measureRecoveries()
 	if s.PlatformMode {
--- a/internal/simulator/scenarios.go
+++ b/internal/simulator/scenarios.go
@@ -43,6 +43,7 @@
 	{Name: "pairs", Shape: withSpares, Length: 30 * time.Second, Faults: pairCoreFaults},
 	{Name: "overlap", Shape: fiveCoreShape, Length: 30 * time.Second, Faults: overlapFaults},
 	{Name: "growth", Shape: growingConfiguration, Length: 25 * time.Second, Faults: killMachines},
+	{Name: "standstills", Shape: fiveCoreShape, Length: 30 * time.Second, Start: func(f *Fleet) { f.StartLockCallers(12, 50*time.Millisecond) }, Faults: standStill},
 	{Name: "mixed", Shape: fiveCoreShape, Length: 40 * time.Second, Faults: runRandomFault},
 }
 
