Smoke test: releases that are given up at a stalled core process

Forced order with real processes: ten locks are acquired, their releases sent to a core process that is stopped (SIGSTOP) and given up after a second, the locks acquired again with the same tokens at another core node, and the process continued; then another caller asks for them. The calls of this test, of the simulator's forced tests and of the load go through standin.LockCaller.Call, where each had its own.

--- a/internal/harness/smoke.go
+++ b/internal/harness/smoke.go
@@ -57,6 +57,17 @@
 		}
 		s.logf("%s stopped as planned", name)
 	}
+	for _, name := range []string{"proxy1", "core2"} {
+		if err := s.fleet.Machine(name).Start(); err != nil {
+			return err
+		}
+	}
+	if err := s.awaitService("after the planned stops"); err != nil {
+		return err
+	}
+	if err := s.releaseLate(); err != nil {
+		return err
+	}
 	s.history.Add(checker.Record{Kind: checker.ScenarioEnded})
 	return s.checkHistory()
 }
--- a/internal/standin/lock_caller.go
+++ b/internal/standin/lock_caller.go
@@ -13,8 +13,7 @@
 const (
 	// LockSilenceLimit is how long a LockCaller waits for a response before it gives the call up.
 	LockSilenceLimit = time.Second
-	// maxDisconnectDelay is the longest time from giving a call up until its connection is closed,
-	// as when the packet that closes it is lost and sent again.
+	// maxDisconnectDelay is the longest random DisconnectDelay.
 	maxDisconnectDelay = 3 * time.Second
 
 	minLockTTL, maxLockTTL = 100 * time.Millisecond, 2600 * time.Millisecond
@@ -36,6 +35,9 @@
 	Locks     []string // names of the locks that it uses
 	Addresses []string // API addresses of the nodes that it calls
 	Random    *rand.Rand
+	// DisconnectDelay is the time from giving a call up until its connection is closed, as when the
+	// packet that closes it is lost and sent again. Zero draws a random time.
+	DisconnectDelay time.Duration
 
 	address string // the node that answered the last call, if it was answered
 	clients map[string]*api.Client
@@ -126,55 +128,64 @@
 	return outcome
 }
 
-// attempt makes one call, records it, and updates the hold if it succeeded.
+// attempt makes one call with a random TTL and updates the hold if it succeeded.
 func (c *LockCaller) attempt(ctx context.Context, verb api.LockVerb, hold *lockHold) (outcome string) {
 	ttl := minLockTTL + time.Duration(c.Random.Int64N(int64(maxLockTTL-minLockTTL))).Truncate(time.Millisecond)
-	record := checker.Record{Kind: checker.CoordinationCall, Start: c.History.Now(), Op: string(verb), Name: hold.name, Holder: c.Holder, FencingToken: hold.token, TTL: ttl}
-	call := &api.Call{Name: hold.name, Holder: api.NewOptString(c.Holder)}
-	switch verb {
-	case api.LockVerbAcquire:
-		call.TTL = api.NewOptInt64(ttl.Milliseconds())
-	case api.LockVerbRenew:
-		call.TTL, call.Fence = api.NewOptInt64(ttl.Milliseconds()), api.NewOptUint64(hold.token)
-	case api.LockVerbRelease:
-		call.Fence = api.NewOptUint64(hold.token)
+	sentAt := c.History.Now()
+	token, outcome := c.Call(ctx, LockCall{Address: c.address, Verb: verb, Name: hold.name, Token: hold.token, TTL: ttl})
+	if outcome == checker.OutcomeDone && verb != api.LockVerbRelease {
+		hold.token, hold.until = token, max(hold.until, sentAt+ttl)
 	}
-	receipt, err := c.Send(ctx, c.address, verb, call)
+	return outcome
+}
+
+// LockCall is one call of a LockCaller. Token is not sent with the verb acquire, TTL not with release.
+type LockCall struct {
+	Address string // API address of the node
+	Verb    api.LockVerb
+	Name    string
+	Token   uint64
+	TTL     time.Duration // in whole milliseconds
+}
+
+// Call makes one call, records it, and returns its outcome and the lock's fencing token. It gives
+// the call up after LockSilenceLimit; the outcome is unknown then, and the connection is closed
+// later by DisconnectDelay.
+func (c *LockCaller) Call(ctx context.Context, call LockCall) (token uint64, outcome string) {
+	request := &api.Call{Name: call.Name, Holder: api.NewOptString(c.Holder)}
+	if call.Verb != api.LockVerbRelease {
+		request.TTL = api.NewOptInt64(call.TTL.Milliseconds())
+	}
+	if call.Verb != api.LockVerbAcquire {
+		token = call.Token
+		request.Fence = api.NewOptUint64(token)
+	}
+	record := checker.Record{Kind: checker.CoordinationCall, Start: c.History.Now(), Op: string(call.Verb), Name: call.Name, Holder: c.Holder, TTL: call.TTL}
+	receipt, err := c.send(ctx, call.Address, call.Verb, request)
 	record.Outcome, record.Code = outcomeOfLockCall(err), CodeOf(err)
 	if err != nil {
 		record.Note = err.Error()
+	} else if call.Verb == api.LockVerbAcquire {
+		token = receipt.Fence.Or(0)
 	}
-	if err == nil && verb != api.LockVerbRelease {
-		if verb == api.LockVerbAcquire {
-			hold.token = receipt.Fence.Or(0)
-			record.FencingToken = hold.token
-		}
-		hold.until = max(hold.until, record.Start+ttl)
-	}
+	record.FencingToken = token
 	c.History.Add(record)
-	return record.Outcome
+	return token, record.Outcome
 }
 
-// Send sends a call to a node and returns the response. It gives the call up with
-// context.DeadlineExceeded after LockSilenceLimit; the connection is then closed up to
-// maxDisconnectDelay later.
-func (c *LockCaller) Send(ctx context.Context, address string, verb api.LockVerb, call *api.Call) (*api.Receipt, error) {
+// send sends a request to a node and returns the response, or context.DeadlineExceeded after
+// LockSilenceLimit.
+func (c *LockCaller) send(ctx context.Context, address string, verb api.LockVerb, request *api.Call) (*api.Receipt, error) {
 	type response struct {
 		receipt *api.Receipt
 		err     error
 	}
-	if c.clients[address] == nil {
-		if c.clients == nil {
-			c.clients = map[string]*api.Client{}
-		}
-		c.clients[address] = NewAPIClient(c.Host, address)
-	}
-	client, delay := c.clients[address], time.Duration(c.Random.Int64N(int64(maxDisconnectDelay)))
+	client, delay := c.client(address), c.disconnectDelay()
 	responses := make(chan response, 1)
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, LockSilenceLimit+delay)
 		defer cancel()
-		receipt, err := client.Lock(callCtx, call, api.LockParams{Verb: verb})
+		receipt, err := client.Lock(callCtx, request, api.LockParams{Verb: verb})
 		responses <- response{receipt, err}
 	}()
 	timer := time.NewTimer(LockSilenceLimit)
@@ -187,6 +198,24 @@
 	}
 }
 
+// client returns the client for a node.
+func (c *LockCaller) client(address string) *api.Client {
+	if c.clients[address] == nil {
+		if c.clients == nil {
+			c.clients = map[string]*api.Client{}
+		}
+		c.clients[address] = NewAPIClient(c.Host, address)
+	}
+	return c.clients[address]
+}
+
+func (c *LockCaller) disconnectDelay() time.Duration {
+	if c.DisconnectDelay > 0 {
+		return c.DisconnectDelay
+	}
+	return time.Duration(c.Random.Int64N(int64(maxDisconnectDelay)))
+}
+
 // outcomeOfLockCall returns the outcome of a call for a history: unknown without an answer that
 // states it.
 func outcomeOfLockCall(err error) string {
