A lock is revoked only in the term in which its lease was seen to expire

Replica.ProposeInTerm compares the term where the entry is appended, under the replica's lock. commitEpoch, named with it, is safe as it is: its entry carries the epoch it follows and is rejected otherwise.

--- a/internal/consensus/leadership_transfer_test.go
+++ b/internal/consensus/leadership_transfer_test.go
@@ -12,11 +12,11 @@
 	runReplicaTest(t, func(t *testing.T, r *Replica, _ *recordingMachine) {
 		appendTwoEntries(t, r)
 		r.leadership.isLeader, r.leadership.isServing = true, true
-		if _, _, err := r.appendProposal(command(`1`)); err != nil {
+		if _, _, err := r.appendProposal(anyTerm, command(`1`)); err != nil {
 			t.Fatal(err)
 		}
 		r.stopProposals()
-		if _, _, err := r.appendProposal(command(`2`)); !errors.Is(err, errcode.NotLeader) {
+		if _, _, err := r.appendProposal(anyTerm, command(`2`)); !errors.Is(err, errcode.NotLeader) {
 			t.Error("a proposal during a leadership transfer was not rejected with NotLeader:", err)
 		}
 	})
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -97,7 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.node.env, preferredLeaderTimeout)
 	defer cancel()
-	index, _, err := r.propose(ctx, rpc.Entry{Kind: entryEmpty})
+	index, _, err := r.propose(ctx, anyTerm, rpc.Entry{Kind: entryEmpty})
 	if err != nil {
 		return
 	}
@@ -138,7 +138,7 @@
 func (r *Replica) proposeVoters(next Voters) bool {
 	ctx, cancel := context.WithTimeout(r.node.env, membershipChangeTimeout)
 	defer cancel()
-	_, _, err := r.propose(ctx, rpc.Entry{Kind: entryMembershipChange, Voters: next.Current, OutgoingVoters: next.Outgoing})
+	_, _, err := r.propose(ctx, anyTerm, rpc.Entry{Kind: entryMembershipChange, Voters: next.Current, OutgoingVoters: next.Outgoing})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leadership.isLeader {
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -22,22 +22,32 @@
 // serve the shard, in which case nothing was written; WriteUnknown if the entry was appended
 // and it is not known whether it will be committed.
 func (r *Replica) Propose(ctx context.Context, command any) (index ids.Index, response any, err error) {
+	return r.ProposeInTerm(ctx, anyTerm, command)
+}
+
+// ProposeInTerm is like Propose, but the error is also NotLeader if the current term is another one
+// when the entry would be appended. It is for commands that follow from what the leader of the term
+// knows: the process may stall before the entry is appended, and lead again in a later term.
+func (r *Replica) ProposeInTerm(ctx context.Context, term ids.Term, command any) (index ids.Index, response any, err error) {
 	raw, err := json.Marshal(command)
 	if err != nil {
 		return 0, nil, errcode.New(errcode.Internal, "%v", err)
 	}
-	return r.propose(ctx, rpc.Entry{Kind: entryCommand, Body: raw})
+	return r.propose(ctx, term, rpc.Entry{Kind: entryCommand, Body: raw})
 }
 
 // Barrier returns once all entries now in the log are committed and applied. Errors are those
 // of Propose.
 func (r *Replica) Barrier(ctx context.Context) error {
-	_, _, err := r.propose(ctx, rpc.Entry{Kind: entryEmpty})
+	_, _, err := r.propose(ctx, anyTerm, rpc.Entry{Kind: entryEmpty})
 	return err
 }
 
-func (r *Replica) propose(ctx context.Context, entry rpc.Entry) (index ids.Index, response any, err error) {
-	index, proposed, err := r.appendProposal(entry)
+// anyTerm is the term of a proposal that may be appended in every term.
+var anyTerm ids.Term
+
+func (r *Replica) propose(ctx context.Context, term ids.Term, entry rpc.Entry) (index ids.Index, response any, err error) {
+	index, proposed, err := r.appendProposal(term, entry)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -55,12 +65,15 @@
 }
 
 // appendProposal appends an entry and registers a proposal for it.
-func (r *Replica) appendProposal(entry rpc.Entry) (ids.Index, proposal, error) {
+func (r *Replica) appendProposal(term ids.Term, entry rpc.Entry) (ids.Index, proposal, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leadership.isServing || r.leadership.isTransferring {
 		return 0, proposal{}, errcode.New(errcode.NotLeader, "shard %d", r.shard)
 	}
+	if term != anyTerm && term != r.currentTerm {
+		return 0, proposal{}, errcode.New(errcode.NotLeader, "shard %d: the term is %s, not %s", r.shard, r.currentTerm, term)
+	}
 	if entry.Kind == entryMembershipChange && !(r.hasCommittedVoters() && r.voters.canBecome(votersOf(entry))) {
 		return 0, proposal{}, errcode.New(errcode.NotLeader, "shard %d: the voters changed before this membership change was appended", r.shard)
 	}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -207,11 +207,10 @@
 	s.env.Go(func() {
 		ctx, cancel := context.WithTimeout(s.env, maintenanceTimeout)
 		defer cancel()
-		if current, _, isServing := s.replica.LeadershipSince(); isServing && current == term {
-			response, err := s.propose(ctx, &rpc.CoordinationRequest{Operation: OpExpire, Name: lock.Name, FencingToken: lock.FencingToken})
-			if err == nil && response.Code == 0 {
-				s.logLock(eventlog.LockRevoked, lock.Name, "holder", lock.Holder, "fence", uint64(lock.FencingToken), "index", uint64(response.Index))
-			}
+		// In a later term the lease may have been renewed by another leader.
+		index, _, err := s.replica.ProposeInTerm(ctx, term, &rpc.CoordinationRequest{Operation: OpExpire, Name: lock.Name, FencingToken: lock.FencingToken})
+		if err == nil {
+			s.logLock(eventlog.LockRevoked, lock.Name, "holder", lock.Holder, "fence", uint64(lock.FencingToken), "index", uint64(index))
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
