A reservation of an idempotency key belongs to one attempt

What clients saw: where clients assign the request IDs (proxy.request_id_source=caller), an attempt with the ID and the idempotency key of an earlier attempt that was answered "not run" was answered "unknown" and never ran. Cause: the holder of a reservation was the request's ID, so the cancellation of the earlier attempt concerned the later one too. A cancellation is repeated for up to 10 s, so it could also arrive after the later attempt had reserved the key, and then let a third attempt run as well. The second form was not forced: calls of one proxy to one leader share a connection, which keeps their order.

Fix: each attempt has a reservation ID of its own.

--- a/internal/proxy/idempotency/records.go
+++ b/internal/proxy/idempotency/records.go
@@ -57,18 +57,19 @@
 	return r
 }
 
-// Acquire acquires a record for a request, within the deadline. If it fails, the request must
+// Acquire acquires a record for a request, within the deadline. The reservation ID must not be used
+// for another request, as the release of its record may be executed late. If it fails, the request must
 // not be forwarded: either another request holds the record (Conflict), or the holder is not
 // known (errcode.NoLeader).
-func (r *Records) Acquire(name, requestID string, deadline time.Time) error {
+func (r *Records) Acquire(name, reservationID string, deadline time.Time) error {
 	if limit := time.Now().Add(acquireTimeout); limit.Before(deadline) {
 		deadline = limit
 	}
 	ctx, cancel := context.WithDeadline(r.config.Environment, deadline)
 	defer cancel()
-	response, err := r.config.Coordinate(ctx, &rpc.CoordinationRequest{Operation: coordination.OpReserve, Name: name, Holder: r.holder(requestID)})
+	response, err := r.config.Coordinate(ctx, &rpc.CoordinationRequest{Operation: coordination.OpReserve, Name: name, Holder: r.holder(reservationID)})
 	if err != nil {
-		r.config.Environment.Go(func() { r.release(name, requestID) })
+		r.config.Environment.Go(func() { r.release(name, reservationID) })
 		return errcode.New(errcode.NoLeader, "the idempotency record can't be acquired: %v", err)
 	}
 	if response.Code == 0 {
@@ -88,26 +89,26 @@
 
 // Finish records the outcome of a request whose record was acquired. It releases the record
 // if the request certainly did not run.
-func (r *Records) Finish(name, requestID string, err error) {
+func (r *Records) Finish(name, reservationID string, err error) {
 	state := Ran
 	switch {
 	case err == nil:
 	case errcode.From(err).Code.Outcome == outcomeNotRun:
-		r.config.Environment.Go(func() { r.release(name, requestID) })
+		r.config.Environment.Go(func() { r.release(name, reservationID) })
 		return
 	default:
 		state = Unknown
 	}
 	select {
-	case r.outcomes <- recordedOutcome{name, r.holder(requestID), state}:
+	case r.outcomes <- recordedOutcome{name, r.holder(reservationID), state}:
 	default:
 	}
 }
 
 // holder identifies a request together with the incarnation of the proxy that received it.
-func (r *Records) holder(requestID string) string {
+func (r *Records) holder(reservationID string) string {
 	self := r.config.Membership.Self()
-	return string(self.Name) + " " + string(self.ID) + " " + requestID
+	return string(self.Name) + " " + string(self.ID) + " " + reservationID
 }
 
 // isHolderLive reports whether the proxy that acquired a record is live. If it is not, it
@@ -118,8 +119,8 @@
 }
 
 // release releases the record of a request that certainly did not run.
-func (r *Records) release(name, requestID string) {
-	r.write(&rpc.CoordinationRequest{Operation: coordination.OpCancelReservation, Name: name, Holder: r.holder(requestID)})
+func (r *Records) release(name, reservationID string) {
+	r.write(&rpc.CoordinationRequest{Operation: coordination.OpCancelReservation, Name: name, Holder: r.holder(reservationID)})
 }
 
 // write sends a request, and retries until it succeeds or writeTimeout has passed.
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -48,6 +48,7 @@
 	// Derived from the client's idempotency key.
 	keyHash        uint64 // zero without a key
 	recordName     string // idempotency record to acquire; empty if none is needed
+	reservationID  string // identifies the reservation of the record; clients may reuse request IDs
 	isClientRepeat bool   // the client repeats a request whose key this proxy's tracker knows
 
 	// Progress.
@@ -84,7 +85,7 @@
 		plan.maxAttempts = plan.route.MaxAttempts
 	}
 	if deduplicate := plan.route.Deduplicate == nil || *plan.route.Deduplicate; plan.keyHash != 0 && deduplicate && !plan.idempotent {
-		plan.recordName = idempotency.RecordName(r)
+		plan.recordName, plan.reservationID = idempotency.RecordName(r), requestID+"/"+ids.NewID()
 	}
 	now := time.Now()
 	plan.deadline = p.lifecycle.capDeadline(p.deadline(r, plan.route, now))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -187,7 +187,7 @@
 	}
 	defer release()
 	if plan.recordName != "" {
-		if err := p.keyed.records.Acquire(plan.recordName, plan.requestID, plan.deadline); err != nil {
+		if err := p.keyed.records.Acquire(plan.recordName, plan.reservationID, plan.deadline); err != nil {
 			p.keyed.tracker.End(plan.keyHash, idempotency.StateAfter(err))
 			return plan, nil, err
 		}
@@ -196,7 +196,7 @@
 	state := idempotency.StateAfter(err)
 	p.keyed.tracker.End(plan.keyHash, state)
 	if plan.recordName != "" {
-		p.keyed.records.Finish(plan.recordName, plan.requestID, err)
+		p.keyed.records.Finish(plan.recordName, plan.reservationID, err)
 	}
 	if plan.keyHash != 0 && state == idempotency.Unknown {
 		p.keyed.losses.Report(plan.keyHash, plan.service.Name)
--- a/internal/simulator/idempotency_test.go
+++ b/internal/simulator/idempotency_test.go
@@ -4,11 +4,16 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/sumactrestle/sumactrestle/internal/api"
 	"github.com/sumactrestle/sumactrestle/internal/errcode"
+	"github.com/sumactrestle/sumactrestle/internal/proxy"
+	"github.com/sumactrestle/sumactrestle/internal/proxy/idempotency"
 	"github.com/sumactrestle/sumactrestle/internal/standin"
 )
 
@@ -80,3 +85,41 @@
 		}
 	})
 }
+
+// Guards against a reservation that is shared by two attempts: where clients assign the request IDs,
+// an attempt may have the ID of an earlier one, whose cancellation must not concern it.
+func TestProxy_AttemptWithTheRequestIDOfACanceledOneRuns(t *testing.T) {
+	shape := singleProxyShape()
+	shape.Settings["proxy.request_id_source"] = "caller"
+	inFleet(t, shape, func(t *testing.T, f *Fleet) {
+		proxyNode, target := f.Machine("proxy1"), f.Targets("bookings")[0]
+		client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return f.Network.HostAt(f.clientHost(3)).Dial(ctx, address)
+		}}}
+		send := func() (outcome string) {
+			request, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+proxyNode.ProxyAddress()+"/bookings", strings.NewReader("{}"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(standin.HeaderCall, "again")
+			request.Header.Set(idempotency.HeaderKey, "again")
+			request.Header.Set(proxy.HeaderRequestID, "attempt")
+			response, err := client.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			return response.Header.Get(proxy.HeaderOutcome)
+		}
+		target.Crash()
+		f.RemoveTarget(target)
+		if outcome := send(); outcome != "not run" {
+			t.Fatalf("outcome %q of an attempt whose target has crashed", outcome)
+		}
+		f.StartTarget("bookings", f.newHost(0), 0)
+		time.Sleep(3 * time.Second)
+		if outcome := send(); outcome != "ran" || countExecutions(f, "again") != 1 {
+			t.Errorf("outcome %q of the next attempt, which ran %d times", outcome, countExecutions(f, "again"))
+		}
+	})
+}
