Only the leader itself can revoke a lock

The operation expire could be requested like any other; nobody did. It is one of the leader's own operations now, as extending a lock's time is, so no call that waits somewhere can revoke a lock. The validation test asks for its rejection instead of its acceptance.

--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -208,7 +208,7 @@
 		ctx, cancel := context.WithTimeout(s.env, maintenanceTimeout)
 		defer cancel()
 		// In a later term the lease may have been renewed by another leader.
-		index, _, err := s.replica.ProposeInTerm(ctx, term, &rpc.CoordinationRequest{Operation: OpExpire, Name: lock.Name, FencingToken: lock.FencingToken})
+		index, _, err := s.replica.ProposeInTerm(ctx, term, &rpc.CoordinationRequest{Operation: opExpire, Name: lock.Name, FencingToken: lock.FencingToken})
 		if err == nil {
 			s.logLock(eventlog.LockRevoked, lock.Name, "holder", lock.Holder, "fence", uint64(lock.FencingToken), "index", uint64(index))
 		}
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -59,7 +59,7 @@
 	return &rpc.CoordinationResponse{Index: index}
 }
 
-// expire frees a lock whose lease for the request's fencing token has expired (OpExpire).
+// expire frees a lock whose lease for the request's fencing token has expired (opExpire).
 func (s *Store) expire(index ids.Index, request *rpc.CoordinationRequest) *rpc.CoordinationResponse {
 	lock, ok := s.records[KindLock][request.Name]
 	if !ok || lock.FencingToken != request.FencingToken {
--- a/internal/coordination/operation.go
+++ b/internal/coordination/operation.go
@@ -29,7 +29,6 @@
 	OpAcquire = "acquire"
 	OpRenew   = "renew"
 	OpRelease = "release"
-	OpExpire  = "expire" // proposed by the leader when a lease has expired
 
 	// Idempotency records.
 	OpReserve           = "claim"
@@ -43,6 +42,7 @@
 
 // Operations that only the leader proposes.
 const (
+	opExpire       = "expire" // when a lease has expired
 	opExtendTTL    = "stretch"
 	opReserveBatch = "claims"
 	opSweep        = "sweep"
@@ -83,7 +83,6 @@
 	OpAcquire: {write: (*shard).acquire, validate: validateAcquire},
 	OpRenew:   {read: (*shard).renew, validate: validateRenew},
 	OpRelease: {write: (*shard).release, validate: validateHolder},
-	OpExpire:  {},
 
 	OpReserve:           {write: (*shard).reserve},
 	OpCancelReservation: {},
@@ -170,7 +169,7 @@
 	OpAcquire:            (*Store).acquire,
 	opExtendTTL:          (*Store).extend,
 	OpRelease:            (*Store).release,
-	OpExpire:             (*Store).expire,
+	opExpire:             (*Store).expire,
 	opReserveBatch:       (*Store).reserve,
 	OpCancelReservation:  (*Store).cancelReservation,
 	OpComplete:           (*Store).complete,
--- a/internal/coordination/operation_test.go
+++ b/internal/coordination/operation_test.go
@@ -16,7 +16,6 @@
 		faults  []string // nil for a valid request
 	}{
 		"get":                       {rpc.CoordinationRequest{Operation: "get", Name: "k"}, nil},
-		"expire":                    {rpc.CoordinationRequest{Operation: "expire", Name: "l"}, nil},
 		"shortest lease":            {rpc.CoordinationRequest{Operation: "acquire", Name: "l", Holder: "a", TTL: 10}, nil},
 		"longest lease":             {rpc.CoordinationRequest{Operation: "acquire", Name: "l", Holder: "a", TTL: 3600_000}, nil},
 		"renewal without a TTL":     {rpc.CoordinationRequest{Operation: "renew", Name: "l", Holder: "a", FencingToken: 1}, nil},
@@ -25,6 +24,7 @@
 		"long name":                 {rpc.CoordinationRequest{Operation: "put", Name: strings.Repeat("n", 513)}, []string{"name: is missing or longer than 512 bytes"}},
 		"large value":               {rpc.CoordinationRequest{Operation: "put", Name: "k", Value: json.RawMessage(strings.Repeat("1", 64<<10+1))}, []string{"value: is larger than 64 KiB"}},
 		"unknown operation":         {rpc.CoordinationRequest{Operation: "steal", Name: "l"}, []string{"op: steal is not known"}},
+		"internal operation expire": {rpc.CoordinationRequest{Operation: "expire", Name: "l"}, []string{"op: expire is not known"}},
 		"internal operation extend": {rpc.CoordinationRequest{Operation: "stretch", Name: "l"}, []string{"op: stretch is not known"}},
 		"internal operation batch":  {rpc.CoordinationRequest{Operation: "claims", Name: "l"}, []string{"op: claims is not known"}},
 		"internal operation sweep":  {rpc.CoordinationRequest{Operation: "sweep", Name: "l"}, []string{"op: sweep is not known"}},
