--- a/internal/harness/soak_core_faults.go
+++ b/internal/harness/soak_core_faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -46,27 +47,19 @@
 	cores := s.fleet.CoreMachines()
 	random.Shuffle(len(cores), func(i, j int) { cores[i], cores[j] = cores[j], cores[i] })
 	stalled := cores[:1+random.IntN(len(cores))]
-	began := time.Now()
 	var names []string
-	ends := map[*Machine]time.Time{}
+	var stalls sync.WaitGroup
 	for _, m := range stalled {
 		length := randomDuration(random, minCoreFaultLength, maxCoreFaultLength)
 		names = append(names, fmt.Sprintf("%s for %s", m.Name, length.Round(time.Millisecond)))
-		ends[m] = began.Add(length)
 		m.Freeze()
+		stalls.Go(func() {
+			time.Sleep(length)
+			m.Thaw()
+		})
 	}
 	s.recordFault("stall %s", strings.Join(names, ", "))
-	for len(ends) > 0 {
-		next := stalled[0]
-		for m := range ends {
-			if _, isStalled := ends[next]; !isStalled || ends[m].Before(ends[next]) {
-				next = m
-			}
-		}
-		time.Sleep(time.Until(ends[next]))
-		next.Thaw()
-		delete(ends, next)
-	}
+	stalls.Wait()
 }
 
 // partitionCore cuts the link between two core nodes in one direction, or one core node from all
